--- /dev/null
+++ b/hyssopfold/application.py
@@ -0,0 +1,187 @@
+"""Composition root: the parts of each daemon, wired, under supervision."""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+import functools
+import logging
+import random
+import signal
+import time
+from typing import Any
+
+import trio
+import trio_asyncio
+
+from hyssopfold import http
+from hyssopfold import logs
+from hyssopfold import metrics
+from hyssopfold import settings
+from hyssopfold import supervisor
+from hyssopfold.control import api
+from hyssopfold.control import instance as control_instance
+from hyssopfold.core.balancing import chooser
+from hyssopfold.core.consensus import node as consensus_node
+from hyssopfold.core.membership import messages
+from hyssopfold.entry import app as entry_app
+from hyssopfold.entry import configuration
+from hyssopfold.entry import proxy
+from hyssopfold.entry import upstream
+from hyssopfold.storage import folder
+from hyssopfold.transport import gossip
+from hyssopfold.transport import rpc
+from hyssopfold.transport import wire
+
+logger = logging.getLogger(__name__)
+
+Child = tuple[str, Callable[[], Awaitable[None]]]
+
+
+def incarnation() -> int:
+    """Return a number that grows from one start of a process to the next."""
+    return time.time_ns() // 1_000_000
+
+
+def _myself(
+    cfg: settings.ControlSettings | settings.EntrySettings,
+    role: messages.Role,
+) -> messages.Instance:
+    return messages.Instance(
+        name=cfg.name,
+        role=role,
+        address=cfg.http_address,
+        gossip_address=cfg.gossip_address,
+        region=cfg.region,
+        failure_domain=cfg.failure_domain,
+        state="ready" if role == "control" else "starting",
+        incarnation=incarnation(),
+        sequence=0,
+        revision=0,
+        load=0.0,
+    )
+
+
+async def run_control(cfg: settings.ControlSettings) -> None:
+    """Run a control instance until it is told to stop."""
+    logs.configure(cfg.name, cfg.log_level, cfg.log_decision_sample)
+    rng = random.Random()
+    with folder.DataFolder(cfg.data_folder) as data:
+        node = consensus_node.Node(
+            cfg.name,
+            [member.name for member in cfg.control],
+            control_instance.load_durable(data),
+            rng,
+            cfg.round_timeout_s,
+            cfg.edit_timeout_s,
+        )
+        peers = {
+            member.name: rpc.Client(member.rpc_address)
+            for member in cfg.control
+            if member.name != cfg.name
+        }
+        member = control_instance.Instance(node, data, peers)
+        spread = gossip.Gossip(
+            _myself(cfg, "control"), cfg.gossip_seeds, cfg.lease_s
+        )
+        meter = metrics.Metrics(cfg.name)
+        operators = api.Api(member, spread, meter)
+        handlers: dict[rpc.Method, rpc.Handler] = {
+            wire.DELIVER: member.deliver,
+            wire.POLL: member.poll,
+        }
+        children: list[Child] = [
+            ("member", member.run),
+            ("gossip", spread.run),
+            ("rpc", functools.partial(rpc.serve, cfg.rpc_address, handlers)),
+        ]
+        await _run_daemon(cfg, operators, children, rng, _stop_at_once)
+
+
+async def run_entry(cfg: settings.EntrySettings) -> None:
+    """Run an entry until it is told to stop and its requests are done."""
+    logs.configure(cfg.name, cfg.log_level, cfg.log_decision_sample)
+    rng = random.Random()
+    peers = [rpc.Client(member.rpc_address) for member in cfg.control]
+    config = configuration.Configuration(cfg.name, peers, cfg.poll_s, rng)
+    spread = gossip.Gossip(_myself(cfg, "entry"), cfg.gossip_seeds, cfg.lease_s)
+    choose = chooser.Chooser(cfg.region, rng)
+    servers = upstream.Upstream()
+    meter = metrics.Metrics(cfg.name)
+    forward = proxy.Proxy(
+        cfg.name, config, spread.directory, choose, servers, meter
+    )
+    app = entry_app.App(
+        dict(cfg.region_delays_ms),
+        cfg.lookup_ttl_s,
+        config,
+        spread,
+        forward,
+        choose,
+        meter,
+    )
+
+    async def become_ready() -> None:
+        while config.snapshot.revision == 0:
+            await trio.sleep(0.05)
+        spread.update_self(state="ready")
+        while True:
+            revision = config.snapshot.revision
+            spread.update_self(revision=revision, load=float(forward.in_flight))
+            await trio.sleep(0.1)
+
+    async def leave() -> None:
+        # Callers cache look-ups: those who hold an old answer are served
+        # until it has expired.
+        spread.update_self(state="leaving")
+        logger.info(logs.Event("leaving", wait_s=cfg.lookup_ttl_s))
+        await trio.sleep(cfg.lookup_ttl_s + gossip.PERIOD_S)
+
+    children: list[Child] = [
+        ("configuration", config.run),
+        ("gossip", spread.run),
+        ("state", become_ready),
+    ]
+    await _run_daemon(cfg, app, children, rng, leave)
+    await servers.aclose()
+
+
+async def _stop_at_once() -> None:
+    """Leave without waiting: no caller's request is under way here."""
+
+
+async def _run_daemon(
+    cfg: settings.ControlSettings | settings.EntrySettings,
+    app: http.App,
+    children: list[Child],
+    rng: random.Random,
+    leave: Callable[[], Awaitable[None]],
+) -> None:
+    """Supervise the children and the HTTP server until told to stop."""
+    stop = trio.Event()
+    async with trio_asyncio.open_loop(), trio.open_nursery() as nursery:
+        for name, child in children:
+            nursery.start_soon(supervisor.supervise, name, child, rng)
+        nursery.start_soon(_wait_for_stop, leave, stop)
+        serve = functools.partial(
+            http.serve, app, cfg.http_address, stop, cfg.stop_max_s
+        )
+        logger.info(logs.Event("started", http=cfg.http_address))
+        await supervisor.supervise("http", serve, rng)
+        logger.info(logs.Event("stopped"))
+        nursery.cancel_scope.cancel()
+
+
+async def _wait_for_stop(
+    leave: Callable[[], Awaitable[None]], stop: trio.Event
+) -> None:
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async for number in signals:
+            name = signal.Signals(number).name
+            logger.info(logs.Event("stop-asked", signal=name))
+            await leave()
+            stop.set()
+            return
+
+
+def run(main: Callable[[Any], Awaitable[None]], cfg: Any) -> None:
+    """Run a daemon's main task under trio."""
+    trio.run(main, cfg)
--- /dev/null
+++ b/hyssopfold/cmd/__init__.py
@@ -0,0 +1,1 @@
+"""Thin commands, one module for each program."""
--- /dev/null
+++ b/hyssopfold/cmd/daemon.py
@@ -0,0 +1,48 @@
+"""What the daemons' commands have in common."""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+import sys
+from typing import Any
+
+import click
+import trio
+
+from hyssopfold import errors
+
+
+def start(
+    load: Callable[[str], Any],
+    main: Callable[[Any], Awaitable[None]],
+    path: str,
+    check: bool,
+) -> None:
+    """Check the settings, then run the daemon; exit with what it came to."""
+    try:
+        cfg = load(path)
+    except errors.InvalidDocumentError as exc:
+        for fault in exc.faults:
+            click.echo(str(fault), err=True)
+        sys.exit(exc.exit_status)
+    if check:
+        click.echo(f"{path}: settings are good")
+        return
+    try:
+        trio.run(main, cfg)
+    except BaseExceptionGroup as group:
+        sys.exit(report(group))
+    except errors.HyssopError as exc:
+        sys.exit(report(exc))
+
+
+def report(exc: BaseException) -> int:
+    """Print one line for each error in `exc`; return the exit status."""
+    if isinstance(exc, BaseExceptionGroup):
+        return max(report(inner) for inner in exc.exceptions)
+    if isinstance(exc, errors.HyssopError):
+        click.echo(f"{exc.kind}: {exc}", err=True)
+        return exc.exit_status
+    if isinstance(exc, KeyboardInterrupt):
+        return 0
+    click.echo(f"internal-error: {exc!r}; report it with the log", err=True)
+    return 1
--- /dev/null
+++ b/hyssopfold/control/__init__.py
@@ -0,0 +1,1 @@
+"""The durable state, the operators' API and its distribution."""
--- /dev/null
+++ b/hyssopfold/core/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions as pure state machines, without clock, socket or randomness."""
--- /dev/null
+++ b/hyssopfold/core/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Whether a request is let in now, queued or refused."""
--- /dev/null
+++ b/hyssopfold/core/balancing/__init__.py
@@ -0,0 +1,1 @@
+"""Which backend server serves a request."""
--- /dev/null
+++ b/hyssopfold/core/balancing/chooser.py
@@ -0,0 +1,88 @@
+"""Which backend server serves a request."""
+
+from collections import Counter
+from collections.abc import Collection
+import random
+from typing import NamedTuple
+
+from hyssopfold import tables
+from hyssopfold.core.membership import messages
+
+
+class Choice(NamedTuple):
+    """A chosen server and what decided for it."""
+
+    server: messages.Server
+    reason: str
+    in_flight: int
+
+
+class Chooser:
+    """Choose the less loaded of two servers, near ones first.
+
+    Args:
+        region: Region of this entry.
+        rng: Source of the two candidates.
+    """
+
+    def __init__(self, region: str, rng: random.Random) -> None:
+        self._region = region
+        self._rng = rng
+        self._in_flight: Counter[str] = Counter()
+
+    def choose(
+        self,
+        pool: tables.Pool,
+        servers: Collection[messages.Server],
+        avoid: Collection[str],
+    ) -> Choice | None:
+        """Return a server with a free slot, or None when there is none.
+
+        Args:
+            pool: The pool's row, for its drains.
+            servers: Servers that are ready.
+            avoid: Servers already tried for this request.
+        """
+        free = [
+            server
+            for server in servers
+            if server.server_id not in avoid
+            and not is_drained(pool, server)
+            and self._in_flight[server.server_id] < server.slots
+        ]
+        near = [server for server in free if server.region == self._region]
+        candidates = near or free
+        if not candidates:
+            return None
+        picked = self._rng.sample(candidates, min(2, len(candidates)))
+        server = min(picked, key=self._load)
+        reason = "near" if near else "far"
+        return Choice(server, reason, self._in_flight[server.server_id])
+
+    def begin(self, server_id: str) -> None:
+        """Count a request that goes to a server."""
+        self._in_flight[server_id] += 1
+
+    def end(self, server_id: str) -> None:
+        """Count a request that is done."""
+        self._in_flight[server_id] -= 1
+        if not self._in_flight[server_id]:
+            del self._in_flight[server_id]
+
+    def in_flight(self) -> dict[str, int]:
+        """Return the requests under way by server."""
+        return dict(self._in_flight)
+
+    def _load(self, server: messages.Server) -> float:
+        mine = self._in_flight[server.server_id]
+        return max(server.load, mine) / server.slots
+
+
+def is_drained(pool: tables.Pool, server: messages.Server) -> bool:
+    """Return whether the tables ask for this server to be emptied."""
+    drains = pool.drains
+    return (
+        server.server_id in drains.servers
+        or server.failure_domain in drains.failure_domains
+        or server.region in drains.regions
+    )
--- /dev/null
+++ b/hyssopfold/core/consensus/__init__.py
@@ -0,0 +1,1 @@
+"""Replicated versioned register decided by ballots."""
--- /dev/null
+++ b/hyssopfold/core/distribution/__init__.py
@@ -0,0 +1,1 @@
+"""Configuration revisions on their way to every entry."""
--- /dev/null
+++ b/hyssopfold/core/draining/__init__.py
@@ -0,0 +1,1 @@
+"""Planned stops of servers and entries."""
--- /dev/null
+++ b/hyssopfold/core/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Who is there: backend servers and instances, under leases."""
--- /dev/null
+++ b/hyssopfold/core/membership/directory.py
@@ -0,0 +1,122 @@
+"""Who is there: the newest word of each server and instance, under leases."""
+
+from collections.abc import Iterable
+from typing import Generic
+from typing import NamedTuple
+from typing import TypeVar
+
+from hyssopfold.core.membership import messages
+
+MAX_RECORDS = 20_000
+
+Word = TypeVar("Word", messages.Server, messages.Instance)
+
+
+class _Held(NamedTuple, Generic[Word]):
+    word: Word
+    expires: float
+
+
+class Leases(Generic[Word]):
+    """Keep the newest word of each member until its lease ends.
+
+    Args:
+        lease_s: Seconds that a word holds without a newer one.
+    """
+
+    def __init__(self, lease_s: float) -> None:
+        self._lease_s = lease_s
+        self._held: dict[str, _Held[Word]] = {}
+
+    def update(self, key: str, word: Word, now: float) -> bool:
+        """Take a word in; return whether it was newer than what is held.
+
+        Doubled and late words are ignored, and `leaving` is final for an
+        incarnation: a crossed `ready` that was sent before it arrives late
+        and must not bring the server back.
+        """
+        held = self._held.get(key)
+        if held is not None and not _is_newer(word, held.word):
+            return False
+        if held is None and len(self._held) >= MAX_RECORDS:
+            return False
+        if _left(held, word):
+            word = word._replace(state="leaving")
+        self._held[key] = _Held(word, now + self._lease_s)
+        return True
+
+    def expire(self, now: float) -> list[Word]:
+        """Drop and return the words whose lease has ended."""
+        ended = [key for key, held in self._held.items() if held.expires <= now]
+        return [self._held.pop(key).word for key in ended]
+
+    def words(self) -> Iterable[Word]:
+        """Return all words that are held."""
+        return [held.word for held in self._held.values()]
+
+    def get(self, key: str) -> Word | None:
+        """Return the word of `key`."""
+        held = self._held.get(key)
+        return held.word if held is not None else None
+
+    def age_s(self, key: str, now: float) -> float:
+        """Return the seconds since the word of `key` came."""
+        return now - (self._held[key].expires - self._lease_s)
+
+
+def _is_newer(
+    word: messages.Server | messages.Instance,
+    held: messages.Server | messages.Instance,
+) -> bool:
+    mine = (word.incarnation, word.sequence)
+    return mine > (held.incarnation, held.sequence)
+
+
+def _left(held: _Held[Word] | None, word: Word) -> bool:
+    if held is None or held.word.state != "leaving":
+        return False
+    return held.word.incarnation == word.incarnation
+
+
+class Directory:
+    """All servers and instances that this process knows of.
+
+    Args:
+        lease_s: Seconds after which a silent one is taken for gone.
+    """
+
+    def __init__(self, lease_s: float) -> None:
+        self.servers: Leases[messages.Server] = Leases(lease_s)
+        self.instances: Leases[messages.Instance] = Leases(lease_s)
+
+    def merge(
+        self, datagram: messages.Datagram, now: float
+    ) -> tuple[messages.Server, ...]:
+        """Take in what another process told; return the servers' news."""
+        for instance in datagram.instances:
+            self.instances.update(instance.name, instance, now)
+        return tuple(
+            server
+            for server in datagram.servers
+            if self.servers.update(server.server_id, server, now)
+        )
+
+    def expire(self, now: float) -> list[messages.Server | messages.Instance]:
+        """Drop and return all whose lease has ended."""
+        return [*self.servers.expire(now), *self.instances.expire(now)]
+
+    def ready_servers(self, pool: str) -> list[messages.Server]:
+        """Return the servers of `pool` that may get new work."""
+        return [
+            server
+            for server in self.servers.words()
+            if server.pool == pool and server.state == "ready"
+        ]
+
+    def ready_entries(self) -> list[messages.Instance]:
+        """Return the entries that callers may be sent to."""
+        return [
+            instance
+            for instance in self.instances.words()
+            if instance.role == "entry" and instance.state == "ready"
+        ]
--- /dev/null
+++ b/hyssopfold/core/membership/messages.py
@@ -0,0 +1,53 @@
+"""Announcements of backend servers and instances, as they are spread."""
+
+from typing import Literal
+from typing import NamedTuple
+
+State = Literal["ready", "leaving"]
+InstanceState = Literal["starting", "ready", "leaving"]
+Role = Literal["control", "entry"]
+
+
+class Server(NamedTuple):
+    """A backend server's own word about itself.
+
+    `load` is the number of requests it says it runs; `sequence` grows with
+    each announcement of an `incarnation`.
+    """
+
+    server_id: str
+    pool: str
+    address: str
+    region: str
+    failure_domain: str
+    slots: int
+    connections: int
+    state: State
+    incarnation: int
+    sequence: int
+    load: float
+
+
+class Instance(NamedTuple):
+    """The word of one of our own processes about itself."""
+
+    name: str
+    role: Role
+    address: str
+    gossip_address: str
+    region: str
+    failure_domain: str
+    state: InstanceState
+    incarnation: int
+    sequence: int
+    revision: int
+    load: float
+
+
+class Datagram(NamedTuple):
+    """What one process tells another; `revision` is the one in force."""
+
+    sender: str
+    revision: int
+    instances: tuple[Instance, ...]
+    servers: tuple[Server, ...]
--- /dev/null
+++ b/hyssopfold/documents.py
@@ -0,0 +1,275 @@
+"""Safe, bounded reading of operators' YAML, with every fault at its line."""
+
+from collections.abc import Callable
+from collections.abc import Mapping
+from collections.abc import Sequence
+import ipaddress
+from typing import Any
+from typing import NamedTuple
+
+import yaml
+
+from hyssopfold import errors
+
+MAX_BYTES = 4 * 1024 * 1024
+MAX_DEPTH = 12
+_SHOWN = 60
+
+
+class Field(NamedTuple):
+    """One key of a mapping: its type, default and what it may hold.
+
+    `convert` takes a node and a `Reader` and returns the value; it reports
+    faults to the reader instead of raising.
+    """
+
+    name: str
+    convert: Callable[["Reader", yaml.Node, str], Any]
+    default: Any = None
+    required: bool = False
+    allowed: str = ""
+    unit: str = ""
+    help: str = ""
+
+
+class Reader:
+    """Collect faults while a document is taken apart.
+
+    Args:
+        source: Name of the document, for the faults.
+    """
+
+    def __init__(self, source: str) -> None:
+        self.source = source
+        self.faults: list[errors.Fault] = []
+
+    def fault(self, node: yaml.Node | None, where: str, allowed: str) -> None:
+        """Note that `node` at key path `where` should have been `allowed`."""
+        line = node.start_mark.line + 1 if node is not None else 1
+        shown = _show(node)
+        self.faults.append(
+            errors.Fault(self.source, line, where, shown, allowed)
+        )
+
+    def fault_at(self, line: int, where: str, value: str, allowed: str) -> None:
+        """Note a fault whose line is known but whose node is not."""
+        self.faults.append(
+            errors.Fault(self.source, line, where, value, allowed)
+        )
+
+    def raise_faults(self) -> None:
+        """Raise all noted faults at once.
+
+        Raises:
+            InvalidDocumentError: if any fault was noted.
+        """
+        if self.faults:
+            raise errors.InvalidDocumentError(self.faults)
+
+    def mapping(
+        self, node: yaml.Node | None, fields: Sequence[Field], where: str
+    ) -> dict[str, Any]:
+        """Return the checked values of a mapping, unknown keys refused."""
+        values = {field.name: field.default for field in fields}
+        if not isinstance(node, yaml.MappingNode):
+            self.fault(node, where or "document", "a mapping of keys")
+            return values
+        known = {field.name: field for field in fields}
+        seen: set[str] = set()
+        for key_node, value_node in node.value:
+            key = str(key_node.value)
+            path = f"{where}.{key}" if where else key
+            if key not in known:
+                self.fault(key_node, path, f"one of {', '.join(known)}")
+                continue
+            if key in seen:
+                self.fault(key_node, path, "each key only once")
+                continue
+            seen.add(key)
+            values[key] = known[key].convert(self, value_node, path)
+        for field in fields:
+            if field.required and field.name not in seen:
+                path = f"{where}.{field.name}" if where else field.name
+                self.fault_at(
+                    node.start_mark.line + 1,
+                    path,
+                    "(missing)",
+                    field.allowed or "a value",
+                )
+        return values
+
+
+def _show(node: yaml.Node | None) -> str:
+    if node is None:
+        return "(empty)"
+    if isinstance(node, yaml.ScalarNode):
+        return repr(node.value[:_SHOWN])
+    return f"a {node.id}"
+
+
+def compose(text: str, source: str) -> tuple[Reader, yaml.Node | None]:
+    """Parse YAML into nodes, refusing what is too large, deep or aliased.
+
+    Raises:
+        InvalidDocumentError: when the text cannot be read at all.
+    """
+    reader = Reader(source)
+    if len(text.encode()) > MAX_BYTES:
+        reader.fault_at(1, "document", "its size", f"under {MAX_BYTES} bytes")
+        reader.raise_faults()
+    try:
+        _check_events(text, reader)
+        reader.raise_faults()
+        return reader, yaml.compose(text, Loader=yaml.SafeLoader)
+    except yaml.YAMLError as exc:
+        mark = getattr(exc, "problem_mark", None)
+        line = mark.line + 1 if mark else 1
+        problem = getattr(exc, "problem", None) or "unreadable text"
+        reader.fault_at(line, "document", problem, "valid YAML")
+    except RecursionError:
+        reader.fault_at(1, "document", "its depth", f"under {MAX_DEPTH} levels")
+    reader.raise_faults()
+    raise AssertionError("unreachable: faults were noted")
+
+
+def _check_events(text: str, reader: Reader) -> None:
+    """Refuse aliases and depth before any tree is built.
+
+    A document of nested aliases expands to gigabytes ("billion laughs");
+    looking at the parser's events costs only the text's own size.
+    """
+    depth = 0
+    for event in yaml.parse(text, Loader=yaml.SafeLoader):
+        line = event.start_mark.line + 1
+        if isinstance(event, yaml.AliasEvent):
+            reader.fault_at(line, "document", "an alias", "the value itself")
+            return
+        if isinstance(event, yaml.CollectionStartEvent):
+            depth += 1
+        elif isinstance(event, yaml.CollectionEndEvent):
+            depth -= 1
+        if depth > MAX_DEPTH:
+            reader.fault_at(
+                line, "document", "its depth", f"under {MAX_DEPTH} levels"
+            )
+            return
+
+
+def string(
+    *, max_length: int = 255, choices: Sequence[str] = ()
+) -> Callable[[Reader, yaml.Node, str], str]:
+    """Return a converter to `str`, of the `choices` when they are given."""
+
+    def convert(reader: Reader, node: yaml.Node, where: str) -> str:
+        if not isinstance(node, yaml.ScalarNode) or not node.value:
+            reader.fault(node, where, "a text")
+            return ""
+        if choices and node.value not in choices:
+            reader.fault(node, where, f"one of {', '.join(choices)}")
+        if len(node.value) > max_length or not node.value.isprintable():
+            reader.fault(
+                node, where, f"printable text of at most {max_length} letters"
+            )
+        return str(node.value)
+
+    return convert
+
+
+def number(
+    kind: type[int] | type[float], minimum: float, maximum: float
+) -> Callable[[Reader, yaml.Node, str], Any]:
+    """Return a converter to a number within bounds, both included."""
+    word = "a whole number" if kind is int else "a number"
+
+    def convert(reader: Reader, node: yaml.Node, where: str) -> Any:
+        allowed = f"{word} from {minimum:g} to {maximum:g}"
+        try:
+            value = kind(getattr(node, "value", ""))
+        except (TypeError, ValueError):
+            reader.fault(node, where, allowed)
+            return kind(minimum)
+        # Written this way round, so that a NaN is refused too.
+        if not minimum <= value <= maximum:
+            reader.fault(node, where, allowed)
+            return kind(minimum)
+        return value
+
+    return convert
+
+
+def boolean(reader: Reader, node: yaml.Node, where: str) -> bool:
+    """Convert `true` or `false`."""
+    value = getattr(node, "value", None)
+    if value not in ("true", "false"):
+        reader.fault(node, where, "true or false")
+    return bool(value == "true")
+
+
+def address(reader: Reader, node: yaml.Node, where: str) -> str:
+    """Convert an IP number and port, such as `127.0.0.1:7101`."""
+    value = str(getattr(node, "value", ""))
+    if not is_address(value):
+        reader.fault(node, where, "an IP number and port, IP:PORT")
+    return value
+
+
+def is_address(value: str) -> bool:
+    """Return whether `value` is an IP number and a port."""
+    host, _, port = value.rpartition(":")
+    try:
+        ipaddress.ip_address(host.strip("[]"))
+    except ValueError:
+        return False
+    return port.isascii() and port.isdigit() and 0 < int(port) < 65536
+
+
+def listed(
+    convert: Callable[[Reader, yaml.Node, str], Any], max_items: int = 10_000
+) -> Callable[[Reader, yaml.Node, str], tuple[Any, ...]]:
+    """Return a converter for a list whose items `convert` takes."""
+
+    def convert_all(
+        reader: Reader, node: yaml.Node, where: str
+    ) -> tuple[Any, ...]:
+        if not isinstance(node, yaml.SequenceNode):
+            reader.fault(node, where, "a list")
+            return ()
+        if len(node.value) > max_items:
+            reader.fault(node, where, f"a list of at most {max_items} items")
+            return ()
+        return tuple(
+            convert(reader, item, f"{where}[{index}]")
+            for index, item in enumerate(node.value)
+        )
+
+    return convert_all
+
+
+def keyed(
+    convert: Callable[[Reader, yaml.Node, str], Any],
+) -> Callable[[Reader, yaml.Node, str], dict[str, Any]]:
+    """Return a converter for a mapping of free names to like values."""
+
+    def convert_all(
+        reader: Reader, node: yaml.Node, where: str
+    ) -> dict[str, Any]:
+        if not isinstance(node, yaml.MappingNode):
+            reader.fault(node, where, "a mapping")
+            return {}
+        return {
+            str(key.value): convert(reader, value, f"{where}.{key.value}")
+            for key, value in node.value
+        }
+
+    return convert_all
+
+
+def record(
+    fields: Sequence[Field], build: Callable[[Mapping[str, Any]], Any]
+) -> Callable[[Reader, yaml.Node, str], Any]:
+    """Return a converter for a nested mapping of declared fields."""
+
+    def convert(reader: Reader, node: yaml.Node, where: str) -> Any:
+        return build(reader.mapping(node, fields, where))
+
+    return convert
--- /dev/null
+++ b/hyssopfold/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The data path: accept, look up, stream, answer."""
--- /dev/null
+++ b/hyssopfold/errors.py
@@ -0,0 +1,151 @@
+"""Typed errors; the message of each names the remedy."""
+
+from collections.abc import Sequence
+from typing import NamedTuple
+
+
+class HyssopError(Exception):
+    """Base of all errors raised by hyssopfold.
+
+    Args:
+        summary: What went wrong, without a full stop.
+        remedy: What the reader can do about it.
+    """
+
+    kind = "error"
+    exit_status = 1
+
+    def __init__(self, summary: str, remedy: str) -> None:
+        super().__init__(f"{summary}; {remedy}")
+        self.summary = summary
+        self.remedy = remedy
+
+
+class Fault(NamedTuple):
+    """One thing wrong in a document written by an operator."""
+
+    source: str
+    line: int
+    where: str
+    value: str
+    allowed: str
+
+    def __str__(self) -> str:
+        return (
+            f"{self.source}:{self.line}: {self.where}: {self.value}"
+            f" is not allowed; write {self.allowed}"
+        )
+
+
+class InvalidDocumentError(HyssopError):
+    """Settings or tables that were refused as a whole."""
+
+    kind = "invalid-document"
+    exit_status = 2
+
+    def __init__(self, faults: Sequence[Fault]) -> None:
+        listed = "\n".join(str(fault) for fault in faults)
+        super().__init__(listed, "mend every line listed and try again")
+        self.faults = tuple(faults)
+
+
+class PortBusyError(HyssopError):
+    """An address of ours is taken by another process."""
+
+    kind = "port-busy"
+
+    def __init__(self, address: str) -> None:
+        super().__init__(
+            f"address {address} is in use by another process",
+            "stop that process or change the address in the settings",
+        )
+
+
+class ConflictError(HyssopError):
+    """Another edit won the revision this one was based on."""
+
+    kind = "conflict"
+    exit_status = 3
+
+    def __init__(self, revision: int, winner: str) -> None:
+        super().__init__(
+            f"the tables are at revision {revision}, set by change {winner}",
+            "get the tables again, redo the edit and apply it with"
+            f" --expect {revision}",
+        )
+        self.revision = revision
+        self.winner = winner
+
+
+class OutcomeUnknownError(HyssopError):
+    """The fate of an edit could not be learned in time."""
+
+    kind = "outcome-unknown"
+    exit_status = 4
+
+    def __init__(self, change_id: str) -> None:
+        super().__init__(
+            f"the outcome of change {change_id} is not known",
+            f"resend the same file with --change-id {change_id}",
+        )
+        self.change_id = change_id
+
+
+class ChildFailedError(HyssopError):
+    """A supervised task kept failing."""
+
+    kind = "child-failed"
+
+    def __init__(self, name: str, restarts: int, cause: BaseException) -> None:
+        super().__init__(
+            f"task {name} failed {restarts} times, last with {cause!r}",
+            "read the log lines of this task, mend the cause, start again",
+        )
+
+
+class CorruptStorageError(HyssopError):
+    """A record on disk failed its checksum or its format."""
+
+    kind = "corrupt-storage"
+
+    def __init__(self, path: str, detail: str) -> None:
+        super().__init__(
+            f"{path} is corrupt: {detail}",
+            "move the data folder aside and let the instance come back blank",
+        )
+
+
+class StorageBusyError(HyssopError):
+    """Another process holds the data folder."""
+
+    kind = "storage-busy"
+
+    def __init__(self, path: str) -> None:
+        super().__init__(
+            f"data folder {path} is locked by another process",
+            "stop the other process or give this one its own folder",
+        )
+
+
+class StorageWriteError(HyssopError):
+    """A record could not be written and synced."""
+
+    kind = "storage-write"
+
+    def __init__(self, path: str, detail: str) -> None:
+        super().__init__(
+            f"cannot write {path}: {detail}",
+            "free space or mend the disk, then start the instance again",
+        )
+
+
+class PeerUnavailableError(HyssopError):
+    """A call to another process of ours got no answer in time."""
+
+    kind = "peer-unavailable"
+
+    def __init__(self, address: str, detail: str) -> None:
+        super().__init__(
+            f"no answer from {address}: {detail}",
+            "check that the process runs and the path to it is open",
+        )
--- /dev/null
+++ b/hyssopfold/logs.py
@@ -0,0 +1,94 @@
+"""One key=value line for each event."""
+
+import json
+import logging
+import re
+
+_PLAIN = re.compile(r"[A-Za-z0-9_./:@%+,\-]+\Z")
+
+
+def quote(value: object) -> str:
+    """Return `value` so that no input can forge a field or a line.
+
+    Anything but a plain token is written as a JSON string in ASCII, which
+    escapes quotes, newlines and control characters.
+    """
+    if isinstance(value, float):
+        return f"{value:.6g}"
+    text = str(value)
+    if _PLAIN.match(text):
+        return text
+    return json.dumps(text)
+
+
+class Event(dict[str, object]):
+    """An event's fields, formatted only when a handler writes the line."""
+
+    def __init__(self, event: str, **fields: object) -> None:
+        super().__init__(fields)
+        self.event = event
+
+    def __str__(self) -> str:
+        pairs = [f"event={quote(self.event)}"]
+        pairs += [f"{key}={quote(value)}" for key, value in self.items()]
+        return " ".join(pairs)
+
+
+class KeyValueFormatter(logging.Formatter):
+    """Format each record as one line of key=value pairs."""
+
+    def __init__(self, instance: str) -> None:
+        super().__init__()
+        self._instance = quote(instance)
+
+    def format(self, record: logging.LogRecord) -> str:
+        """Return the line for `record`; times are UTC in ISO 8601."""
+        stamp = self.formatTime(record, "%Y-%m-%dT%H:%M:%S")
+        head = (
+            f"time={stamp}.{int(record.msecs):03d}Z"
+            f" level={record.levelname.lower()}"
+            f" instance={self._instance} logger={record.name}"
+        )
+        if isinstance(record.msg, Event):
+            line = f"{head} {record.msg}"
+        else:
+            line = f"{head} event=message text={quote(record.getMessage())}"
+        if record.exc_info and record.exc_info[1] is not None:
+            line += f" error={quote(repr(record.exc_info[1]))}"
+        return line
+
+
+class SamplingFilter(logging.Filter):
+    """Let through one in `every` decision lines, and all other lines."""
+
+    def __init__(self, every: int) -> None:
+        super().__init__()
+        self._every = max(1, every)
+        self._count = 0
+
+    def filter(self, record: logging.LogRecord) -> bool:
+        """Return whether `record` is written."""
+        msg = record.msg
+        if not isinstance(msg, Event) or not msg.event.endswith("-decision"):
+            return True
+        self._count += 1
+        return self._count % self._every == 0
+
+
+def configure(instance: str, level: str, decision_sample: int) -> None:
+    """Send all records to standard error as key=value lines.
+
+    Args:
+        instance: Name of this process, put on each line.
+        level: Lowest level written.
+        decision_sample: Write one in this many decision lines.
+    """
+    handler = logging.StreamHandler()
+    formatter = KeyValueFormatter(instance)
+    handler.setFormatter(formatter)
+    handler.addFilter(SamplingFilter(decision_sample))
+    root = logging.getLogger()
+    root.handlers[:] = [handler]
+    root.setLevel(level.upper())
+    for name in ("httpcore", "hypercorn", "hpack", "asyncio"):
+        logging.getLogger(name).setLevel(logging.WARNING)
--- /dev/null
+++ b/hyssopfold/metrics.py
@@ -0,0 +1,66 @@
+"""Metrics of a daemon, kept and rendered by aioprometheus."""
+
+import aioprometheus.collectors
+import aioprometheus.renderer
+
+from hyssopfold import http
+
+_LATENCY_BUCKETS_S = [
+    0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0,
+    30.0, 60.0,
+]  # fmt: skip
+
+
+class Metrics:
+    """All metrics of one process, on a registry of their own.
+
+    Args:
+        instance: Name of this process, put on each metric.
+    """
+
+    def __init__(self, instance: str) -> None:
+        self.registry = aioprometheus.collectors.Registry()
+        labels = {"instance": instance}
+        self.requests = aioprometheus.collectors.Histogram(
+            "hyssop_request_seconds",
+            "Time from a request's head to the end of its answer",
+            const_labels=labels,
+            registry=self.registry,
+            buckets=_LATENCY_BUCKETS_S,
+        )
+        self.revision = aioprometheus.collectors.Gauge(
+            "hyssop_revision",
+            "Revision of the tables in force",
+            const_labels=labels,
+            registry=self.registry,
+        )
+        self.revision_age = aioprometheus.collectors.Gauge(
+            "hyssop_revision_age_seconds",
+            "Time since control last confirmed the revision",
+            const_labels=labels,
+            registry=self.registry,
+        )
+        self.slots = aioprometheus.collectors.Gauge(
+            "hyssop_pool_slots",
+            "Slots of the ready servers of a pool",
+            const_labels=labels,
+            registry=self.registry,
+        )
+        self.in_flight = aioprometheus.collectors.Gauge(
+            "hyssop_pool_in_flight",
+            "Requests of this entry under way in a pool",
+            const_labels=labels,
+            registry=self.registry,
+        )
+        self.lease_age = aioprometheus.collectors.Gauge(
+            "hyssop_lease_age_seconds",
+            "Time since the last word of a server or instance",
+            const_labels=labels,
+            registry=self.registry,
+        )
+
+    def render(self) -> http.Answer:
+        """Return the metrics in the text format of Prometheus."""
+        content, headers = aioprometheus.renderer.render(self.registry, [])
+        kind = headers["Content-Type"].encode()
+        return http.Answer(200, content, kind)
--- /dev/null
+++ b/hyssopfold/settings.py
@@ -0,0 +1,257 @@
+"""Settings of a process, declared with type, unit and default in one place."""
+
+from collections.abc import Mapping
+import pathlib
+from typing import Any
+from typing import NamedTuple
+
+from hyssopfold import documents
+from hyssopfold import errors
+
+_LEVELS = ("debug", "info", "warning", "error")
+_SECONDS = documents.number(float, 0.001, 86_400)
+
+_COMMON = (
+    documents.Field(
+        "name",
+        documents.string(max_length=63),
+        "",
+        True,
+        "the name of this instance",
+        help="unique name of this instance",
+    ),
+    documents.Field(
+        "region",
+        documents.string(max_length=63),
+        "",
+        True,
+        "a region",
+        help="region this instance runs in",
+    ),
+    documents.Field(
+        "failure_domain",
+        documents.string(max_length=63),
+        "",
+        True,
+        "a failure domain",
+        help="failure domain this instance runs in",
+    ),
+    documents.Field(
+        "http_address",
+        documents.address,
+        "",
+        True,
+        "an IP number and port, IP:PORT",
+        help="where callers, backend servers and operators connect",
+    ),
+    documents.Field(
+        "log_level",
+        documents.string(choices=_LEVELS),
+        "info",
+        help="lowest level written to the log",
+    ),
+    documents.Field(
+        "log_decision_sample",
+        documents.number(int, 1, 1_000_000),
+        1,
+        help="write one in this many decision lines",
+    ),
+    documents.Field(
+        "stop_max_s",
+        _SECONDS,
+        3600.0,
+        unit="s",
+        help="longest a planned stop waits for requests in flight",
+    ),
+    documents.Field(
+        "gossip_address",
+        documents.address,
+        "",
+        True,
+        "an IP number and port, IP:PORT",
+        help="UDP address on which our processes exchange announcements",
+    ),
+    documents.Field(
+        "gossip_seeds",
+        documents.listed(documents.address),
+        (),
+        help="UDP addresses of some other processes of ours",
+    ),
+    documents.Field(
+        "lease_s",
+        _SECONDS,
+        4.0,
+        unit="s",
+        help="time after which a silent server or entry is taken for gone",
+    ),
+)
+
+
+class Member(NamedTuple):
+    """A control instance as the settings of others name it."""
+
+    name: str
+    rpc_address: str
+
+
+_MEMBER = (
+    documents.Field("name", documents.string(), "", True, "a name"),
+    documents.Field(
+        "rpc_address", documents.address, "", True, "IP number and port"
+    ),
+)
+
+_MEMBERS = documents.Field(
+    "control",
+    documents.listed(
+        documents.record(_MEMBER, lambda values: Member(**values)), 7
+    ),
+    (),
+    True,
+    "a list of control instances, each with name and rpc_address",
+    help="the control instances",
+)
+
+CONTROL_FIELDS = (
+    *_COMMON,
+    documents.Field(
+        "rpc_address",
+        documents.address,
+        "",
+        True,
+        "an IP number and port, IP:PORT",
+        help="where other processes of ours connect",
+    ),
+    documents.Field(
+        "data_folder",
+        documents.string(max_length=4096),
+        "",
+        True,
+        "a folder on this instance's disk",
+        help="folder that holds the durable state",
+    ),
+    _MEMBERS,
+    documents.Field(
+        "round_timeout_s",
+        _SECONDS,
+        1.0,
+        unit="s",
+        help="time for a ballot to reach a majority before it is retried",
+    ),
+    documents.Field(
+        "edit_timeout_s",
+        _SECONDS,
+        8.0,
+        unit="s",
+        help="time until an edit whose fate is open is answered `unknown`",
+    ),
+)
+
+ENTRY_FIELDS = (
+    *_COMMON,
+    _MEMBERS,
+    documents.Field(
+        "poll_s",
+        _SECONDS,
+        2.0,
+        unit="s",
+        help="longest between two questions for a newer revision",
+    ),
+    documents.Field(
+        "lookup_ttl_s",
+        _SECONDS,
+        5.0,
+        unit="s",
+        help="how long callers may cache a look-up",
+    ),
+    documents.Field(
+        "region_delays_ms",
+        documents.keyed(documents.number(float, 0, 10_000)),
+        None,
+        unit="ms",
+        help="one-way delay from this entry's region to each other region",
+    ),
+)
+
+
+class ControlSettings(NamedTuple):
+    """Settings of a control instance; fields as in `CONTROL_FIELDS`."""
+
+    name: str
+    region: str
+    failure_domain: str
+    http_address: str
+    log_level: str
+    log_decision_sample: int
+    stop_max_s: float
+    gossip_address: str
+    gossip_seeds: tuple[str, ...]
+    lease_s: float
+    rpc_address: str
+    data_folder: str
+    control: tuple[Member, ...]
+    round_timeout_s: float
+    edit_timeout_s: float
+
+
+class EntrySettings(NamedTuple):
+    """Settings of an entry; fields as in `ENTRY_FIELDS`."""
+
+    name: str
+    region: str
+    failure_domain: str
+    http_address: str
+    log_level: str
+    log_decision_sample: int
+    stop_max_s: float
+    gossip_address: str
+    gossip_seeds: tuple[str, ...]
+    lease_s: float
+    control: tuple[Member, ...]
+    poll_s: float
+    lookup_ttl_s: float
+    region_delays_ms: Mapping[str, float]
+
+
+def load_control(path: str) -> ControlSettings:
+    """Return the checked settings of a control instance.
+
+    Raises:
+        InvalidDocumentError: listing every fault with file and line.
+    """
+    reader, values = _load(path, CONTROL_FIELDS)
+    names = [member.name for member in values["control"]]
+    if values["name"] not in names:
+        reader.fault_at(
+            1, "control", f"a list without {values['name']}", "this one too"
+        )
+    if len(set(names)) != len(names):
+        reader.fault_at(1, "control", "a name twice", "each member once")
+    reader.raise_faults()
+    return ControlSettings(**values)
+
+
+def load_entry(path: str) -> EntrySettings:
+    """Return the checked settings of an entry.
+
+    Raises:
+        InvalidDocumentError: listing every fault with file and line.
+    """
+    reader, values = _load(path, ENTRY_FIELDS)
+    if not values["control"]:
+        reader.fault_at(1, "control", "an empty list", "one member or more")
+    reader.raise_faults()
+    values["region_delays_ms"] = values["region_delays_ms"] or {}
+    return EntrySettings(**values)
+
+
+def _load(
+    path: str, fields: tuple[documents.Field, ...]
+) -> tuple[documents.Reader, dict[str, Any]]:
+    try:
+        text = pathlib.Path(path).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as exc:
+        fault = errors.Fault(path, 1, "file", str(exc), "a readable UTF-8 file")
+        raise errors.InvalidDocumentError([fault]) from exc
+    reader, node = documents.compose(text, path)
+    return reader, reader.mapping(node, fields, "")
--- /dev/null
+++ b/hyssopfold/standin/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-in backend server and caller for demo and tests."""
--- /dev/null
+++ b/hyssopfold/storage/__init__.py
@@ -0,0 +1,1 @@
+"""The data folder: synced, checksummed records."""
--- /dev/null
+++ b/hyssopfold/supervisor.py
@@ -0,0 +1,59 @@
+"""Supervised tasks: restart with back-off, give up when one keeps failing."""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+import logging
+import random
+
+import trio
+
+from hyssopfold import errors
+from hyssopfold import logs
+
+logger = logging.getLogger(__name__)
+
+MAX_RESTARTS = 5
+WINDOW_S = 30.0
+FIRST_BACKOFF_S = 0.1
+MAX_BACKOFF_S = 5.0
+
+
+async def supervise(
+    name: str,
+    child: Callable[[], Awaitable[None]],
+    rng: random.Random,
+    max_restarts: int = MAX_RESTARTS,
+) -> None:
+    """Run `child` until it returns, restarting it when it fails.
+
+    Args:
+        name: Name of the child in logs.
+        child: Task to run; returning means its work is done.
+        rng: Source of the jitter between restarts.
+        max_restarts: Failures allowed within `WINDOW_S` seconds.
+
+    Raises:
+        ChildFailedError: when the child fails more often than allowed.
+    """
+    failures: list[float] = []
+    while True:
+        try:
+            await child()
+            return
+        except errors.PortBusyError:
+            # Restarting cannot free a port that another process holds.
+            raise
+        except Exception as exc:
+            now = trio.current_time()
+            failures = [at for at in failures if now - at < WINDOW_S] + [now]
+            logger.exception(
+                logs.Event("child-failed", child=name, failures=len(failures))
+            )
+            if len(failures) > max_restarts:
+                raise errors.ChildFailedError(name, len(failures), exc) from exc
+            backoff = FIRST_BACKOFF_S * 2 ** (len(failures) - 1)
+            delay = min(backoff, MAX_BACKOFF_S) * rng.uniform(0.5, 1.0)
+            await trio.sleep(delay)
+            logger.info(
+                logs.Event("child-restarted", child=name, after_s=delay)
+            )
--- /dev/null
+++ b/hyssopfold/tables.py
@@ -0,0 +1,339 @@
+"""Routes and pools: parsing, checking and their canonical form."""
+
+from collections.abc import Mapping
+import re
+from typing import Any
+from typing import NamedTuple
+
+import msgspec
+import yaml
+
+from hyssopfold import documents
+from hyssopfold import errors
+
+IDEMPOTENT_METHODS = ("GET", "HEAD", "OPTIONS", "PUT", "DELETE")
+METHODS = (*IDEMPOTENT_METHODS, "POST", "PATCH")
+_NAME = re.compile(r"[a-z0-9][a-z0-9_.-]{0,62}\Z")
+
+
+class Route(NamedTuple):
+    """Which requests go to which pool.
+
+    `repeatable` None means by method. `deadline_ms` is the longest a caller
+    waits; a lower `priority` number is served first; `weights` gives the
+    share of each region and an empty mapping means nearest first.
+    """
+
+    name: str
+    host: str
+    path_prefix: str
+    methods: tuple[str, ...]
+    pool: str
+    repeatable: bool | None
+    deadline_ms: int
+    priority: int
+    weights: dict[str, float]
+
+    def is_repeatable(self, method: str) -> bool:
+        """Return whether a request may run twice without harm."""
+        if self.repeatable is not None:
+            return self.repeatable
+        return method in IDEMPOTENT_METHODS
+
+
+class Drains(NamedTuple):
+    """What operators want emptied."""
+
+    servers: tuple[str, ...] = ()
+    failure_domains: tuple[str, ...] = ()
+    regions: tuple[str, ...] = ()
+
+
+class Pool(NamedTuple):
+    """Backend servers of one kind, and the limits to keep.
+
+    `slots` and `connections` are per server, `headroom` the share of the
+    pool's slots kept free, `shift_cap` the share of the pool's traffic that
+    may move in a minute, `link_cap_mbit` per pair of regions each way and
+    `warm_up_s` the seconds until a cold server takes its full load.
+    """
+
+    name: str
+    slots: int
+    connections: int
+    headroom: float
+    shift_cap: float
+    link_cap_mbit: int
+    warm_up_s: float
+    drains: Drains
+
+
+class Tables(NamedTuple):
+    """Both tables, sorted by name."""
+
+    routes: tuple[Route, ...] = ()
+    pools: tuple[Pool, ...] = ()
+
+    def pool(self, name: str) -> Pool | None:
+        """Return the pool called `name`."""
+        for pool in self.pools:
+            if pool.name == name:
+                return pool
+        return None
+
+
+def _name(reader: documents.Reader, node: yaml.Node, where: str) -> str:
+    value = str(getattr(node, "value", ""))
+    if not _NAME.match(value):
+        reader.fault(
+            node, where, "a name of lower case letters, digits, '.', '_', '-'"
+        )
+    return value
+
+
+def _host(reader: documents.Reader, node: yaml.Node, where: str) -> str:
+    value = str(getattr(node, "value", "")).lower()
+    if not re.match(r"[a-z0-9*][a-z0-9.-]{0,252}\Z", value):
+        reader.fault(node, where, "a host name, or * for any")
+    return value
+
+
+def _prefix(reader: documents.Reader, node: yaml.Node, where: str) -> str:
+    value = str(getattr(node, "value", ""))
+    if not re.match(r"/[!-~]{0,1023}\Z", value):
+        reader.fault(node, where, "a path that begins with /")
+    if value.startswith("/hyssop/"):
+        reader.fault(node, where, "a path outside /hyssop/, which is ours")
+    return value
+
+
+_DRAINS = (
+    documents.Field("servers", documents.listed(documents.string()), ()),
+    documents.Field(
+        "failure_domains", documents.listed(documents.string()), ()
+    ),
+    documents.Field("regions", documents.listed(documents.string()), ()),
+)
+
+ROUTE_FIELDS = (
+    documents.Field("name", _name, "", True, "a name", help="unique name"),
+    documents.Field(
+        "host", _host, "*", help="host of the request, or * for any"
+    ),
+    documents.Field(
+        "path_prefix", _prefix, "/", help="longest matching prefix wins"
+    ),
+    documents.Field(
+        "methods",
+        documents.listed(documents.string(choices=METHODS)),
+        METHODS,
+        help="methods that the route takes",
+    ),
+    documents.Field(
+        "pool", _name, "", True, "the name of a pool", help="serving pool"
+    ),
+    documents.Field(
+        "repeatable",
+        documents.boolean,
+        None,
+        help="whether a request may run twice; by method when left out",
+    ),
+    documents.Field(
+        "deadline_ms",
+        documents.number(int, 1, 86_400_000),
+        30_000,
+        unit="ms",
+        help="longest time until the answer begins",
+    ),
+    documents.Field(
+        "priority",
+        documents.number(int, 0, 9),
+        5,
+        help="0 is served first and refused last",
+    ),
+    documents.Field(
+        "weights",
+        documents.keyed(documents.number(float, 0, 1_000_000)),
+        None,
+        help="share of each region; nearest region first when left out",
+    ),
+)
+
+POOL_FIELDS = (
+    documents.Field("name", _name, "", True, "a name", help="unique name"),
+    documents.Field(
+        "slots",
+        documents.number(int, 1, 100_000),
+        0,
+        True,
+        "a whole number from 1",
+        help="requests a server runs at once",
+    ),
+    documents.Field(
+        "connections",
+        documents.number(int, 1, 1_000_000),
+        330,
+        help="connections a server holds, over all entries",
+    ),
+    documents.Field(
+        "headroom",
+        documents.number(float, 0, 0.9),
+        0.1,
+        unit="share",
+        help="share of slots kept free by decisions of the system",
+    ),
+    documents.Field(
+        "shift_cap",
+        documents.number(float, 0.0001, 1),
+        0.1,
+        unit="share a minute",
+        help="share of the pool's traffic that may move in a minute",
+    ),
+    documents.Field(
+        "link_cap_mbit",
+        documents.number(int, 1, 1_000_000),
+        4000,
+        unit="Mbit/s",
+        help="traffic between two regions each way",
+    ),
+    documents.Field(
+        "warm_up_s",
+        documents.number(float, 0, 86_400),
+        30.0,
+        unit="s",
+        help="until a cold server takes its full load",
+    ),
+    documents.Field(
+        "drains",
+        documents.record(_DRAINS, lambda values: Drains(**values)),
+        Drains(),
+        help="servers, failure_domains and regions to empty",
+    ),
+)
+
+
+def _route(values: Mapping[str, Any]) -> Route:
+    return Route(**{**values, "weights": values["weights"] or {}})
+
+
+_FIELDS = (
+    documents.Field(
+        "routes", documents.listed(documents.record(ROUTE_FIELDS, _route)), ()
+    ),
+    documents.Field(
+        "pools",
+        documents.listed(
+            documents.record(POOL_FIELDS, lambda values: Pool(**values))
+        ),
+        (),
+    ),
+    documents.Field(
+        "revision",
+        documents.number(int, 0, 2**53),
+        0,
+        help="written by `tables get`; read by no one",
+    ),
+)
+
+
+def parse(text: str, source: str = "tables") -> Tables:
+    """Return the checked tables of a YAML document.
+
+    Raises:
+        InvalidDocumentError: listing every fault with its line.
+    """
+    reader, node = documents.compose(text, source)
+    values = reader.mapping(node, _FIELDS, "")
+    lines = {key: _row_lines(node, key) for key in ("routes", "pools")}
+    _check_rows(reader, values, lines)
+    reader.raise_faults()
+    return Tables(
+        tuple(sorted(values["routes"], key=lambda route: route.name)),
+        tuple(sorted(values["pools"], key=lambda pool: pool.name)),
+    )
+
+
+def _row_lines(node: yaml.Node | None, key: str) -> list[int]:
+    if isinstance(node, yaml.MappingNode):
+        for key_node, value_node in node.value:
+            if key_node.value == key and isinstance(
+                value_node, yaml.SequenceNode
+            ):
+                return [row.start_mark.line + 1 for row in value_node.value]
+    return []
+
+
+def _check_rows(
+    reader: documents.Reader,
+    values: Mapping[str, Any],
+    lines: Mapping[str, list[int]],
+) -> None:
+    """Note faults between rows: names twice, pools missing, routes alike."""
+    for key in ("routes", "pools"):
+        seen: set[str] = set()
+        for index, row in enumerate(values[key]):
+            if row.name in seen:
+                where = f"{key}[{index}].name"
+                line = lines[key][index]
+                reader.fault_at(line, where, repr(row.name), "a unique name")
+            seen.add(row.name)
+    pools = {pool.name for pool in values["pools"]}
+    matches: dict[tuple[str, str, str], str] = {}
+    for index, route in enumerate(values["routes"]):
+        line = lines["routes"][index]
+        if route.pool not in pools:
+            allowed = "the name of a row in pools"
+            where = f"routes[{index}].pool"
+            reader.fault_at(line, where, repr(route.pool), allowed)
+        if route.weights and not any(route.weights.values()):
+            where = f"routes[{index}].weights"
+            reader.fault_at(line, where, "all zero", "one weight above 0")
+        for method in route.methods:
+            match = (route.host, route.path_prefix, method)
+            if match in matches:
+                where = f"routes[{index}]"
+                allowed = f"a match other than that of {matches[match]}"
+                reader.fault_at(line, where, " ".join(match), allowed)
+            matches[match] = route.name
+
+
+def to_plain(tables: Tables) -> dict[str, Any]:
+    """Return the tables as plain mappings and lists, as operators see them."""
+    return {
+        "routes": [
+            {
+                key: value
+                for key, value in route._asdict().items()
+                if value is not None
+            }
+            for route in tables.routes
+        ],
+        "pools": [
+            {**pool._asdict(), "drains": pool.drains._asdict()}
+            for pool in tables.pools
+        ],
+    }
+
+
+def to_yaml(tables: Tables, revision: int) -> str:
+    """Return a document that `parse` reads back to the same tables."""
+    plain = msgspec.to_builtins(to_plain(tables))
+    return str(yaml.safe_dump({"revision": revision, **plain}, sort_keys=False))
+
+
+def encode(tables: Tables) -> bytes:
+    """Return the canonical bytes: equal tables give equal bytes."""
+    return msgspec.json.encode(tables, order="deterministic")
+
+
+def decode(data: bytes) -> Tables:
+    """Return the tables of canonical bytes.
+
+    Raises:
+        InvalidDocumentError: if the bytes are not canonical tables.
+    """
+    try:
+        return msgspec.json.decode(data, type=Tables)
+    except msgspec.DecodeError as exc:
+        fault = errors.Fault("tables", 1, "canonical", str(exc), "tables")
+        raise errors.InvalidDocumentError([fault]) from exc
--- /dev/null
+++ b/hyssopfold/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Channels between the processes of the system."""
--- /dev/null
+++ b/tests/support/__init__.py
@@ -0,0 +1,1 @@
+"""Fakes that several steps share."""
