Give placement, pacing and the replicated state interfaces of their own

Cause: parts that several people build at once met in the same files: the proxy chose servers itself, one module held every wire message, and the register knew of tables only. Change: the proxy asks placement for a slot and gives it back with how the attempt ended; regions and pacing have modules; wire messages are split by concern; the register's value is opaque, tables and shifts are its content.

--- a/hyssopfold/application.py
+++ b/hyssopfold/application.py
@@ -24,12 +24,15 @@
 from hyssopfold.core.membership import messages
 from hyssopfold.entry import app as entry_app
 from hyssopfold.entry import configuration
+from hyssopfold.entry import pacing
+from hyssopfold.entry import placement
 from hyssopfold.entry import proxy
 from hyssopfold.entry import upstream
 from hyssopfold.storage import folder
+from hyssopfold.transport import consensus_wire
 from hyssopfold.transport import gossip
+from hyssopfold.transport import poll_wire
 from hyssopfold.transport import rpc
-from hyssopfold.transport import wire
 
 logger = logging.getLogger(__name__)
 
@@ -85,8 +88,8 @@
         meter = metrics.Metrics(cfg.name)
         operators = api.Api(member, spread, meter)
         handlers: dict[rpc.Method, rpc.Handler] = {
-            wire.DELIVER: member.deliver,
-            wire.POLL: member.poll,
+            consensus_wire.DELIVER: member.deliver,
+            poll_wire.POLL: member.poll,
         }
         children: list[Child] = [
             ("member", member.run),
@@ -103,11 +106,18 @@
     peers = [rpc.Client(member.rpc_address) for member in cfg.control]
     config = configuration.Configuration(cfg.name, peers, cfg.poll_s, rng)
     spread = gossip.Gossip(_myself(cfg, "entry"), cfg.gossip_seeds, cfg.lease_s)
-    choose = chooser.Chooser(cfg.region, rng)
+    place = placement.Placement(spread.directory, chooser.Chooser(rng))
     servers = upstream.Upstream()
     meter = metrics.Metrics(cfg.name)
     forward = proxy.Proxy(
-        cfg.name, config, spread.directory, choose, servers, meter
+        cfg.region,
+        cfg.region_delays_ms,
+        config,
+        spread.directory,
+        place,
+        pacing.Pacer(),
+        servers,
+        meter,
     )
     app = entry_app.App(
         dict(cfg.region_delays_ms),
@@ -115,7 +125,7 @@
         config,
         spread,
         forward,
-        choose,
+        place,
         meter,
     )
 
--- a/hyssopfold/control/api.py
+++ b/hyssopfold/control/api.py
@@ -12,6 +12,7 @@
 from hyssopfold import http
 from hyssopfold import logs
 from hyssopfold import metrics
+from hyssopfold import state
 from hyssopfold import tables
 from hyssopfold.control import instance as control_instance
 from hyssopfold.core.consensus import messages
@@ -97,8 +98,8 @@
         result = await self._instance.read()
         if not isinstance(result, messages.ReadDone):
             return _result_answer(result, "")
-        held = _decode(result.register.tables)
-        plain = tables.to_plain(held)
+        held = state.decode(result.register.value)
+        plain = tables.to_plain(held.tables)
         body = {"revision": result.register.revision, **plain}
         return http.json_answer(body)
 
@@ -117,7 +118,9 @@
         except errors.InvalidDocumentError as exc:
             return http.error_answer(exc, 422)
         result = await self._instance.edit(
-            edit["change_id"], edit["expect"], tables.encode(parsed)
+            edit["change_id"],
+            edit["expect"],
+            state.encode(state.State(parsed)),
         )
         client = urllib.parse.quote(str(scope.get("client")))
         logger.info(
@@ -132,10 +135,6 @@
         return _result_answer(result, edit["change_id"])
 
 
-def _decode(data: bytes) -> tables.Tables:
-    return tables.decode(data) if data else tables.Tables()
-
-
 @functools.singledispatch
 def _result_answer(result: messages.Result, change_id: str) -> http.Answer:
     """Return the HTTP answer for the result of an edit or read."""
--- a/hyssopfold/control/instance.py
+++ b/hyssopfold/control/instance.py
@@ -13,8 +13,9 @@
 from hyssopfold.core.consensus import messages
 from hyssopfold.core.consensus import node as consensus_node
 from hyssopfold.storage import folder
+from hyssopfold.transport import consensus_wire
+from hyssopfold.transport import poll_wire
 from hyssopfold.transport import rpc
-from hyssopfold.transport import wire
 
 logger = logging.getLogger(__name__)
 
@@ -75,11 +76,11 @@
         self.register = node.learned
 
     async def edit(
-        self, change_id: str, expect: int, tables: bytes
+        self, change_id: str, expect: int, value: bytes
     ) -> messages.Result:
         """Return the outcome of an edit."""
         self._requests += 1
-        event = messages.Edit(self._requests, change_id, expect, tables)
+        event = messages.Edit(self._requests, change_id, expect, value)
         return await self._ask(event)
 
     async def read(self) -> messages.Result:
@@ -94,24 +95,26 @@
         await self._inbox.send(_Request(event, send))
         return await receive.receive()
 
-    async def deliver(self, envelope: wire.Envelope) -> wire.Ack:
+    async def deliver(
+        self, envelope: consensus_wire.Envelope
+    ) -> consensus_wire.Ack:
         """Take in a message of another member."""
         try:
-            message = wire.open_envelope(envelope)
+            message = consensus_wire.unseal(envelope)
         except msgspec.DecodeError as exc:
             logger.warning(
                 logs.Event("bad-message", sender=envelope.sender, error=exc)
             )
-            return wire.Ack()
+            return consensus_wire.Ack()
         received = messages.Received(envelope.sender, message)
         try:
             self._inbox.send_nowait(received)
         except trio.WouldBlock:
             # Lost like on the wire: the sender's round is tried again.
             logger.warning(logs.Event("inbox-full", sender=envelope.sender))
-        return wire.Ack()
+        return consensus_wire.Ack()
 
-    async def poll(self, req: wire.Poll) -> wire.PollAnswer:
+    async def poll(self, req: poll_wire.Poll) -> poll_wire.PollAnswer:
         """Answer once a revision above `req.have` is known, or at time-out."""
         with trio.move_on_after(req.wait_s):
             async with self._learned:
@@ -119,8 +122,8 @@
                     await self._learned.wait()
         register = self.register
         if register.revision <= req.have:
-            return wire.PollAnswer(register.revision, b"")
-        return wire.PollAnswer(register.revision, register.tables)
+            return poll_wire.PollAnswer(register.revision, b"")
+        return poll_wire.PollAnswer(register.revision, register.value)
 
     async def run(self) -> None:
         """Own the member: take one event at a time, carry its effects."""
@@ -155,9 +158,11 @@
         client = self._peers[name]
         _, outbox = self._outboxes[name]
         async for message in outbox:
-            envelope = wire.seal(self._node.name, message)
+            envelope = consensus_wire.seal(self._node.name, message)
             try:
-                await client.call(wire.DELIVER, envelope, _SEND_TIMEOUT_S)
+                await client.call(
+                    consensus_wire.DELIVER, envelope, _SEND_TIMEOUT_S
+                )
             except errors.PeerUnavailableError as exc:
                 logger.debug(logs.Event("send-failed", to=name, error=exc))
 
--- a/hyssopfold/core/balancing/chooser.py
+++ b/hyssopfold/core/balancing/chooser.py
@@ -10,23 +10,20 @@
 
 
 class Choice(NamedTuple):
-    """A chosen server and what decided for it."""
+    """A chosen server and the requests it had under way from here."""
 
     server: messages.Server
-    reason: str
     in_flight: int
 
 
 class Chooser:
-    """Choose the less loaded of two servers, near ones first.
+    """Choose the less loaded of two servers.
 
     Args:
-        region: Region of this entry.
         rng: Source of the two candidates.
     """
 
-    def __init__(self, region: str, rng: random.Random) -> None:
-        self._region = region
+    def __init__(self, rng: random.Random) -> None:
         self._rng = rng
         self._in_flight: Counter[str] = Counter()
 
@@ -50,14 +47,11 @@
             and not is_drained(pool, server)
             and self._in_flight[server.server_id] < server.slots
         ]
-        near = [server for server in free if server.region == self._region]
-        candidates = near or free
-        if not candidates:
+        if not free:
             return None
-        picked = self._rng.sample(candidates, min(2, len(candidates)))
+        picked = self._rng.sample(free, min(2, len(free)))
         server = min(picked, key=self._load)
-        reason = "near" if near else "far"
-        return Choice(server, reason, self._in_flight[server.server_id])
+        return Choice(server, self._in_flight[server.server_id])
 
     def begin(self, server_id: str) -> None:
         """Count a request that goes to a server."""
--- a/hyssopfold/core/consensus/messages.py
+++ b/hyssopfold/core/consensus/messages.py
@@ -23,12 +23,13 @@
 class Register(NamedTuple):
     """The whole durable value.
 
-    `tables` are canonical bytes; `changes` the latest accepted changes,
-    oldest first, so that a resent edit gets its first answer again.
+    `value` is opaque here (see `hyssopfold.state`); `changes` the latest
+    accepted changes, oldest first, so that a resent edit gets its first answer
+    again.
     """
 
     revision: int
-    tables: bytes
+    value: bytes
     changes: tuple[Change, ...]
 
     def accepted_change(self, change_id: str) -> Change | None:
@@ -92,12 +93,12 @@
 
 
 class Edit(NamedTuple):
-    """Event: replace the tables if they are still at `expect`."""
+    """Event: replace the value if it is still at revision `expect`."""
 
     request: int
     change_id: str
     expect: int
-    tables: bytes
+    value: bytes
 
 
 class Read(NamedTuple):
@@ -146,7 +147,7 @@
 
 
 class EditConflict(NamedTuple):
-    """Result: the tables were not at the expected revision."""
+    """Result: the value was not at the expected revision."""
 
     revision: int
     winner: str
--- a/hyssopfold/core/consensus/node.py
+++ b/hyssopfold/core/consensus/node.py
@@ -265,7 +265,7 @@
         revision = register.revision + 1
         change = messages.Change(event.change_id, revision)
         changes = (*register.changes, change)[-MAX_CHANGES:]
-        new = messages.Register(revision, event.tables, changes)
+        new = messages.Register(revision, event.value, changes)
         return new, messages.EditAccepted(revision)
 
     def _learn(
--- a/hyssopfold/entry/app.py
+++ b/hyssopfold/entry/app.py
@@ -8,9 +8,9 @@
 from hyssopfold import announcements
 from hyssopfold import http
 from hyssopfold import metrics
-from hyssopfold.core.balancing import chooser
 from hyssopfold.core.steering import lookup
 from hyssopfold.entry import configuration
+from hyssopfold.entry import placement
 from hyssopfold.entry import proxy
 from hyssopfold.transport import gossip
 
@@ -27,7 +27,7 @@
         config: Source of the tables in force.
         spread: Directory and spreading of announcements.
         forward: Way of callers' requests.
-        choose: Counts of requests under way, for the metrics.
+        place: Counts of requests under way, for the metrics.
         meter: Metrics of this process.
     """
 
@@ -38,7 +38,7 @@
         config: configuration.Configuration,
         spread: gossip.Gossip,
         forward: proxy.Proxy,
-        choose: chooser.Chooser,
+        place: placement.Placement,
         meter: metrics.Metrics,
     ) -> None:
         self._delays_ms = delays_ms
@@ -46,7 +46,7 @@
         self._config = config
         self._spread = spread
         self._proxy = forward
-        self._chooser = choose
+        self._placement = place
         self._meter = meter
 
     async def __call__(
@@ -125,7 +125,7 @@
         meter, held = self._meter, self._spread.directory
         meter.revision.set({}, self._config.snapshot.revision)
         meter.revision_age.set({}, self._config.age_s(now))
-        in_flight = self._chooser.in_flight()
+        in_flight = self._placement.in_flight()
         for pool in self._config.snapshot.tables.pools:
             ready = held.ready_servers(pool.name)
             labels = {"pool": pool.name}
--- a/hyssopfold/entry/configuration.py
+++ b/hyssopfold/entry/configuration.py
@@ -7,10 +7,10 @@
 
 from hyssopfold import errors
 from hyssopfold import logs
-from hyssopfold import tables
+from hyssopfold import state
 from hyssopfold.core.steering import routing
+from hyssopfold.transport import poll_wire
 from hyssopfold.transport import rpc
-from hyssopfold.transport import wire
 
 logger = logging.getLogger(__name__)
 
@@ -18,17 +18,18 @@
 
 
 class Snapshot:
-    """Tables of one revision; a request uses one snapshot throughout.
+    """State of one revision; a request uses one snapshot throughout.
 
     Args:
-        revision: Revision of the tables.
-        held: The tables.
+        revision: Revision of the state.
+        held: The state.
     """
 
-    def __init__(self, revision: int, held: tables.Tables) -> None:
+    def __init__(self, revision: int, held: state.State) -> None:
         self.revision = revision
-        self.tables = held
-        self.router = routing.Router(held.routes)
+        self.tables = held.tables
+        self.shifts = held.shifts
+        self.router = routing.Router(held.tables.routes)
 
 
 class Configuration:
@@ -52,7 +53,7 @@
         self._peers = peers
         self._poll_s = poll_s
         self._rng = rng
-        self.snapshot = Snapshot(0, tables.Tables())
+        self.snapshot = Snapshot(0, state.State())
         self.confirmed_at = -float("inf")
 
     def age_s(self, now: float) -> float:
@@ -68,20 +69,20 @@
             await trio.sleep(self._rng.uniform(0.1, 0.5))
 
     async def _poll(self, peer: rpc.Client) -> bool:
-        req = wire.Poll(self._name, self.snapshot.revision, self._poll_s)
+        req = poll_wire.Poll(self._name, self.snapshot.revision, self._poll_s)
         timeout_s = self._poll_s + _CALL_MARGIN_S
         try:
-            answer = await peer.call(wire.POLL, req, timeout_s)
+            answer = await peer.call(poll_wire.POLL, req, timeout_s)
         except errors.PeerUnavailableError as exc:
             logger.debug(logs.Event("poll-failed", to=peer.address, error=exc))
             return False
         self.confirmed_at = trio.current_time()
-        self.install(answer.revision, answer.tables)
+        self.install(answer.revision, answer.value)
         return True
 
     def install(self, revision: int, encoded: bytes) -> None:
         """Put a revision in force if it is newer than the one held."""
         if revision <= self.snapshot.revision or not encoded:
             return
-        self.snapshot = Snapshot(revision, tables.decode(encoded))
+        self.snapshot = Snapshot(revision, state.decode(encoded))
         logger.info(logs.Event("revision-in-force", revision=revision))
--- a/hyssopfold/entry/proxy.py
+++ b/hyssopfold/entry/proxy.py
@@ -1,6 +1,7 @@
 """A caller's request on its way through an entry."""
 
 from collections.abc import AsyncIterator
+from collections.abc import Mapping
 import logging
 import uuid
 
@@ -12,10 +13,12 @@
 from hyssopfold import metrics
 from hyssopfold import tables
 from hyssopfold.core.attempts import attempt
-from hyssopfold.core.balancing import chooser
+from hyssopfold.core.balancing import messages
 from hyssopfold.core.membership import directory
-from hyssopfold.core.membership import messages
+from hyssopfold.core.steering import regions
 from hyssopfold.entry import configuration
+from hyssopfold.entry import pacing
+from hyssopfold.entry import placement
 from hyssopfold.entry import upstream
 
 logger = logging.getLogger(__name__)
@@ -114,27 +117,33 @@
     """Route requests to backend servers and relay their answers.
 
     Args:
-        name: Name of this entry.
+        region: Region of this entry.
+        delays_ms: One-way delay to each other region.
         config: Source of the tables in force.
         known: Directory of the servers.
-        choose: Choice of a server.
+        place: Slots of the servers.
+        pacer: Room on the links between regions.
         servers: Connections to the servers.
         meter: Metrics of this process.
     """
 
     def __init__(
         self,
-        name: str,
+        region: str,
+        delays_ms: Mapping[str, float],
         config: configuration.Configuration,
         known: directory.Directory,
-        choose: chooser.Chooser,
+        place: placement.Placement,
+        pacer: pacing.Pacer,
         servers: upstream.Upstream,
         meter: metrics.Metrics,
     ) -> None:
-        self._name = name
+        self._region = region
+        self._delays_ms = delays_ms
         self._config = config
         self._directory = known
-        self._chooser = choose
+        self._placement = place
+        self._pacer = pacer
         self._upstream = servers
         self._meter = meter
         self.in_flight = 0
@@ -174,32 +183,48 @@
         repeatable = route.is_repeatable(exchange.method)
         tried: list[str] = []
         for left in reversed(range(MAX_ATTEMPTS)):
-            choice = self._chooser.choose(
-                pool, self._directory.ready_servers(pool.name), tried
-            )
-            if choice is None:
-                break
-            server = choice.server
-            tried.append(server.server_id)
-            _log_choice(exchange, route, choice, len(tried))
+            req = self._request(exchange, route, deadline, tried)
+            grant = await self._placement.acquire(req, pool)
+            if isinstance(grant, messages.Refused):
+                await self._refuse(exchange, _no_slot(pool.name, grant))
+                return
+            tried.append(grant.server.server_id)
+            _log_grant(exchange, route, grant, len(tried))
             try:
-                await self._attempt(exchange, server, repeatable, deadline)
+                await self._attempt(exchange, grant, repeatable, deadline)
                 return
             except upstream.AttemptFailedError as exc:
                 verdict = attempt.after_failure(
                     exc.sent, repeatable, not exchange.body_read, left
                 )
-                _log_failure(exchange, server, exc, verdict)
+                _log_failure(exchange, grant, exc, verdict)
                 if not verdict.retry:
                     refusal = _failed(verdict.outcome, exc.reason)
                     await self._refuse(exchange, refusal)
                     return
-        await self._refuse(exchange, _no_server(pool.name))
+
+    def _request(
+        self,
+        exchange: Exchange,
+        route: tables.Route,
+        deadline: float,
+        tried: list[str],
+    ) -> messages.Request:
+        ready = self._directory.ready_servers(route.pool)
+        known = {server.region for server in ready}
+        return messages.Request(
+            exchange.request_id,
+            route.pool,
+            regions.nearest_first(self._region, known, self._delays_ms),
+            route.priority,
+            deadline,
+            tuple(tried),
+        )
 
     async def _attempt(
         self,
         exchange: Exchange,
-        server: messages.Server,
+        grant: messages.Grant,
         repeatable: bool,
         deadline: float,
     ) -> None:
@@ -209,18 +234,25 @@
             _request_headers(exchange, deadline),
             exchange.body() if exchange.has_body else None,
         )
-        self._chooser.begin(server.server_id)
+        began = trio.current_time()
+        kind = "cancelled"
         try:
             # What may not be repeated gets a new connection: a pooled one
             # may have been closed at the other end just now, and a request
             # lost on it could be answered only with `unknown`.
             async with self._upstream.send(
-                server, outgoing, fresh=not repeatable
+                grant.server, outgoing, fresh=not repeatable
             ) as answer:
                 _check_answer(exchange, answer)
                 await self._relay(exchange, answer)
+            kind = "answered"
+        except upstream.AttemptFailedError as exc:
+            shed = exc.sent is attempt.Sent.REFUSED_NOT_RUN
+            kind = "shed" if shed else "failed"
+            raise
         finally:
-            self._chooser.end(server.server_id)
+            took = trio.current_time() - began
+            self._placement.release(grant, messages.Done(kind, took))
 
     async def _relay(
         self, exchange: Exchange, answer: httpcore.Response
@@ -332,9 +364,10 @@
     )
 
 
-def _no_server(pool: str) -> http.Refusal:
+def _no_slot(pool: str, refused: messages.Refused) -> http.Refusal:
     remedy = f"ask again later: no server of pool {pool} has a free slot"
-    return http.Refusal(503, "no-server", "not-run", remedy, RETRY_AFTER_S)
+    wait_s = refused.retry_after_s
+    return http.Refusal(503, refused.reason, "not-run", remedy, wait_s)
 
 
 def _failed(outcome: str, reason: str) -> http.Refusal:
@@ -347,10 +380,10 @@
     )
 
 
-def _log_choice(
+def _log_grant(
     exchange: Exchange,
     route: tables.Route,
-    choice: chooser.Choice,
+    grant: messages.Grant,
     number: int,
 ) -> None:
     if not logger.isEnabledFor(logging.INFO):
@@ -361,10 +394,10 @@
             request=exchange.request_id,
             route=route.name,
             pool=route.pool,
-            server=choice.server.server_id,
-            reason=choice.reason,
-            load=choice.server.load,
-            in_flight=choice.in_flight,
+            server=grant.server.server_id,
+            region=grant.server.region,
+            reason=grant.reason,
+            load=grant.server.load,
             attempt=number,
             revision=exchange.snapshot.revision,
         )
@@ -373,7 +406,7 @@
 
 def _log_failure(
     exchange: Exchange,
-    server: messages.Server,
+    grant: messages.Grant,
     exc: upstream.AttemptFailedError,
     verdict: attempt.Verdict,
 ) -> None:
@@ -381,7 +414,7 @@
         logs.Event(
             "attempt-failed",
             request=exchange.request_id,
-            server=server.server_id,
+            server=grant.server.server_id,
             sent=exc.sent.value,
             reason=exc.reason,
             retry=verdict.retry,
--- a/hyssopfold/transport/gossip.py
+++ b/hyssopfold/transport/gossip.py
@@ -11,7 +11,7 @@
 from hyssopfold import logs
 from hyssopfold.core.membership import directory
 from hyssopfold.core.membership import messages
-from hyssopfold.transport import wire
+from hyssopfold.transport import datagram_wire
 
 logger = logging.getLogger(__name__)
 
@@ -84,7 +84,7 @@
                 # The kernel reports that an earlier datagram found no one.
                 continue
             try:
-                datagram = wire.decode_datagram(data)
+                datagram = datagram_wire.decode(data)
             except msgspec.DecodeError as exc:
                 logger.warning(
                     logs.Event("bad-datagram", sender=sender, error=exc)
@@ -126,7 +126,7 @@
             for instance in self.directory.instances.words()
         }
         targets = known.union(self._seeds) - {me.gossip_address}
-        for data in wire.encode_datagrams(datagram):
+        for data in datagram_wire.encode(datagram):
             for target in targets:
                 host, _, port = target.rpartition(":")
                 try:
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -2,6 +2,7 @@
 # Starts a small system on loopback, drives it end to end and says what it saw.
 set -u
 cd "$(dirname "$0")/.."
+export PYTHONPATH=$PWD
 bin=$PWD/.venv/bin
 run=run/demo
 pids=()
