Run the whole path as a feature; mend the state module

Cause: in the class body of State the field tables hid the module of the same name, so every daemon failed on import. Ruled out: the wire modules and placement, which import cleanly. Change: the module is imported under another name; a feature runs control, entry and backend servers in one process over loopback sockets. Conclusion: an import that breaks a daemon now breaks make test.

--- a/Makefile
+++ b/Makefile
@@ -7,12 +7,12 @@
 # The runtime set alone; enough for the daemons and the demo.
 $(VENV)/runtime: requirements/runtime.txt pyproject.toml
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
-	$(BIN)/python -m pip install -q -r requirements/runtime.txt
-	$(BIN)/python -m pip install -q --no-deps --no-build-isolation -e .
+	$(BIN)/python -m pip install -qq -r requirements/runtime.txt
+	$(BIN)/python -m pip install -qq --no-deps --no-build-isolation -e .
 	touch $@
 
 $(VENV)/dev: $(VENV)/runtime requirements/dev.txt
-	$(BIN)/python -m pip install -q -r requirements/dev.txt
+	$(BIN)/python -m pip install -qq -r requirements/dev.txt
 	touch $@
 
 demo: $(VENV)/runtime
--- a/hyssopfold/state.py
+++ b/hyssopfold/state.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from hyssopfold import errors
-from hyssopfold import tables
+from hyssopfold import tables as tables_module
 
 
 class Shift(NamedTuple):
@@ -26,7 +26,7 @@
 class State(NamedTuple):
     """What every instance must agree on, at one revision."""
 
-    tables: tables.Tables = tables.Tables()
+    tables: tables_module.Tables = tables_module.Tables()
     shifts: tuple[Shift, ...] = ()
 
 
--- /dev/null
+++ b/tests/support/loopback.py
@@ -0,0 +1,105 @@
+"""A small system on loopback within one trio run."""
+
+import contextlib
+import pathlib
+import socket
+
+import trio
+
+from hyssopfold import application
+from hyssopfold import http
+from hyssopfold import settings
+from hyssopfold.standin import server as standin_server
+
+WAIT_S = 20
+
+
+def free_address(kind=socket.SOCK_STREAM):
+    """Return an address that nothing uses at this moment."""
+    with socket.socket(type=kind) as sock:
+        sock.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{sock.getsockname()[1]}"
+
+
+def write_settings(path, fields):
+    """Write a settings file and return its name."""
+    lines = [f"{key}: {value}" for key, value in fields.items()]
+    pathlib.Path(path).write_text("\n".join(lines), encoding="utf-8")
+    return str(path)
+
+
+class System:
+    """Addresses of the processes of a small system.
+
+    Args:
+        folder: Where settings and durable state go.
+    """
+
+    def __init__(self, folder):
+        self.folder = pathlib.Path(folder)
+        self.control = free_address()
+        self.entry = free_address()
+        self.rpc = free_address()
+        self.gossip = [free_address(socket.SOCK_DGRAM) for _ in range(2)]
+        self.standins = []
+
+    def _common(self, name, http_address, gossip):
+        seeds = ", ".join(self.gossip)
+        return {
+            "name": name,
+            "region": "dar",
+            "failure_domain": "dar-1",
+            "http_address": http_address,
+            "gossip_address": gossip,
+            "gossip_seeds": f"[{seeds}]",
+            "log_level": "error",
+            "control": f"[{{name: control-1, rpc_address: '{self.rpc}'}}]",
+        }
+
+    def control_settings(self):
+        """Return the settings of the only control instance."""
+        fields = self._common("control-1", self.control, self.gossip[0])
+        fields["rpc_address"] = self.rpc
+        fields["data_folder"] = self.folder / "data"
+        path = write_settings(self.folder / "control.yaml", fields)
+        return settings.load_control(path)
+
+    def entry_settings(self):
+        """Return the settings of the only entry."""
+        fields = self._common("entry-1", self.entry, self.gossip[1])
+        path = write_settings(self.folder / "entry.yaml", fields)
+        return settings.load_entry(path)
+
+    async def run_standin(self, name, pool, slots=3):
+        """Run a backend server that announces itself to the entry."""
+        options = standin_server.Options(
+            server_id=name,
+            pool=pool,
+            address=free_address(),
+            region="dar",
+            failure_domain="dar-1",
+            slots=slots,
+            connections=330,
+            service_s=0.0,
+            announce_to=(self.entry, self.control),
+        )
+        standin = standin_server.Server(options)
+        self.standins.append(standin)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(standin.announce)
+            await http.serve(standin, options.address, trio.Event(), 0.0)
+
+    @contextlib.asynccontextmanager
+    async def running(self, pools):
+        """Run the system with one backend server for each of `pools`."""
+        with trio.fail_after(WAIT_S):
+            async with trio.open_nursery() as nursery:
+                start = nursery.start_soon
+                start(application.run_control, self.control_settings())
+                start(application.run_entry, self.entry_settings())
+                for pool in pools:
+                    start(self.run_standin, f"{pool}-1", pool)
+                try:
+                    yield self
+                finally:
+                    nursery.cancel_scope.cancel()
