--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Load, experiments and the measurements behind docs/CAPACITY.md."""
