Make changes of shares shifts that every node follows under the cap

Cause: weights, drains of regions and drains of failure domains were parsed and not acted on, or acted on at once: a drained region's traffic moved within a second.

Change: an edit makes plans (Shift in the durable state) from the mixture of layouts in force; each entry follows them by the plan's age, no faster than the cap whatever its clock says, holds while targets turn requests away, steps back to what was served, and goes back to a region that returns by the same rule. Region gains closed_domains; the chooser acts on drained servers alone.

Ruled out: shares in look-ups, which act a TTL late and depend on caching.

--- a/hyssopfold/application.py
+++ b/hyssopfold/application.py
@@ -27,6 +27,7 @@
 from hyssopfold.entry import pacing
 from hyssopfold.entry import placement
 from hyssopfold.entry import proxy
+from hyssopfold.entry import steering
 from hyssopfold.entry import upstream
 from hyssopfold.storage import folder
 from hyssopfold.transport import consensus_wire
@@ -109,11 +110,12 @@
     place = placement.Placement(spread.directory, chooser.Chooser(rng))
     servers = upstream.Upstream()
     meter = metrics.Metrics(cfg.name)
+    steer = steering.Steering(
+        cfg.region, cfg.region_delays_ms, config, spread.directory
+    )
     forward = proxy.Proxy(
-        cfg.region,
-        cfg.region_delays_ms,
         config,
-        spread.directory,
+        steer,
         place,
         pacing.Pacer(),
         servers,
@@ -148,6 +150,7 @@
     children: list[Child] = [
         ("configuration", config.run),
         ("gossip", spread.run),
+        ("steering", steer.run),
         ("state", become_ready),
     ]
     await _run_daemon(cfg, app, children, rng, leave)
--- a/hyssopfold/control/api.py
+++ b/hyssopfold/control/api.py
@@ -2,6 +2,7 @@
 
 import functools
 import logging
+import time
 from typing import TypedDict
 import urllib.parse
 
@@ -16,6 +17,7 @@
 from hyssopfold import tables
 from hyssopfold.control import instance as control_instance
 from hyssopfold.core.consensus import messages
+from hyssopfold.core.steering import plans
 from hyssopfold.transport import gossip
 
 logger = logging.getLogger(__name__)
@@ -117,10 +119,15 @@
             return http.error_answer(errors.InvalidDocumentError([fault]), 400)
         except errors.InvalidDocumentError as exc:
             return http.error_answer(exc, 422)
+        try:
+            planned = await self._planned(edit["expect"], parsed)
+        except errors.InvalidDocumentError as exc:
+            return http.error_answer(exc, 422)
+        if planned is None:
+            unknown = errors.OutcomeUnknownError(edit["change_id"])
+            return http.error_answer(unknown, 504)
         result = await self._instance.edit(
-            edit["change_id"],
-            edit["expect"],
-            state.encode(state.State(parsed)),
+            edit["change_id"], edit["expect"], state.encode(planned)
         )
         client = urllib.parse.quote(str(scope.get("client")))
         logger.info(
@@ -134,6 +141,27 @@
         )
         return _result_answer(result, edit["change_id"])
 
+    async def _planned(
+        self, expect: int, parsed: tables.Tables
+    ) -> state.State | None:
+        """Return the state to submit: new tables and the shifts they start.
+
+        None when this instance is behind the revision edited and cannot
+        catch up: it could only plan from a state that is not the one edited.
+        """
+        register = self._instance.register
+        if register.revision < expect:
+            result = await self._instance.read()
+            if not isinstance(result, messages.ReadDone):
+                return None
+            register = result.register
+        if register.revision != expect:
+            # Refused by compare-and-set, or a resent edit that gets its first
+            # answer: what it would plan is of no account.
+            return state.State(parsed)
+        held = state.decode(register.value)
+        return plans.after_edit(held, parsed, time.time())
+
 
 @functools.singledispatch
 def _result_answer(result: messages.Result, change_id: str) -> http.Answer:
--- a/hyssopfold/core/balancing/chooser.py
+++ b/hyssopfold/core/balancing/chooser.py
@@ -73,10 +73,9 @@
 
 
 def is_drained(pool: tables.Pool, server: messages.Server) -> bool:
-    """Return whether the tables ask for this server to be emptied."""
-    drains = pool.drains
-    return (
-        server.server_id in drains.servers
-        or server.failure_domain in drains.failure_domains
-        or server.region in drains.regions
-    )
+    """Return whether the tables ask for this server to be emptied.
+
+    Drains of regions and failure domains are shifts, see
+    `hyssopfold.core.steering`: they reach a request by its `Region`s.
+    """
+    return server.server_id in pool.drains.servers
--- a/hyssopfold/core/balancing/messages.py
+++ b/hyssopfold/core/balancing/messages.py
@@ -9,11 +9,13 @@
     """A region that may serve a request; `moved` if it is not at home there.
 
     Traffic that a decision of the system moved into a region is held to the
-    region's capacity less its headroom.
+    region's capacity less its headroom. Servers in `closed_domains` are not
+    to serve this request: a drain of these failure domains has reached it.
     """
 
     name: str
     moved: bool
+    closed_domains: tuple[str, ...] = ()
 
 
 class Request(NamedTuple):
--- a/hyssopfold/core/steering/regions.py
+++ b/hyssopfold/core/steering/regions.py
@@ -1,28 +1,161 @@
-"""Which regions may serve a request, best first."""
+"""Which regions may serve a request, best first, and where it is moved."""
 
-from collections.abc import Iterable
+from collections.abc import Collection
 from collections.abc import Mapping
+import hashlib
+import math
+from typing import NamedTuple
 
+from hyssopfold import state
 from hyssopfold.core.balancing import messages
 
 _FAR_MS = 1_000_000.0
+_DRAW_BYTES = 4
+_DRAWS = 16
+_SCALE = float(1 << (8 * _DRAW_BYTES))
 
 
-def nearest_first(
-    home: str, known: Iterable[str], delays_ms: Mapping[str, float]
-) -> tuple[messages.Region, ...]:
-    """Return `home`, then the other regions by their delay from it.
+class Place(NamedTuple):
+    """From where a request is steered.
 
-    Args:
-        home: Region of the entry that asks.
-        known: Regions that have servers.
-        delays_ms: One-way delay from `home` to each other region.
+    `home` is the caller's region, `near` all regions that have ready servers
+    of the pool, by their delay from the entry, and `domains` the failure
+    domains of these servers by region.
+    """
+
+    home: str
+    near: tuple[str, ...]
+    domains: Mapping[str, Collection[str]]
+
+
+class Decision(NamedTuple):
+    """Where a request may go, best first, and what a shift has to do with it.
+
+    `shifted` tells that a shift or drain took the request away from the region
+    `old` or from the failure domains `closed_domains` in it.
+    """
+
+    regions: tuple[messages.Region, ...]
+    reason: str
+    shifted: bool = False
+    old: str = ""
+    closed_domains: tuple[str, ...] = ()
+
+    def turned_back(self, region: str, domain: str) -> bool:
+        """Return whether the target had no room: it was served as before."""
+        if domain in self.closed_domains:
+            return True
+        return self.shifted and region == self.old != self.regions[0].name
+
+
+def draws(key: str) -> tuple[float, ...]:
+    """Return numbers in (0, 1) that every node draws alike from a key.
+
+    The first picks the layout, the others the regions. They come from the
+    request's id, so the shares in force are exact over many requests and no
+    node needs to know what another has sent.
     """
-    others = sorted(
-        set(known) - {home},
-        key=lambda name: (delays_ms.get(name, _FAR_MS), name),
+    digest = hashlib.blake2b(
+        key.encode(), digest_size=_DRAWS * _DRAW_BYTES
+    ).digest()
+    return tuple(
+        (int.from_bytes(digest[at : at + _DRAW_BYTES], "big") + 0.5) / _SCALE
+        for at in range(0, len(digest), _DRAW_BYTES)
     )
-    return (
-        messages.Region(home, False),
-        *(messages.Region(name, True) for name in others),
+
+
+def by_delay(
+    mine: str, known: Collection[str], delays_ms: Mapping[str, float]
+) -> tuple[str, ...]:
+    """Return the known regions, nearest to the entry first.
+
+    Args:
+        mine: Region of the entry.
+        known: Regions that have ready servers.
+        delays_ms: One-way delay from `mine` to each other region.
+    """
+    return tuple(
+        sorted(
+            known,
+            key=lambda name: (
+                0.0 if name == mine else delays_ms.get(name, _FAR_MS),
+                name,
+            ),
+        )
     )
+
+
+def natural(
+    weights: tuple[state.RegionWeight, ...],
+    place: Place,
+    numbers: tuple[float, ...],
+) -> tuple[str, ...]:
+    """Return the regions in the order that a request has for itself.
+
+    With weights it is drawn by weighted rendezvous hashing: each region is
+    first for its share of the requests, and when one is closed or lost, its
+    requests go to the others in proportion to their weights. Without, the
+    caller's own region goes first and the others by delay.
+    """
+    if not weights:
+        others = tuple(name for name in place.near if name != place.home)
+        return (place.home, *others)
+    scores = [
+        (-math.log(numbers[1 + index % (_DRAWS - 1)]) / one.weight, one.region)
+        for index, one in enumerate(weights)
+    ]
+    return tuple(region for _, region in sorted(scores))
+
+
+def open_first(names: tuple[str, ...], layout: state.Layout) -> str:
+    """Return the first region that the layout leaves open, or the first."""
+    for name in names:
+        if name not in layout.closed_regions:
+            return name
+    return names[0]
+
+
+def closed_in(name: str, layout: state.Layout, place: Place) -> tuple[str, ...]:
+    """Return the failure domains of a region that the layout closes."""
+    if not layout.closed_domains:
+        return ()
+    there = place.domains.get(name, ())
+    return tuple(one for one in layout.closed_domains if one in there)
+
+
+def order(
+    layout: state.Layout,
+    target: state.Layout,
+    names: tuple[str, ...],
+    place: Place,
+    moved: bool,
+) -> tuple[messages.Region, ...]:
+    """Return where a request that `layout` decides may go, best first.
+
+    Args:
+        layout: The layout that decides.
+        target: What the tables in force want; regions that it closes are
+            emptied, others are closed only because they just returned.
+        names: The request's own order, from `natural`.
+        place: From where it is steered.
+        moved: Whether a shift under way took it to the first open region.
+    """
+    closed = layout.closed_regions
+    first = names[0]
+    regions = []
+    for name in names:
+        if name not in closed:
+            domains = closed_in(name, layout, place)
+            away = moved or name != first or bool(domains)
+            regions.append(messages.Region(name, away, domains))
+    # A drain that no one has room for must not turn into refusals: what the
+    # others cannot take within their headroom stays where it was, and the
+    # drain waits.
+    if first in closed or closed_in(first, layout, place):
+        regions.append(messages.Region(first, False))
+    regions += [
+        messages.Region(name, True, closed_in(name, layout, place))
+        for name in names[1:]
+        if name in closed and name not in target.closed_regions
+    ]
+    return tuple(regions)
--- /dev/null
+++ b/hyssopfold/core/steering/shares.py
@@ -0,0 +1,426 @@
+"""The shares in force at one node: plans followed under the cap, or held."""
+
+from collections.abc import Iterable
+from collections.abc import Mapping
+from typing import Literal
+from typing import NamedTuple
+
+from hyssopfold import state
+from hyssopfold import tables as tables_module
+from hyssopfold.core.steering import layouts
+from hyssopfold.core.steering import plans
+from hyssopfold.core.steering import regions
+
+MAX_STEP_S = 1.0
+GRACE_S = 15.0
+WINDOW_S = 1.0
+PROBE_S = 5.0
+MIN_SAMPLES = 20
+HOLD_SHARE = 0.005
+RETREAT_SHARE = 0.05
+_MINUTE_S = 60.0
+_SLACK = 1.0 + 1e-6
+_EPSILON = 1e-9
+
+Phase = Literal["settled", "moving", "waiting"]
+
+
+class Change(NamedTuple):
+    """Something to log: what a pool's shift does now, and why."""
+
+    pool: str
+    phase: Phase
+    reason: str
+    progress: float
+    lost: tuple[str, ...]
+    gained: int
+    turned_back: int
+
+
+class Report(NamedTuple):
+    """A pool's shares at this node.
+
+    `parts` are the layouts in force, `target` what the tables want, `to_go`
+    the most of the pool's traffic that has yet to move (0 to 1) and `left_s`
+    the seconds until it has, if nothing makes it wait.
+    """
+
+    pool: str
+    phase: Phase
+    reason: str
+    parts: tuple[state.Part, ...]
+    target: state.Layout
+    lost: tuple[str, ...]
+    to_go: float
+    left_s: float
+
+
+class _Window:
+    """What became of the requests that a shift took elsewhere."""
+
+    def __init__(self, now: float) -> None:
+        self.began = now
+        self.gained = 0
+        self.turned_back = 0
+
+
+class _Pool:
+    """The mixture in force for one pool.
+
+    Args:
+        row: The pool's row.
+        target: Layout that the tables want.
+        plan: Plan of its shift.
+        now: Monotonic time in seconds.
+        utc_s: UTC in seconds since 1970.
+    """
+
+    def __init__(
+        self,
+        row: tables_module.Pool,
+        target: state.Layout,
+        plan: state.Shift | None,
+        now: float,
+        utc_s: float,
+    ) -> None:
+        self.row = row
+        self.target = target
+        self.plan = plan
+        self.learned_at = now
+        self.lost: frozenset[str] = frozenset()
+        self.mixture = self._wanted(now, utc_s)
+        self.phase: Phase = "settled"
+        self.reason = "started"
+        self.seen: set[str] = set()
+        self.ready: frozenset[str] = frozenset()
+        self._grace_until = now + GRACE_S
+        self._stepped_at = now
+        self._window = _Window(now)
+        self._held_until = 0.0
+
+    def update(
+        self,
+        row: tables_module.Pool,
+        target: state.Layout,
+        plan: state.Shift | None,
+        now: float,
+    ) -> None:
+        """Follow a newer revision from the mixture in force."""
+        if plan != self.plan:
+            self.learned_at = now
+        self.row, self.target, self.plan = row, target, plan
+
+    def adopt(self, parts: Iterable[state.Part]) -> None:
+        """Go on from the shares in force at another node."""
+        mixture = {part.layout: part.share for part in parts}
+        total = sum(mixture.values())
+        if mixture and abs(total - 1.0) < 1e-3:
+            self.mixture = plans.mix(mixture, mixture, 0.0)
+
+    def step(
+        self, now: float, utc_s: float, ready: frozenset[str]
+    ) -> Change | None:
+        """Move on, hold or step back; return what is worth a log line."""
+        # A process that was frozen must not make up for the time at once:
+        # its share would jump. It goes on from where it was.
+        passed = min(max(0.0, now - self._stepped_at), MAX_STEP_S)
+        self._stepped_at = now
+        self._note_ready(ready, now)
+        window = self._window
+        if now - window.began >= WINDOW_S:
+            self._judge(window, now)
+            self._window = _Window(now)
+        before = (self.phase, self.reason)
+        self._move(now, utc_s, passed)
+        if (self.phase, self.reason) == before:
+            return None
+        return Change(
+            self.row.name,
+            self.phase,
+            self.reason,
+            1.0 - plans.distance_to(self.mixture, self._final()),
+            tuple(sorted(self.lost)),
+            window.gained,
+            window.turned_back,
+        )
+
+    def _move(self, now: float, utc_s: float, passed: float) -> None:
+        wanted = self._wanted(now, utc_s)
+        final = self._final()
+        to_go = plans.cost(self.mixture, wanted)
+        if to_go <= _EPSILON:
+            self.mixture = wanted
+            left = plans.distance_to(wanted, final)
+            self.phase = "settled" if left <= _EPSILON else "moving"
+            self.reason = "on-plan"
+            return
+        if now < self._held_until:
+            self.phase, self.reason = "waiting", "no-headroom-at-target"
+            return
+        budget = self._per_second() * passed
+        step = min(1.0, budget / to_go)
+        moved = plans.mix(self.mixture, wanted, step)
+        assert plans.cost(self.mixture, moved) <= budget * _SLACK + _EPSILON
+        assert abs(sum(moved.values()) - 1.0) < 1e-6
+        self.mixture = moved
+        self.phase = "moving"
+        self.reason = "on-plan" if step >= 1.0 else "under-cap"
+
+    def _per_second(self) -> float:
+        """Return the share of the pool's traffic that may move a second."""
+        rate = self.row.shift_cap
+        if self.row.warm_up_s > 0:
+            rate = min(rate, _MINUTE_S / self.row.warm_up_s)
+        return rate / _MINUTE_S
+
+    def _wanted(self, now: float, utc_s: float) -> plans.Mixture:
+        """Return the mixture of the plan, without the regions lost."""
+        if self.plan is None or self.plan.target != self.target:
+            mixture: plans.Mixture = {self.target: 1.0}
+        else:
+            # A plan can't be known before it starts: the time since it came
+            # bounds its age from below, so a clock behind cannot stop it.
+            # A clock ahead cannot hurry it: see `_move`.
+            age_s = max(utc_s - self.plan.start_s, now - self.learned_at)
+            mixture = plans.at_age(self.plan, age_s)
+        return _closed(mixture, self.lost)
+
+    def _final(self) -> state.Layout:
+        return layouts.without_regions(self.target, self.lost)
+
+    def _note_ready(self, ready: frozenset[str], now: float) -> None:
+        """Leave a lost region at once; go back to one that returns by shift.
+
+        Losing a region is no decision of ours. That its traffic comes back to
+        servers that were idle is one: without the shift all of it would land
+        on cold caches within a second.
+        """
+        lost = self.seen - ready
+        come = ready - self.seen
+        if come and (now < self._grace_until or not self.ready):
+            self.seen |= come
+        elif come:
+            self.seen |= come
+            self.mixture = _closed(self.mixture, come)
+        gone = lost - self.lost
+        if gone:
+            self.mixture = _closed(self.mixture, gone)
+        self.lost = frozenset(lost)
+        if ready and not self.ready:
+            # Nothing is served anywhere: there is no traffic to shift.
+            self.mixture = _closed({self.target: 1.0}, self.lost)
+        self.ready = ready
+
+    def note(
+        self, decision: regions.Decision, region: str, domain: str
+    ) -> None:
+        """Count what became of a request that a shift took elsewhere."""
+        if not decision.shifted:
+            return
+        if decision.turned_back(region, domain):
+            self._window.turned_back += 1
+        else:
+            self._window.gained += 1
+
+    def _judge(self, window: _Window, now: float) -> None:
+        """Hold, or step back to what was served, when targets had no room.
+
+        Were the share to go on by the clock while its requests are served
+        where they were, all that was held up would move in one instant once
+        the target has room, far above the cap.
+        """
+        total = window.gained + window.turned_back
+        if not total or window.turned_back <= HOLD_SHARE * total:
+            return
+        self._held_until = now + PROBE_S
+        share = window.turned_back / total
+        if total >= MIN_SAMPLES and share > RETREAT_SHARE:
+            self.mixture = self._stepped_back(share)
+
+    def _stepped_back(self, share: float) -> plans.Mixture:
+        final = self._final()
+        decided = self.mixture.get(final, 0.0)
+        rest = {k: v for k, v in self.mixture.items() if k != final}
+        if not rest:
+            rest = {layouts.reopened(self.target): 1.0}
+        total = sum(rest.values())
+        back = {layout: part / total for layout, part in rest.items()}
+        kept = decided * (1.0 - share)
+        return plans.mix({final: 1.0}, back, 1.0 - kept)
+
+    def decide(
+        self, route: tables_module.Route, place: regions.Place, key: str
+    ) -> regions.Decision:
+        """Return where a request may go, best first."""
+        numbers = regions.draws(key)
+        final = self._final()
+        layout = _pick(self.mixture, numbers[0])
+        names = self._names(layout, route, place, numbers)
+        old = self._old_place(layout, final, route, place, numbers)
+        first = regions.open_first(names, layout)
+        domains = regions.closed_in(first, layout, place)
+        shifted = layout == final and (old != first or bool(domains))
+        moved = shifted and len(self.mixture) > 1
+        return regions.Decision(
+            regions.order(layout, self.target, names, place, moved),
+            "moved" if shifted else "home",
+            shifted,
+            old,
+            domains,
+        )
+
+    def _names(
+        self,
+        layout: state.Layout,
+        route: tables_module.Route,
+        place: regions.Place,
+        numbers: tuple[float, ...],
+    ) -> tuple[str, ...]:
+        weights = layouts.weights_of(layout, route.name)
+        if weights is None:
+            weights = layouts.weights_of(self.target, route.name) or ()
+        return regions.natural(weights, place, numbers)
+
+    def _old_place(
+        self,
+        layout: state.Layout,
+        final: state.Layout,
+        route: tables_module.Route,
+        place: regions.Place,
+        numbers: tuple[float, ...],
+    ) -> str:
+        """Return the region the request would go to but for the shift."""
+        others = [one for one in self.mixture if one != final]
+        if layout != final or not others:
+            return self._names(layout, route, place, numbers)[0]
+        before = max(others, key=lambda one: self.mixture[one])
+        names = self._names(before, route, place, numbers)
+        return regions.open_first(names, before)
+
+    def report(self) -> Report:
+        """Return the shares in force and what is left to do."""
+        to_go = plans.distance_to(self.mixture, self._final())
+        parts = tuple(
+            state.Part(layout, share)
+            for layout, share in sorted(self.mixture.items())
+        )
+        return Report(
+            self.row.name,
+            self.phase,
+            self.reason,
+            parts,
+            self.target,
+            tuple(sorted(self.lost)),
+            to_go,
+            to_go / self._per_second(),
+        )
+
+
+class Shares:
+    """The mixtures in force for all pools at one node.
+
+    All times `now` are monotonic seconds, all `utc_s` seconds since 1970.
+    """
+
+    def __init__(self) -> None:
+        self._pools: dict[str, _Pool] = {}
+
+    def install(self, held: state.State, now: float, utc_s: float) -> None:
+        """Follow the tables and plans of a newer revision."""
+        pools: dict[str, _Pool] = {}
+        for row in held.tables.pools:
+            target = layouts.of_pool(held.tables, row)
+            plan = plans.find(held.shifts, row.name)
+            pool = self._pools.get(row.name)
+            if pool is None:
+                pool = _Pool(row, target, plan, now, utc_s)
+            else:
+                pool.update(row, target, plan, now)
+            pools[row.name] = pool
+        self._pools = pools
+
+    def adopt(self, pool: str, parts: Iterable[state.Part]) -> None:
+        """Go on from the shares of a node that has been running.
+
+        A node that restarts midway in a shift has lost its place; the plan and
+        its own clock would give it back, a wrong clock would not.
+        """
+        if pool in self._pools:
+            self._pools[pool].adopt(parts)
+
+    def step(
+        self, now: float, utc_s: float, ready: Mapping[str, frozenset[str]]
+    ) -> list[Change]:
+        """Move every pool on; return what is worth a log line.
+
+        Args:
+            now: Monotonic time in seconds.
+            utc_s: UTC in seconds since 1970.
+            ready: Regions that have ready servers, by pool.
+        """
+        changes = [
+            pool.step(now, utc_s, ready.get(name, frozenset()))
+            for name, pool in self._pools.items()
+        ]
+        return [change for change in changes if change is not None]
+
+    def decide(
+        self,
+        route: tables_module.Route,
+        place: regions.Place,
+        key: str,
+    ) -> regions.Decision:
+        """Return where a request may go, best first.
+
+        Args:
+            route: The request's route.
+            place: From where it is steered.
+            key: The request's id, which draws its place in the shares.
+        """
+        pool = self._pools.get(route.pool)
+        if pool is None:
+            names = regions.natural((), place, ())
+            empty = state.Layout()
+            found = regions.order(empty, empty, names, place, False)
+            return regions.Decision(found, "home")
+        return pool.decide(route, place, key)
+
+    def note(
+        self, pool: str, decision: regions.Decision, region: str, domain: str
+    ) -> None:
+        """Take in where a request that `decide` steered was served."""
+        if pool in self._pools:
+            self._pools[pool].note(decision, region, domain)
+
+    def is_moving(self, pool: str) -> bool:
+        """Return whether a shift of the pool is under way."""
+        held = self._pools.get(pool)
+        return held is not None and held.phase != "settled"
+
+    def reports(self) -> list[Report]:
+        """Return the shares of every pool."""
+        return [pool.report() for pool in self._pools.values()]
+
+
+def _closed(mixture: plans.Mixture, gone: Iterable[str]) -> plans.Mixture:
+    """Return the mixture with regions closed in every layout."""
+    gone = tuple(gone)
+    if not gone:
+        return mixture
+    closed: dict[state.Layout, float] = {}
+    for layout, share in mixture.items():
+        without = layouts.without_regions(layout, gone)
+        closed[without] = closed.get(without, 0.0) + share
+    return closed
+
+
+def _pick(mixture: plans.Mixture, draw: float) -> state.Layout:
+    """Return the layout that decides for a draw in (0, 1)."""
+    parts = sorted(mixture.items())
+    edge = 0.0
+    for layout, share in parts:
+        edge += share
+        if draw < edge:
+            return layout
+    # The shares sum to 1 but for rounding.
+    return parts[-1][0]
--- a/hyssopfold/entry/configuration.py
+++ b/hyssopfold/entry/configuration.py
@@ -27,6 +27,7 @@
 
     def __init__(self, revision: int, held: state.State) -> None:
         self.revision = revision
+        self.held = held
         self.tables = held.tables
         self.shifts = held.shifts
         self.router = routing.Router(held.tables.routes)
--- a/hyssopfold/entry/placement.py
+++ b/hyssopfold/entry/placement.py
@@ -28,7 +28,12 @@
         """Return a slot, or why there is none, at once."""
         servers = self._directory.ready_servers(req.pool)
         for region in req.regions:
-            near = [one for one in servers if one.region == region.name]
+            near = [
+                one
+                for one in servers
+                if one.region == region.name
+                and one.failure_domain not in region.closed_domains
+            ]
             choice = self._chooser.choose(pool, near, req.avoid)
             if choice is not None:
                 self._chooser.begin(choice.server.server_id)
--- a/hyssopfold/entry/proxy.py
+++ b/hyssopfold/entry/proxy.py
@@ -1,7 +1,6 @@
 """A caller's request on its way through an entry."""
 
 from collections.abc import AsyncIterator
-from collections.abc import Mapping
 import logging
 import uuid
 
@@ -14,11 +13,10 @@
 from hyssopfold import tables
 from hyssopfold.core.attempts import attempt
 from hyssopfold.core.balancing import messages
-from hyssopfold.core.membership import directory
-from hyssopfold.core.steering import regions
 from hyssopfold.entry import configuration
 from hyssopfold.entry import pacing
 from hyssopfold.entry import placement
+from hyssopfold.entry import steering
 from hyssopfold.entry import upstream
 
 logger = logging.getLogger(__name__)
@@ -117,10 +115,8 @@
     """Route requests to backend servers and relay their answers.
 
     Args:
-        region: Region of this entry.
-        delays_ms: One-way delay to each other region.
         config: Source of the tables in force.
-        known: Directory of the servers.
+        steer: Regions that may serve a request.
         place: Slots of the servers.
         pacer: Room on the links between regions.
         servers: Connections to the servers.
@@ -129,19 +125,15 @@
 
     def __init__(
         self,
-        region: str,
-        delays_ms: Mapping[str, float],
         config: configuration.Configuration,
-        known: directory.Directory,
+        steer: steering.Steering,
         place: placement.Placement,
         pacer: pacing.Pacer,
         servers: upstream.Upstream,
         meter: metrics.Metrics,
     ) -> None:
-        self._region = region
-        self._delays_ms = delays_ms
         self._config = config
-        self._directory = known
+        self._steering = steer
         self._placement = place
         self._pacer = pacer
         self._upstream = servers
@@ -182,12 +174,22 @@
         deadline = exchange.began + _deadline_s(exchange, route)
         repeatable = route.is_repeatable(exchange.method)
         tried: list[str] = []
+        decision = self._steering.decide(route, exchange.request_id)
         for left in reversed(range(MAX_ATTEMPTS)):
-            req = self._request(exchange, route, deadline, tried)
+            req = messages.Request(
+                exchange.request_id,
+                route.pool,
+                decision.regions,
+                route.priority,
+                deadline,
+                tuple(tried),
+            )
             grant = await self._placement.acquire(req, pool)
             if isinstance(grant, messages.Refused):
                 await self._refuse(exchange, _no_slot(pool.name, grant))
                 return
+            if not tried:
+                self._steering.note(route.pool, decision, grant.server)
             tried.append(grant.server.server_id)
             _log_grant(exchange, route, grant, len(tried))
             try:
@@ -203,24 +205,6 @@
                     await self._refuse(exchange, refusal)
                     return
 
-    def _request(
-        self,
-        exchange: Exchange,
-        route: tables.Route,
-        deadline: float,
-        tried: list[str],
-    ) -> messages.Request:
-        ready = self._directory.ready_servers(route.pool)
-        known = {server.region for server in ready}
-        return messages.Request(
-            exchange.request_id,
-            route.pool,
-            regions.nearest_first(self._region, known, self._delays_ms),
-            route.priority,
-            deadline,
-            tuple(tried),
-        )
-
     async def _attempt(
         self,
         exchange: Exchange,
--- a/hyssopfold/state.py
+++ b/hyssopfold/state.py
@@ -8,17 +8,52 @@
 from hyssopfold import tables as tables_module
 
 
+class RegionWeight(NamedTuple):
+    """Share of a route's traffic that a region serves, from 0 to 1."""
+
+    region: str
+    weight: float
+
+
+class RouteWeights(NamedTuple):
+    """Weights of one route, sorted by region; none means nearest first."""
+
+    route: str
+    weights: tuple[RegionWeight, ...]
+
+
+class Layout(NamedTuple):
+    """Where the tables of one revision want a pool's traffic.
+
+    `closed_regions` and `closed_domains` are to be emptied; all fields are
+    sorted, so equal wishes are equal values.
+    """
+
+    routes: tuple[RouteWeights, ...] = ()
+    closed_regions: tuple[str, ...] = ()
+    closed_domains: tuple[str, ...] = ()
+
+
+class Part(NamedTuple):
+    """A layout and the share of the pool's requests it decides, 0 to 1."""
+
+    layout: Layout
+    share: float
+
+
 class Shift(NamedTuple):
-    """A planned move of a pool's traffic from region to region.
+    """A planned move of a pool's traffic from where it is to a new layout.
 
-    Every node works out the share in force from the plan alone, see
-    `hyssopfold.core.steering`. `source` and `target` are the shares of the
-    regions before and after; `start_s` is UTC in seconds since 1970.
+    Every node works out the shares in force from the plan alone, see
+    `hyssopfold.core.steering.plans`. `source` are the parts in force at the
+    start, which sum to 1; `start_s` is UTC in seconds since 1970;
+    `rate_per_minute` is the share of requests that `target` takes over in a
+    minute.
     """
 
     pool: str
-    source: dict[str, float]
-    target: dict[str, float]
+    source: tuple[Part, ...]
+    target: Layout
     start_s: float
     rate_per_minute: float
 
