--- a/hyssopfold/core/steering/regions.py
+++ b/hyssopfold/core/steering/regions.py
@@ -3,16 +3,17 @@
 from collections.abc import Collection
 from collections.abc import Mapping
 import hashlib
+import itertools
 import math
+import struct
 from typing import NamedTuple
 
 from hyssopfold import state
 from hyssopfold.core.balancing import messages
 
 _FAR_MS = 1_000_000.0
-_DRAW_BYTES = 4
-_DRAWS = 16
-_SCALE = float(1 << (8 * _DRAW_BYTES))
+_DRAWS = struct.Struct(">16I")
+_SCALE = float(1 << 32)
 
 
 class Place(NamedTuple):
@@ -48,20 +49,20 @@
         return self.shifted and region == self.old != self.regions[0].name
 
 
-def draws(key: str) -> tuple[float, ...]:
-    """Return numbers in (0, 1) that every node draws alike from a key.
+def draws(key: str) -> tuple[int, ...]:
+    """Return 16 numbers of 32 bits that every node draws alike from a key.
 
     The first picks the layout, the others the regions. They come from the
     request's id, so the shares in force are exact over many requests and no
     node needs to know what another has sent.
     """
-    digest = hashlib.blake2b(
-        key.encode(), digest_size=_DRAWS * _DRAW_BYTES
-    ).digest()
-    return tuple(
-        (int.from_bytes(digest[at : at + _DRAW_BYTES], "big") + 0.5) / _SCALE
-        for at in range(0, len(digest), _DRAW_BYTES)
-    )
+    digest = hashlib.blake2b(key.encode(), digest_size=_DRAWS.size).digest()
+    return _DRAWS.unpack(digest)
+
+
+def as_share(number: int) -> float:
+    """Return a number drawn as a share, above 0 and below 1."""
+    return (number + 0.5) / _SCALE
 
 
 def by_delay(
@@ -88,7 +89,7 @@
 def natural(
     weights: tuple[state.RegionWeight, ...],
     place: Place,
-    numbers: tuple[float, ...],
+    numbers: tuple[int, ...],
 ) -> tuple[str, ...]:
     """Return the regions in the order that a request has for itself.
 
@@ -101,10 +102,10 @@
         others = tuple(name for name in place.near if name != place.home)
         return (place.home, *others)
     scores = [
-        (-math.log(numbers[1 + index % (_DRAWS - 1)]) / one.weight, one.region)
-        for index, one in enumerate(weights)
+        (-math.log(as_share(number)) / one.weight, one.region)
+        for one, number in zip(weights, itertools.cycle(numbers[1:]))
     ]
-    return tuple(region for _, region in sorted(scores))
+    return tuple([region for _, region in sorted(scores)])
 
 
 def open_first(names: tuple[str, ...], layout: state.Layout) -> str:
--- a/hyssopfold/core/steering/shares.py
+++ b/hyssopfold/core/steering/shares.py
@@ -14,6 +14,7 @@
 MAX_STEP_S = 1.0
 GRACE_S = 15.0
 WINDOW_S = 1.0
+MAX_WINDOW_S = 10.0
 PROBE_S = 5.0
 MIN_SAMPLES = 20
 HOLD_SHARE = 0.005
@@ -97,6 +98,9 @@
         self._stepped_at = now
         self._window = _Window(now)
         self._held_until = 0.0
+        self._parts: list[tuple[state.Layout, float]] | None = None
+        self._weighted: dict[str, bool] = {}
+        self._decisions: dict[object, regions.Decision] = {}
 
     def update(
         self,
@@ -109,6 +113,7 @@
         if plan != self.plan:
             self.learned_at = now
         self.row, self.target, self.plan = row, target, plan
+        self._parts = None
 
     def adopt(self, parts: Iterable[state.Part]) -> None:
         """Go on from the shares in force at another node."""
@@ -116,6 +121,7 @@
         total = sum(mixture.values())
         if mixture and abs(total - 1.0) < 1e-3:
             self.mixture = plans.mix(mixture, mixture, 0.0)
+            self._parts = None
 
     def step(
         self, now: float, utc_s: float, ready: frozenset[str]
@@ -127,11 +133,10 @@
         self._stepped_at = now
         self._note_ready(ready, now)
         window = self._window
-        if now - window.began >= WINDOW_S:
-            self._judge(window, now)
-            self._window = _Window(now)
+        self._judge(window, now)
         before = (self.phase, self.reason)
         self._move(now, utc_s, passed)
+        self._parts = None
         if (self.phase, self.reason) == before:
             return None
         return Change(
@@ -195,20 +200,17 @@
         servers that were idle is one: without the shift all of it would land
         on cold caches within a second.
         """
-        lost = self.seen - ready
         come = ready - self.seen
-        if come and (now < self._grace_until or not self.ready):
-            self.seen |= come
-        elif come:
-            self.seen |= come
+        if self.seen and not self.ready:
+            # Nothing was served anywhere: there is no traffic to shift.
+            self.mixture = {self.target: 1.0}
+            self.lost = frozenset()
+        elif come and now >= self._grace_until:
             self.mixture = _closed(self.mixture, come)
-        gone = lost - self.lost
-        if gone:
-            self.mixture = _closed(self.mixture, gone)
-        self.lost = frozenset(lost)
-        if ready and not self.ready:
-            # Nothing is served anywhere: there is no traffic to shift.
-            self.mixture = _closed({self.target: 1.0}, self.lost)
+        self.seen |= come
+        lost = frozenset(self.seen - ready)
+        self.mixture = _closed(self.mixture, lost - self.lost)
+        self.lost = lost
         self.ready = ready
 
     def note(
@@ -230,12 +232,15 @@
         the target has room, far above the cap.
         """
         total = window.gained + window.turned_back
-        if not total or window.turned_back <= HOLD_SHARE * total:
+        age_s = now - window.began
+        if window.turned_back > HOLD_SHARE * total:
+            self._held_until = now + PROBE_S
+        few = total < MIN_SAMPLES and age_s < MAX_WINDOW_S
+        if age_s < WINDOW_S or few:
             return
-        self._held_until = now + PROBE_S
-        share = window.turned_back / total
-        if total >= MIN_SAMPLES and share > RETREAT_SHARE:
-            self.mixture = self._stepped_back(share)
+        if window.turned_back > RETREAT_SHARE * total:
+            self.mixture = self._stepped_back(window.turned_back / total)
+        self._window = _Window(now)
 
     def _stepped_back(self, share: float) -> plans.Mixture:
         final = self._final()
@@ -253,10 +258,48 @@
     ) -> regions.Decision:
         """Return where a request may go, best first."""
         numbers = regions.draws(key)
+        layout = _pick(self._ranked(), regions.as_share(numbers[0]))
+        weighted = self._weighted.get(route.name, True)
+        names = self._names(layout, route, place, numbers) if weighted else ()
+        cached = (layout, route.name, place.home, place.near, names)
+        decision = self._decisions.get(cached)
+        # With weights `old` differs from request to request of one order, so
+        # only a mixture at rest can be answered from the cache.
+        if decision is not None and (not weighted or len(self.mixture) == 1):
+            return decision
+        if not names:
+            names = self._names(layout, route, place, numbers)
+        decision = self._decided(layout, names, route, place, numbers)
+        self._decisions[cached] = decision
+        return decision
+
+    def _ranked(self) -> list[tuple[state.Layout, float]]:
+        """Return the mixture in an order that is the same at every node."""
+        if self._parts is None:
+            self._parts = sorted(self.mixture.items())
+            self._decisions.clear()
+            layouts_held = [*self.mixture, self.target]
+            self._weighted = {
+                row.route: any(
+                    layouts.weights_of(layout, row.route)
+                    for layout in layouts_held
+                )
+                for row in self.target.routes
+            }
+        return self._parts
+
+    def _decided(
+        self,
+        layout: state.Layout,
+        names: tuple[str, ...],
+        route: tables_module.Route,
+        place: regions.Place,
+        numbers: tuple[int, ...],
+    ) -> regions.Decision:
         final = self._final()
-        layout = _pick(self.mixture, numbers[0])
-        names = self._names(layout, route, place, numbers)
-        old = self._old_place(layout, final, route, place, numbers)
+        old = names[0]
+        if layout == final:
+            old = self._old_place(names, route, place, numbers)
         first = regions.open_first(names, layout)
         domains = regions.closed_in(first, layout, place)
         shifted = layout == final and (old != first or bool(domains))
@@ -274,7 +317,7 @@
         layout: state.Layout,
         route: tables_module.Route,
         place: regions.Place,
-        numbers: tuple[float, ...],
+        numbers: tuple[int, ...],
     ) -> tuple[str, ...]:
         weights = layouts.weights_of(layout, route.name)
         if weights is None:
@@ -283,16 +326,16 @@
 
     def _old_place(
         self,
-        layout: state.Layout,
-        final: state.Layout,
+        names: tuple[str, ...],
         route: tables_module.Route,
         place: regions.Place,
-        numbers: tuple[float, ...],
+        numbers: tuple[int, ...],
     ) -> str:
         """Return the region the request would go to but for the shift."""
+        final = self._final()
         others = [one for one in self.mixture if one != final]
-        if layout != final or not others:
-            return self._names(layout, route, place, numbers)[0]
+        if not others:
+            return names[0]
         before = max(others, key=lambda one: self.mixture[one])
         names = self._names(before, route, place, numbers)
         return regions.open_first(names, before)
@@ -414,9 +457,8 @@
     return closed
 
 
-def _pick(mixture: plans.Mixture, draw: float) -> state.Layout:
+def _pick(parts: list[tuple[state.Layout, float]], draw: float) -> state.Layout:
     """Return the layout that decides for a draw in (0, 1)."""
-    parts = sorted(mixture.items())
     edge = 0.0
     for layout, share in parts:
         edge += share
