Add the load tool

Cause: every part needs latency figures, and a tool that waits for each answer hides the requests that a stall holds up.

--- /dev/null
+++ b/bench/load/connection.py
@@ -0,0 +1,99 @@
+"""A lean HTTP/1.1 connection of one caller, on h11 and a trio stream."""
+
+from typing import NamedTuple
+
+import h11
+import trio
+
+_RECEIVE_BYTES = 65_536
+_PART = b"\0" * 65_536
+
+
+class Answer(NamedTuple):
+    """Status, headers and length of a whole answer."""
+
+    status: int
+    headers: dict[bytes, bytes]
+    length: int
+
+
+class Connection:
+    """Send one request after another to one address.
+
+    Args:
+        address: IP number and port.
+    """
+
+    def __init__(self, address: str) -> None:
+        self.address = address
+        self._stream: trio.SocketStream | None = None
+        self._http = h11.Connection(h11.CLIENT)
+
+    async def request(
+        self,
+        method: str,
+        target: str,
+        headers: list[tuple[str, str]],
+        size: int,
+    ) -> Answer:
+        """Return the whole answer to a request with `size` zero bytes.
+
+        Raises:
+            OSError: when the connection broke.
+            h11.ProtocolError: when the answer was no HTTP or was cut.
+        """
+        await self._connect()
+        head = [*headers, ("content-length", str(size))] if size else headers
+        await self._send(
+            h11.Request(method=method, target=target, headers=head)
+        )
+        while size > 0:
+            part = _PART[:size]
+            size -= len(part)
+            await self._send(h11.Data(data=part))
+        await self._send(h11.EndOfMessage())
+        return await self._answer()
+
+    async def _connect(self) -> None:
+        if self._stream is not None:
+            return
+        host, _, port = self.address.rpartition(":")
+        self._stream = await trio.open_tcp_stream(host, int(port))
+        self._http = h11.Connection(h11.CLIENT)
+
+    async def _send(self, event: h11.Event) -> None:
+        data = self._http.send(event)
+        if data and self._stream is not None:
+            await self._stream.send_all(data)
+
+    async def _answer(self) -> Answer:
+        status, length = 0, 0
+        headers: dict[bytes, bytes] = {}
+        while True:
+            event = await self._next_event()
+            if isinstance(event, h11.Response):
+                status, headers = event.status_code, dict(event.headers)
+            elif isinstance(event, h11.Data):
+                length += len(event.data)
+            elif isinstance(event, h11.EndOfMessage):
+                break
+        if self._http.our_state is h11.DONE is self._http.their_state:
+            self._http.start_next_cycle()
+        else:
+            self.close()
+        return Answer(status, headers, length)
+
+    async def _next_event(self) -> h11.Event:
+        while True:
+            event = self._http.next_event()
+            if event is not h11.NEED_DATA:
+                return event
+            assert self._stream is not None
+            data = await self._stream.receive_some(_RECEIVE_BYTES)
+            self._http.receive_data(data)
+
+    def close(self) -> None:
+        """Forget the connection; the next request opens a new one."""
+        if self._stream is not None:
+            self._stream.socket.close()
+            self._stream = None
--- /dev/null
+++ b/bench/load/scenario.py
@@ -0,0 +1,110 @@
+"""Scenario files: what to send, how often and for how long."""
+
+import pathlib
+from typing import NamedTuple
+
+from hyssopfold import documents
+from hyssopfold import tables
+
+OPEN = "open"
+CLOSED = "closed"
+
+
+class Kind(NamedTuple):
+    """One kind of request; `{n}` in the path is the request's number."""
+
+    name: str
+    method: str
+    path: str
+    size: int
+    weight: float
+    key: bool
+
+
+class Scenario(NamedTuple):
+    """A load, reproducible from its seed.
+
+    With arrivals `open` requests start at `rate` a second however long the
+    answers take; with `closed` each caller sends the next request when the
+    last one is answered, and `rate` has no meaning.
+    """
+
+    name: str
+    seed: int
+    host: str
+    entries: tuple[str, ...]
+    look_up: bool
+    arrivals: str
+    rate: float
+    callers: int
+    seconds: float
+    warm_up_s: float
+    timeout_s: float
+    mix: tuple[Kind, ...]
+
+
+_SECONDS = documents.number(float, 0.0, 86_400)
+
+_KIND = (
+    documents.Field("name", documents.string(), "", True, "a name"),
+    documents.Field("method", documents.string(choices=tables.METHODS), "GET"),
+    documents.Field("path", documents.string(), "", True, "a path"),
+    documents.Field("size", documents.number(int, 0, 2**40), 0, unit="bytes"),
+    documents.Field("weight", documents.number(float, 0, 1e6), 1.0),
+    documents.Field("key", documents.boolean, False),
+)
+
+FIELDS = (
+    documents.Field("name", documents.string(), "", True, "a name"),
+    documents.Field("seed", documents.number(int, 0, 2**63), 1),
+    documents.Field("host", documents.string(), "", True, "a host"),
+    documents.Field(
+        "entries",
+        documents.listed(documents.address),
+        (),
+        True,
+        "addresses of entries, or of a server asked directly",
+    ),
+    documents.Field(
+        "look_up",
+        documents.boolean,
+        True,
+        help="ask the first entry which to use, else use `entries` in turn",
+    ),
+    documents.Field("arrivals", documents.string(choices=(OPEN, CLOSED)), OPEN),
+    documents.Field(
+        "rate", documents.number(float, 0.01, 1e6), 100.0, unit="1/s"
+    ),
+    documents.Field("callers", documents.number(int, 1, 100_000), 64),
+    documents.Field("seconds", _SECONDS, 10.0, unit="s"),
+    documents.Field(
+        "warm_up_s", _SECONDS, 1.0, unit="s", help="left out of the figures"
+    ),
+    documents.Field("timeout_s", _SECONDS, 30.0, unit="s"),
+    documents.Field(
+        "mix",
+        documents.listed(
+            documents.record(_KIND, lambda values: Kind(**values))
+        ),
+        (),
+        True,
+        "a list of kinds of request",
+    ),
+)
+
+
+def load(path: str) -> Scenario:
+    """Return the checked scenario in a YAML file.
+
+    Raises:
+        InvalidDocumentError: listing every fault with its line.
+    """
+    text = pathlib.Path(path).read_text(encoding="utf-8")
+    reader, node = documents.compose(text, path)
+    values = reader.mapping(node, FIELDS, "")
+    if not values["mix"]:
+        reader.fault_at(1, "mix", "an empty list", "one kind or more")
+    if not values["entries"]:
+        reader.fault_at(1, "entries", "an empty list", "one address or more")
+    reader.raise_faults()
+    return Scenario(**values)
