Keep measured slopes and write the capacity page from them

Cause: docs/CAPACITY.md has to be worked out from slopes that can be measured again. Change: python -m bench.capacity runs each part's measurements, keeps them as JSON and writes the page's tables; a check fails when the page is stale.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: demo test format clean
+.PHONY: demo test soak chaos capacity format clean
 
 # The runtime set alone; enough for the daemons and the demo.
 $(VENV)/runtime: requirements/runtime.txt pyproject.toml
@@ -21,6 +21,14 @@
 test: $(VENV)/dev
 	$(BIN)/python scripts/check.py
 
+# The random runs of the features, long: make soak SEED=7 STEPS=2000
+soak: $(VENV)/dev
+	HYSSOP_SOAK_SEED=$(or $(SEED),1) HYSSOP_SOAK_STEPS=$(or $(STEPS),500) \
+		$(BIN)/python -m behave --format progress3 --tags soak tests
+
+capacity: $(VENV)/dev
+	$(BIN)/python -m bench.capacity
+
 format: $(VENV)/dev
 	$(BIN)/ruff check -q --fix .
 	$(BIN)/ruff format -q .
--- /dev/null
+++ b/bench/capacity/page.py
@@ -0,0 +1,64 @@
+"""The generated parts of docs/CAPACITY.md."""
+
+import pathlib
+import re
+
+from bench.capacity import store
+
+ROOT = pathlib.Path(__file__).resolve().parents[2]
+PAGE = ROOT / "docs" / "CAPACITY.md"
+_BLOCK = "<!-- {name}: begin -->\n{text}\n<!-- {name}: end -->"
+_BLOCKS = re.compile(r"<!-- (\w+): begin -->\n.*?\n<!-- \1: end -->", re.DOTALL)
+
+
+def slopes_table(measured: store.Measured) -> str:
+    """Return the measured slopes as a table."""
+    lines = [
+        "| part | cost | per | slope | at none | points | worst | command |",
+        "| --- | --- | --- | --- | --- | --- | --- | --- |",
+    ]
+    for part in sorted(measured.slopes):
+        for slope in measured.slopes[part]:
+            lines.append(
+                f"| {part} | {slope.cost} | {slope.per} | {slope.slope:.3g}"
+                f" | {slope.intercept:.3g} | {len(slope.points)}"
+                f" | {slope.worst:.0%} | `{slope.command}` |"
+            )
+    return "\n".join(lines)
+
+
+def figures_table(measured: store.Measured) -> str:
+    """Return the measured figures as a table."""
+    lines = ["| part | what | figure | command |", "| --- | --- | --- | --- |"]
+    for part in sorted(measured.figures):
+        for figure in measured.figures[part]:
+            lines.append(
+                f"| {part} | {figure.cost} | {figure.value:.4g}"
+                f" | `{figure.command}` |"
+            )
+    return "\n".join(lines)
+
+
+_TABLES = {"slopes": slopes_table, "figures": figures_table}
+
+
+def render(measured: store.Measured, text: str) -> str:
+    """Return the page's text with every generated block made anew."""
+
+    def block(match: re.Match[str]) -> str:
+        name = match.group(1)
+        return _BLOCK.format(name=name, text=_TABLES[name](measured))
+
+    return _BLOCKS.sub(block, text)
+
+
+def write(measured: store.Measured) -> None:
+    """Write the page's generated blocks."""
+    text = PAGE.read_text(encoding="utf-8")
+    PAGE.write_text(render(measured, text), encoding="utf-8")
+
+
+def is_current(measured: store.Measured) -> bool:
+    """Return whether the page says what was measured."""
+    text = PAGE.read_text(encoding="utf-8")
+    return render(measured, text) == text
--- a/bench/capacity/slopes.py
+++ b/bench/capacity/slopes.py
@@ -57,3 +57,12 @@
         tuple(points),
         command,
     )
+
+
+class Figure(NamedTuple):
+    """A measured figure that grows with nothing; the unit is in `cost`."""
+
+    part: str
+    cost: str
+    value: float
+    command: str
