--- /dev/null
+++ b/bench/chaos/__init__.py
@@ -0,0 +1,1 @@
+"""Failure run over real processes: kills, freezes, blank disks, cuts, races."""
