--- a/Makefile
+++ b/Makefile
@@ -26,6 +26,10 @@
 	HYSSOP_SOAK_SEED=$(or $(SEED),1) HYSSOP_SOAK_STEPS=$(or $(STEPS),500) \
 		$(BIN)/python -m behave --format progress3 --tags soak tests
 
+# Real processes under faults: make chaos SEED=7 SECONDS=60
+chaos: $(VENV)/dev
+	$(BIN)/python -m bench.chaos --seed $(or $(SEED),1) --seconds $(or $(SECONDS),60)
+
 capacity: $(VENV)/dev
 	$(BIN)/python -m bench.capacity
 
--- a/bench/chaos/fleet.py
+++ b/bench/chaos/fleet.py
@@ -71,6 +71,10 @@
         if process.poll() != 0:
             self.unclean_stops.append(f"{name}: status {process.poll()}")
 
+    def identity(self, name: str) -> int:
+        """Return a number that differs between the lives of a process."""
+        return self._running[name].pid
+
     def ended(self) -> list[str]:
         """Return the processes that ended without being told to."""
         return [
--- a/bench/load/connection.py
+++ b/bench/load/connection.py
@@ -7,14 +7,16 @@
 
 _RECEIVE_BYTES = 65_536
 _PART = b"\0" * 65_536
+_BODY_BYTES = 65_536
 
 
 class Answer(NamedTuple):
-    """Status, headers and length of a whole answer."""
+    """Status, headers, length and the first bytes of a whole answer."""
 
     status: int
     headers: dict[bytes, bytes]
     length: int
+    body: bytes = b""
 
 
 class Connection:
@@ -35,25 +37,54 @@
         target: str,
         headers: list[tuple[str, str]],
         size: int,
+        pause_s: float = 0.0,
     ) -> Answer:
         """Return the whole answer to a request with `size` zero bytes.
 
+        Args:
+            method: Method of the request.
+            target: Path and query.
+            headers: Headers, without a length.
+            size: Bytes of body.
+            pause_s: Seconds to wait after each part of the body.
+
         Raises:
             OSError: when the connection broke.
             h11.ProtocolError: when the answer was no HTTP or was cut.
         """
-        await self._connect()
         head = [*headers, ("content-length", str(size))] if size else headers
-        await self._send(
-            h11.Request(method=method, target=target, headers=head)
-        )
+        await self._begin(method, target, head)
         while size > 0:
             part = _PART[:size]
             size -= len(part)
             await self._send(h11.Data(data=part))
+            if pause_s:
+                await trio.sleep(pause_s)
         await self._send(h11.EndOfMessage())
         return await self._answer()
 
+    async def send_bytes(
+        self, method: str, target: str, host: str, body: bytes
+    ) -> Answer:
+        """Return the whole answer to a request with this body.
+
+        Raises:
+            OSError: when the connection broke.
+            h11.ProtocolError: when the answer was no HTTP or was cut.
+        """
+        head = [("host", host), ("content-length", str(len(body)))]
+        await self._begin(method, target, head)
+        await self._send(h11.Data(data=body))
+        await self._send(h11.EndOfMessage())
+        return await self._answer()
+
+    async def _begin(
+        self, method: str, target: str, headers: list[tuple[str, str]]
+    ) -> None:
+        await self._connect()
+        request = h11.Request(method=method, target=target, headers=headers)
+        await self._send(request)
+
     async def _connect(self) -> None:
         if self._stream is not None:
             return
@@ -67,7 +98,7 @@
             await self._stream.send_all(data)
 
     async def _answer(self) -> Answer:
-        status, length = 0, 0
+        status, length, body = 0, 0, b""
         headers: dict[bytes, bytes] = {}
         while True:
             event = await self._next_event()
@@ -75,13 +106,14 @@
                 status, headers = event.status_code, dict(event.headers)
             elif isinstance(event, h11.Data):
                 length += len(event.data)
+                body += bytes(event.data[: _BODY_BYTES - len(body)])
             elif isinstance(event, h11.EndOfMessage):
                 break
         if self._http.our_state is h11.DONE is self._http.their_state:
             self._http.start_next_cycle()
         else:
             self.close()
-        return Answer(status, headers, length)
+        return Answer(status, headers, length, body)
 
     async def _next_event(self) -> h11.Event:
         while True:
