--- a/scripts/check_reference.py
+++ b/scripts/check_reference.py
@@ -7,13 +7,13 @@
 import pathlib
 import sys
 
-ROOT = pathlib.Path(__file__).resolve().parent.parent
-sys.path.insert(0, str(ROOT))
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent))
 
 from hyssopfold import documents
 from hyssopfold import errors
 from hyssopfold import tables
 
+ROOT = pathlib.Path(__file__).resolve().parent.parent
 PAGES = ROOT / "docs" / "operators"
 
 _TABLES_HEAD = """# The tables
