--- a/hyssopfold/application.py
+++ b/hyssopfold/application.py
@@ -15,15 +15,19 @@
 from hyssopfold import http
 from hyssopfold import logs
 from hyssopfold import metrics
+from hyssopfold import serving
 from hyssopfold import settings
 from hyssopfold import supervisor
 from hyssopfold.control import api
 from hyssopfold.control import instance as control_instance
 from hyssopfold.core.balancing import chooser
 from hyssopfold.core.consensus import node as consensus_node
+from hyssopfold.core.draining import stop as core_stop
 from hyssopfold.core.membership import messages
 from hyssopfold.entry import app as entry_app
 from hyssopfold.entry import configuration
+from hyssopfold.entry import connections
+from hyssopfold.entry import leaving
 from hyssopfold.entry import pacing
 from hyssopfold.entry import placement
 from hyssopfold.entry import proxy
@@ -107,7 +111,13 @@
     config = configuration.Configuration(cfg.name, peers, cfg.poll_s, rng)
     spread = gossip.Gossip(_myself(cfg, "entry"), cfg.gossip_seeds, cfg.lease_s)
     place = placement.Placement(spread.directory, chooser.Chooser(rng))
-    servers = upstream.Upstream()
+
+    def bound(server: messages.Server) -> int:
+        entries = len(spread.directory.ready_entries())
+        return max(1, server.connections // max(1, entries))
+
+    connected = connections.Pool(bound)
+    servers = upstream.Upstream(connected)
     meter = metrics.Metrics(cfg.name)
     forward = proxy.Proxy(
         cfg.region,
@@ -118,6 +128,8 @@
         pacing.Pacer(),
         servers,
         meter,
+        rng,
+        cfg.max_body_bytes,
     )
     app = entry_app.App(
         dict(cfg.region_delays_ms),
@@ -138,19 +150,19 @@
             spread.update_self(revision=revision, load=float(forward.in_flight))
             await trio.sleep(0.1)
 
-    async def leave() -> None:
-        # Callers cache look-ups: those who hold an old answer are served
-        # until it has expired.
-        spread.update_self(state="leaving")
-        logger.info(logs.Event("leaving", wait_s=cfg.lookup_ttl_s))
-        await trio.sleep(cfg.lookup_ttl_s + gossip.PERIOD_S)
-
+    listener = serving.Listener(app, cfg.limits)
+    leave = leaving.Leave(
+        core_stop.Stop(cfg.lookup_ttl_s, gossip.PERIOD_S, cfg.stop_max_s),
+        listener,
+        spread,
+    )
     children: list[Child] = [
         ("configuration", config.run),
         ("gossip", spread.run),
         ("state", become_ready),
+        ("connections", connected.sweep),
     ]
-    await _run_daemon(cfg, app, children, rng, leave)
+    await _run_daemon(cfg, app, children, rng, leave.run, listener)
     await servers.aclose()
 
 
@@ -164,15 +176,17 @@
     children: list[Child],
     rng: random.Random,
     leave: Callable[[], Awaitable[None]],
+    listener: serving.Listener | None = None,
 ) -> None:
     """Supervise the children and the HTTP server until told to stop."""
     stop = trio.Event()
     async with trio_asyncio.open_loop(), trio.open_nursery() as nursery:
         for name, child in children:
             nursery.start_soon(supervisor.supervise, name, child, rng)
-        nursery.start_soon(_wait_for_stop, leave, stop)
+        listener = listener or serving.Listener(app, serving.Limits())
+        nursery.start_soon(_wait_for_stop, cfg, leave, listener, stop)
         serve = functools.partial(
-            http.serve, app, cfg.http_address, stop, cfg.stop_max_s
+            http.serve, app, cfg.http_address, stop, cfg.stop_max_s, listener
         )
         logger.info(logs.Event("started", http=cfg.http_address))
         await supervisor.supervise("http", serve, rng)
@@ -181,15 +195,29 @@
 
 
 async def _wait_for_stop(
-    leave: Callable[[], Awaitable[None]], stop: trio.Event
+    cfg: settings.ControlSettings | settings.EntrySettings,
+    leave: Callable[[], Awaitable[None]],
+    listener: serving.Listener,
+    stop: trio.Event,
 ) -> None:
+    async def leave_and_stop() -> None:
+        await leave()
+        stop.set()
+
     with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        async for number in signals:
-            name = signal.Signals(number).name
-            logger.info(logs.Event("stop-asked", signal=name))
-            await leave()
-            stop.set()
-            return
+        async with trio.open_nursery() as nursery:
+            asked = False
+            async for number in signals:
+                name = signal.Signals(number).name
+                if not asked:
+                    logger.info(logs.Event("stop-asked", signal=name))
+                    nursery.start_soon(leave_and_stop)
+                elif cfg.stop_second_signal == "cut":
+                    leaving.cut(listener, f"second {name}")
+                    stop.set()
+                else:
+                    logger.info(logs.Event("second-signal-ignored"))
+                asked = True
 
 
 def run(main: Callable[[Any], Awaitable[None]], cfg: Any) -> None:
--- a/hyssopfold/cmd/standin.py
+++ b/hyssopfold/cmd/standin.py
@@ -3,6 +3,7 @@
 import random
 import signal
 import sys
+from typing import Any
 
 import click
 import httpcore
@@ -10,12 +11,12 @@
 
 import hyssopfold
 from hyssopfold import errors
-from hyssopfold import http
 from hyssopfold import logs
 from hyssopfold import supervisor
 from hyssopfold.cmd import daemon
 from hyssopfold.standin import caller as standin_caller
 from hyssopfold.standin import server as standin_server
+from hyssopfold.standin import wire
 
 
 @click.group()
@@ -33,6 +34,17 @@
 @click.option("--slots", default=3, show_default=True)
 @click.option("--connections", default=330, show_default=True)
 @click.option("--service-ms", default=5.0, show_default=True)
+@click.option("--exponential", is_flag=True, help="Spread service times.")
+@click.option("--cold-factor", default=1.0, show_default=True)
+@click.option("--warm-requests", default=0, show_default=True)
+@click.option("--idle-ms", default=0.0, help="Close unused connections.")
+@click.option(
+    "--fault",
+    "faults",
+    multiple=True,
+    help="NAME=SHARE of requests that meet this fault.",
+)
+@click.option("--seed", default=0, show_default=True)
 @click.option(
     "--announce-to",
     multiple=True,
@@ -40,16 +52,35 @@
     help="IP:PORT of an entry or control instance; the first that answers.",
 )
 @click.option("--log-level", default="info", show_default=True)
-def server(service_ms: float, log_level: str, **options: object) -> None:
+def server(
+    service_ms: float,
+    idle_ms: float,
+    faults: tuple[str, ...],
+    log_level: str,
+    **options: Any,
+) -> None:
     """Run a backend server that announces itself."""
     logs.configure(str(options["server_id"]), log_level, 1)
-    chosen = standin_server.Options(service_s=service_ms / 1000, **options)  # type: ignore[arg-type]
+    chosen = standin_server.Options(
+        service_s=service_ms / 1000,
+        idle_s=idle_ms / 1000 or float("inf"),
+        faults=tuple(_fault(text) for text in faults),
+        **options,
+    )
     try:
         trio.run(_serve, chosen)
     except (BaseExceptionGroup, errors.HyssopError) as exc:
         sys.exit(daemon.report(exc))
 
 
+def _fault(text: str) -> tuple[str, float]:
+    name, _, share = text.partition("=")
+    if name not in wire.FAULTS:
+        known = ", ".join(sorted(wire.FAULTS))
+        raise click.BadParameter(f"{name}: write one of {known}")
+    return name, float(share or 1)
+
+
 async def _serve(options: standin_server.Options) -> None:
     standin = standin_server.Server(options)
     stop = trio.Event()
@@ -59,7 +90,7 @@
             supervisor.supervise, "announce", standin.announce, rng
         )
         nursery.start_soon(_wait_for_stop, standin, stop)
-        await http.serve(standin, options.address, stop, 30.0)
+        await standin.serve(stop, 30.0)
         nursery.cancel_scope.cancel()
 
 
--- a/hyssopfold/core/attempts/attempt.py
+++ b/hyssopfold/core/attempts/attempt.py
@@ -1,41 +1,278 @@
-"""What is known of one attempt, and when another may follow it."""
+"""One request's attempts as a state machine: send, retry, relay or refuse."""
 
 import enum
-from typing import NamedTuple
+import functools
+import math
 
+from hyssopfold.core.attempts import budget as budget_module
+from hyssopfold.core.attempts import messages
 
-class Sent(enum.Enum):
-    """How far a request may have got towards a backend server."""
+MAX_ATTEMPTS = 3
+RETRY_AFTER_S = 1.0
+# On a connection that has been used before, silence may be the connection's
+# own: a first attempt there leaves this share of the time for another one.
+REUSED_SHARE = 0.5
 
-    NOT_SENT = "not-sent"
-    MAYBE_SENT = "maybe-sent"
-    REFUSED_NOT_RUN = "refused-not-run"
-    ANSWERED = "answered"
+_SENT = messages.Sent
+Effects = tuple[messages.Effect, ...]
 
 
-class Verdict(NamedTuple):
-    """What to do after a failed attempt; `outcome` is told to the caller."""
+class Phase(enum.Enum):
+    """Where the request stands."""
 
-    retry: bool
-    outcome: str
+    NEW = "new"
+    ACQUIRING = "acquiring"
+    SENDING = "sending"
+    RELAYING = "relaying"
+    DONE = "done"
 
 
-def after_failure(
-    sent: Sent, repeatable: bool, body_intact: bool, attempts_left: int
-) -> Verdict:
-    """Return whether to try another server, and what is certain.
+class InvariantError(AssertionError):
+    """The machine was about to break a promise, or was fed out of order."""
 
-    A request that may not be repeated runs at most once: it goes out again
-    only if no byte of it was sent or the server said that it did not run.
+
+class Attempts:
+    """Decide what happens to one request.
+
+    Each event goes through `handle`, which returns the effects to carry out
+    in order. The machine asserts its own promises: a request that may not be
+    repeated is sent again only if every attempt before is certain not to have
+    run, and `not-run` is said only if that holds for all of them.
 
     Args:
-        sent: How far the attempt got.
-        repeatable: Whether the request may run twice.
-        body_intact: Whether the whole body can be sent again.
-        attempts_left: Attempts that budget and deadline still allow.
+        request: The request.
+        budget: Retries that the entry may still make.
     """
-    certain = sent in (Sent.NOT_SENT, Sent.REFUSED_NOT_RUN)
-    outcome = "not-run" if certain else "unknown"
-    may_repeat = certain or (repeatable and sent is Sent.MAYBE_SENT)
-    retry = may_repeat and body_intact and attempts_left > 0
-    return Verdict(retry, outcome)
+
+    def __init__(
+        self, request: messages.Request, budget: budget_module.Budget
+    ) -> None:
+        self.request = request
+        self.phase = Phase.NEW
+        self.tried: tuple[str, ...] = ()
+        self.maybe_ran = False
+        self._budget = budget
+        self._body_dropped = False
+        self._uploading = False
+        self.last_sent = _SENT.NOT_SENT
+        self._deadline = math.inf
+        self._last_reason = ""
+
+    @property
+    def outcome(self) -> messages.Outcome:
+        """Return what is certain if no whole answer comes."""
+        live = self.phase in (Phase.SENDING, Phase.RELAYING)
+        open_now = live and self.last_sent is _SENT.MAYBE_SENT
+        if self.maybe_ran or open_now:
+            return messages.Outcome.UNKNOWN
+        return messages.Outcome.NOT_RUN
+
+    def handle(self, event: messages.Event, now: float) -> Effects:
+        """Take `event` in at `now` seconds; return what to do."""
+        if self.phase is Phase.DONE:
+            raise InvariantError(f"{event} after the end")
+        return _on(event, self, now)
+
+    def expect(self, *phases: Phase) -> None:
+        """Check that an event comes in a phase that allows it.
+
+        Raises:
+            InvariantError: when it does not.
+        """
+        if self.phase not in phases:
+            raise InvariantError(f"event out of order in {self.phase}")
+
+    def start(self, now: float) -> Effects:
+        """Begin: ask for a slot."""
+        self.expect(Phase.NEW)
+        self._budget.earn()
+        self._deadline = now + self.request.limit_s
+        self.phase = Phase.ACQUIRING
+        return (messages.Acquire((), self._deadline),)
+
+    def granted(self, server_id: str, now: float) -> Effects:
+        """Send the request to the server that was granted."""
+        self.expect(Phase.ACQUIRING)
+        if server_id in self.tried:
+            raise InvariantError(f"server {server_id} is tried twice")
+        if self.maybe_ran and not self.request.repeatable:
+            raise InvariantError("sent again though it may have run")
+        self.phase = Phase.SENDING
+        self.tried += (server_id,)
+        self.last_sent = _SENT.NOT_SENT
+        number = len(self.tried)
+        # A pooled connection may have been closed at the other end just now.
+        # That shows as a reset after the request was written, and what may
+        # not be repeated, or can't since its body is not kept, would be lost
+        # with `unknown`. A new connection was alive a round trip ago.
+        repeat = self.request.repeatable and not self.request.has_body
+        fresh = not repeat or number > 1
+        deadline = self._deadline
+        if not fresh:
+            deadline = now + (deadline - now) * REUSED_SHARE
+        return (messages.Send(number, fresh, deadline),)
+
+    def no_slot(self, event: messages.NoSlot) -> Effects:
+        """Refuse, telling what is certain of the attempts before."""
+        self.expect(Phase.ACQUIRING)
+        reason = self._last_reason or event.reason
+        error = event.reason if not self.maybe_ran else "attempt-failed"
+        return self._refuse(error, reason, event.retry_after_s)
+
+    def bytes_sent(self) -> Effects:
+        """Note that the server may have the request from now on."""
+        self.expect(Phase.SENDING)
+        self.last_sent = _SENT.MAYBE_SENT
+        return ()
+
+    def body_began(self) -> Effects:
+        """Let the upload go on for as long as it makes progress."""
+        self.expect(Phase.SENDING)
+        self._uploading = True
+        return (messages.AnswerBy(math.inf),)
+
+    def body_dropped(self) -> Effects:
+        """Note that the body can't be sent again."""
+        self.expect(Phase.SENDING)
+        self._body_dropped = True
+        return ()
+
+    def body_sent(self, now: float) -> Effects:
+        """Count the time until the answer from the request's last byte."""
+        self.expect(Phase.SENDING)
+        if not self._uploading:
+            return ()
+        self._uploading = False
+        self._deadline = max(self._deadline, now + self.request.limit_s)
+        return (messages.AnswerBy(self._deadline),)
+
+    def answer_began(self, event: messages.AnswerBegan, now: float) -> Effects:
+        """Relay the answer if it is this request's own and can be whole."""
+        self.expect(Phase.SENDING)
+        self.last_sent = _SENT.MAYBE_SENT
+        mine = event.echoed == self.request.request_id
+        if event.echoed is not None and not mine:
+            return self._failed("an answer to a different request", now)
+        if event.status == 503 and event.not_run and mine:
+            self.last_sent = _SENT.REFUSED_NOT_RUN
+            return self._failed("shed by the server", now)
+        if event.status < 200:
+            return self._failed(f"unasked status {event.status}", now)
+        if not event.framed:
+            # Without a length or chunks, a server that dies midway ends its
+            # answer just as a server that is done does.
+            return self._failed("answer whose end can't be told", now)
+        self.phase = Phase.RELAYING
+        return (messages.Relay(),)
+
+    def answer_ended(self) -> Effects:
+        """End: the caller has its whole answer."""
+        self.expect(Phase.RELAYING)
+        return self._finish("answered")
+
+    def lost(self, reason: str, now: float) -> Effects:
+        """Try again, refuse, or cut the answer that has begun."""
+        self.expect(Phase.SENDING, Phase.RELAYING)
+        if self.phase is Phase.SENDING:
+            return self._failed(reason, now)
+        self.maybe_ran = True
+        cut = messages.CutCaller(reason)
+        return (messages.CloseConnection(), cut, *self._finish("cut"))
+
+    def caller_gone(self) -> Effects:
+        """Drop the request; closing the connection cancels it."""
+        if self.phase is Phase.NEW:
+            raise InvariantError("gone before it came")
+        finish = self._finish("caller-gone")
+        return (messages.CloseConnection(), *finish)
+
+    def _failed(self, reason: str, now: float) -> Effects:
+        self.maybe_ran = self.maybe_ran or self.last_sent is _SENT.MAYBE_SENT
+        self._last_reason = reason
+        self.phase = Phase.ACQUIRING
+        close = messages.CloseConnection()
+        if self._may_retry(now):
+            again = messages.Acquire(self.tried, self._deadline)
+            return (close, again)
+        error = "attempt-failed"
+        if now >= self._deadline:
+            error = "deadline-passed"
+        return (close, *self._refuse(error, reason, RETRY_AFTER_S))
+
+    def _may_retry(self, now: float) -> bool:
+        safe = self.request.repeatable or not self.maybe_ran
+        in_time = now < self._deadline
+        tries_left = len(self.tried) < MAX_ATTEMPTS
+        possible = safe and in_time and tries_left and not self._body_dropped
+        return possible and self._budget.spend()
+
+    def _refuse(self, error: str, reason: str, wait_s: float) -> Effects:
+        outcome = self.outcome
+        if outcome is messages.Outcome.NOT_RUN and self.maybe_ran:
+            raise InvariantError("not-run said of what may have run")
+        refusal = messages.Refuse(error, outcome, reason, wait_s)
+        return (refusal, *self._finish(outcome.value))
+
+    def _finish(self, outcome: str) -> Effects:
+        self.phase = Phase.DONE
+        return (messages.Finish(outcome),)
+
+
+@functools.singledispatch
+def _on(event: object, attempts: Attempts, now: float) -> Effects:
+    raise TypeError(f"no event of attempts: {event!r}")
+
+
+@_on.register
+def _(event: messages.Started, attempts: Attempts, now: float) -> Effects:
+    return attempts.start(now)
+
+
+@_on.register
+def _(event: messages.Granted, attempts: Attempts, now: float) -> Effects:
+    return attempts.granted(event.server_id, now)
+
+
+@_on.register
+def _(event: messages.NoSlot, attempts: Attempts, now: float) -> Effects:
+    return attempts.no_slot(event)
+
+
+@_on.register
+def _(event: messages.BytesSent, attempts: Attempts, now: float) -> Effects:
+    return attempts.bytes_sent()
+
+
+@_on.register
+def _(event: messages.BodyBegan, attempts: Attempts, now: float) -> Effects:
+    return attempts.body_began()
+
+
+@_on.register
+def _(event: messages.BodyDropped, attempts: Attempts, now: float) -> Effects:
+    return attempts.body_dropped()
+
+
+@_on.register
+def _(event: messages.BodySent, attempts: Attempts, now: float) -> Effects:
+    return attempts.body_sent(now)
+
+
+@_on.register
+def _(event: messages.AnswerBegan, attempts: Attempts, now: float) -> Effects:
+    return attempts.answer_began(event, now)
+
+
+@_on.register
+def _(event: messages.AnswerEnded, attempts: Attempts, now: float) -> Effects:
+    return attempts.answer_ended()
+
+
+@_on.register
+def _(event: messages.Lost, attempts: Attempts, now: float) -> Effects:
+    return attempts.lost(event.reason, now)
+
+
+@_on.register
+def _(event: messages.CallerGone, attempts: Attempts, now: float) -> Effects:
+    return attempts.caller_gone()
--- /dev/null
+++ b/hyssopfold/entry/exchange.py
@@ -0,0 +1,236 @@
+"""A caller's request as it came in: its head checked, its body streamed."""
+
+from collections.abc import AsyncIterator
+import uuid
+
+from hyssopfold import http
+from hyssopfold.entry import configuration
+
+MAX_BODY_BYTES = 16 * 1024**3
+# A payment or an order is shorter; keeping it lets it be sent again.
+KEPT_BODY_BYTES = 64 * 1024
+
+_HOP_BY_HOP = frozenset(
+    (
+        b"connection",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"expect",
+    )
+)
+_FORWARDING = frozenset(
+    (
+        b"forwarded",
+        b"x-forwarded-for",
+        b"x-forwarded-proto",
+        b"x-forwarded-host",
+        b"x-forwarded-port",
+        b"x-real-ip",
+    )
+)
+_OURS = b"hyssop-"
+
+
+class CallerGoneError(Exception):
+    """The caller closed its connection before its request was whole."""
+
+
+class BodyTooLargeError(Exception):
+    """A body without a stated length grew beyond the limit."""
+
+
+class Exchange:
+    """One request: what came in, and what is known of it so far.
+
+    Args:
+        scope: Head of the request.
+        receive: Gives its body.
+        send: Takes the answer.
+        snapshot: Tables in force, for all of the request.
+        now: When it came.
+        max_body_bytes: Largest body taken.
+    """
+
+    def __init__(
+        self,
+        scope: http.Scope,
+        receive: http.Receive,
+        send: http.Send,
+        snapshot: configuration.Snapshot,
+        now: float,
+        max_body_bytes: int = MAX_BODY_BYTES,
+    ) -> None:
+        self.scope = scope
+        self.receive = receive
+        self.send = send
+        self.snapshot = snapshot
+        self.began = now
+        self.request_id = uuid.uuid4().hex
+        self.method: str = scope["method"]
+        self.headers: http.Headers = scope["headers"]
+        self.outcome = "answered"
+        self._by_name = dict(reversed(self.headers))
+        self.dropped = False
+        self._kept: list[bytes] = []
+        self._whole = False
+        self._max_body_bytes = max_body_bytes
+
+    def header(self, name: bytes) -> bytes | None:
+        """Return the first header called `name`."""
+        return self._by_name.get(name)
+
+    @property
+    def host(self) -> str:
+        """Return the host asked for, without a port."""
+        value = (self.header(b"host") or b"").decode("latin-1")
+        name, _, port = value.rpartition(":")
+        return name if name and port.isdigit() else value
+
+    @property
+    def has_body(self) -> bool:
+        """Return whether a body follows the request's head."""
+        length = self.header(b"content-length")
+        chunked = self.header(b"transfer-encoding") is not None
+        return chunked or (length is not None and length.strip(b"0") != b"")
+
+    @property
+    def length(self) -> int | None:
+        """Return the stated size of the body in bytes, if there is one."""
+        value = self.header(b"content-length")
+        return int(value) if value is not None else None
+
+    async def body(self) -> AsyncIterator[bytes]:
+        """Yield the request's body as it comes, from its beginning.
+
+        A short one is kept, so that it can go to another server when the
+        first says that it did not run it; `dropped` says that it is not.
+
+        Raises:
+            CallerGoneError: when it will never be whole.
+            BodyTooLargeError: when it is longer than allowed.
+        """
+        for part in self._kept:
+            yield part
+        size = sum(map(len, self._kept))
+        while not self._whole:
+            message = await self.receive()
+            if message["type"] != "http.request":
+                raise CallerGoneError
+            part = message.get("body", b"")
+            size += len(part)
+            if size > self._max_body_bytes:
+                raise BodyTooLargeError
+            self._whole = not message.get("more_body", False)
+            if part:
+                self._keep(part, size)
+                yield part
+
+    def _keep(self, part: bytes, size: int) -> None:
+        if size <= KEPT_BODY_BYTES:
+            self._kept.append(part)
+        else:
+            self.dropped = True
+            self._kept.clear()
+
+    def fault(self) -> http.Refusal | None:
+        """Return why the request can't be taken as it is, if so.
+
+        Where two readers of one request could see two different requests, it
+        is refused: a server behind would read a part of one caller's body as
+        another caller's request.
+        """
+        return self._framing_fault() or self._target_fault()
+
+    def _framing_fault(self) -> http.Refusal | None:
+        if self.header(b"transfer-encoding") is not None:
+            if self.header(b"content-length") is not None:
+                return _bad(
+                    "send content-length or transfer-encoding, not both"
+                )
+            if self.scope["http_version"] == "1.0":
+                return _bad("send no transfer-encoding with HTTP/1.0")
+        expect = self.header(b"expect")
+        if expect is not None and expect.lower() != b"100-continue":
+            remedy = "expect nothing but 100-continue"
+            return http.Refusal(417, "bad-expectation", "not-run", remedy, 0)
+        if (self.length or 0) > self._max_body_bytes:
+            return too_large("not-run", self._max_body_bytes)
+        return None
+
+    def _target_fault(self) -> http.Refusal | None:
+        target: bytes = self.scope["raw_path"]
+        if not target.startswith(b"/") and target != b"*":
+            return _bad("send the path alone in the request line, host in host")
+        path: str = self.scope["path"]
+        if "/../" in f"{path}/" or "/./" in f"{path}/" or "\0" in path:
+            return _bad("send the path without . and .. segments")
+        return None
+
+    def target(self) -> bytes:
+        """Return path and query as the caller wrote them."""
+        path: bytes = self.scope["raw_path"]
+        query: bytes = self.scope["query_string"]
+        return path + b"?" + query if query else path
+
+    def request_headers(self, left_s: float) -> http.Headers:
+        """Return the head for a backend server; `left_s` is the time left."""
+        headers = [
+            (key, value)
+            for key, value in end_to_end(self.headers)
+            if key.replace(b"_", b"-") not in _FORWARDING
+        ]
+        client = (self.scope.get("client") or ("unknown", 0))[0]
+        if self.header(b"transfer-encoding") is not None:
+            headers.append((b"transfer-encoding", b"chunked"))
+        left_ms = str(max(0, round(left_s * 1000))).encode()
+        headers.append((b"hyssop-request-id", self.request_id.encode()))
+        headers.append((b"hyssop-deadline-ms", left_ms))
+        headers.append((b"x-forwarded-for", str(client).encode()))
+        headers.append((b"x-forwarded-host", self.header(b"host") or b""))
+        headers.append((b"x-forwarded-proto", b"http"))
+        return headers
+
+    def answer_headers(self) -> http.Headers:
+        """Return what every answer of an entry carries."""
+        return [
+            (b"hyssop-request-id", self.request_id.encode()),
+            (b"hyssop-revision", str(self.snapshot.revision).encode()),
+        ]
+
+
+def end_to_end(headers: http.Headers) -> http.Headers:
+    """Return `headers` without those of one hop and without our own.
+
+    What `connection` names is of one hop too; ours are dropped in any
+    spelling that a server could take for them.
+    """
+    lowered = [(key.lower(), value) for key, value in headers]
+    named = {
+        token.strip().lower()
+        for key, value in lowered
+        if key == b"connection"
+        for token in value.split(b",")
+    } - {b"content-length", b"host"}
+    return [
+        (key, value)
+        for key, value in lowered
+        if key not in _HOP_BY_HOP
+        and key not in named
+        and not key.replace(b"_", b"-").startswith(_OURS)
+    ]
+
+
+def too_large(outcome: str, limit: int) -> http.Refusal:
+    """Return the refusal of a body that is too large."""
+    remedy = f"send at most {limit} bytes in one body"
+    return http.Refusal(413, "body-too-large", outcome, remedy, 0)
+
+
+def _bad(remedy: str) -> http.Refusal:
+    return http.Refusal(400, "bad-request", "not-run", remedy, 0)
--- /dev/null
+++ b/hyssopfold/entry/leaving.py
@@ -0,0 +1,71 @@
+"""An entry's planned stop, carried out step by step."""
+
+import logging
+
+import trio
+
+from hyssopfold import logs
+from hyssopfold import serving
+from hyssopfold.core.draining import stop
+from hyssopfold.transport import gossip
+
+logger = logging.getLogger(__name__)
+
+PERIOD_S = 0.05
+# Longer than a request takes from any region, once no look-up names us.
+IDLE_BEFORE_CLOSE_S = 0.5
+
+
+class Leave:
+    """Take an entry out of look-ups and see its requests to their end.
+
+    Args:
+        steps: Decides when each step is due.
+        listener: Connections of callers.
+        spread: Tells the other entries.
+    """
+
+    def __init__(
+        self,
+        steps: stop.Stop,
+        listener: serving.Listener,
+        spread: gossip.Gossip,
+    ) -> None:
+        self._steps = steps
+        self._listener = listener
+        self._spread = spread
+
+    async def run(self) -> None:
+        """Return when nothing is in flight any more, or time is up."""
+        began = trio.current_time()
+        self._steps.ask(began)
+        self._spread.update_self(state="leaving")
+        self._listener.close_after_answers()
+        logger.info(logs.Event("leaving", requests=self._listener.requests))
+        while self._steps.phase is not stop.Phase.DONE:
+            await trio.sleep(PERIOD_S)
+            self._tick(trio.current_time())
+        took = trio.current_time() - began
+        logger.info(logs.Event("left", after_s=took, cut=self._steps.cut))
+
+    def _tick(self, now: float) -> None:
+        before = self._steps.phase
+        seen = stop.Observed(
+            self._listener.connections, self._listener.requests
+        )
+        after = self._steps.tick(seen, now)
+        if after is not before:
+            fields = seen._asdict()
+            logger.info(logs.Event("stop-phase", phase=after.value, **fields))
+        if after is stop.Phase.DRAINING:
+            self._listener.close_idle(IDLE_BEFORE_CLOSE_S, now)
+        if self._steps.cut:
+            cut(self._listener, "stop_max_s is over")
+
+
+def cut(listener: serving.Listener, reason: str) -> None:
+    """Close every connection, and say in the log what that cuts."""
+    logger.warning(
+        logs.Event("requests-cut", reason=reason, requests=listener.requests)
+    )
+    listener.cut_all()
--- a/hyssopfold/entry/proxy.py
+++ b/hyssopfold/entry/proxy.py
@@ -3,7 +3,7 @@
 from collections.abc import AsyncIterator
 from collections.abc import Mapping
 import logging
-import uuid
+import random
 
 import httpcore
 import trio
@@ -11,106 +11,27 @@
 from hyssopfold import http
 from hyssopfold import logs
 from hyssopfold import metrics
+from hyssopfold import serving
 from hyssopfold import tables
 from hyssopfold.core.attempts import attempt
+from hyssopfold.core.attempts import budget
+from hyssopfold.core.attempts import messages as events
 from hyssopfold.core.balancing import messages
 from hyssopfold.core.membership import directory
+from hyssopfold.core.membership import messages as membership
 from hyssopfold.core.steering import regions
 from hyssopfold.entry import configuration
+from hyssopfold.entry import exchange as exchange_module
 from hyssopfold.entry import pacing
 from hyssopfold.entry import placement
 from hyssopfold.entry import upstream
 
 logger = logging.getLogger(__name__)
 
-MAX_ATTEMPTS = 3
-RETRY_AFTER_S = 1.0
-
-_HOP_BY_HOP = frozenset(
-    (
-        b"connection",
-        b"keep-alive",
-        b"proxy-authenticate",
-        b"proxy-authorization",
-        b"proxy-connection",
-        b"te",
-        b"trailer",
-        b"transfer-encoding",
-        b"upgrade",
-        b"expect",
-    )
-)
-_OURS = frozenset(
-    (
-        b"hyssop-request-id",
-        b"hyssop-deadline-ms",
-        b"hyssop-outcome",
-        b"hyssop-revision",
-        b"forwarded",
-        b"x-forwarded-for",
-        b"x-forwarded-proto",
-        b"x-forwarded-host",
-    )
-)
-
-
-class _CallerGoneError(Exception):
-    """The caller closed its connection before its request was whole."""
-
-
-class Exchange:
-    """One request: what came in, and what is known of it so far."""
-
-    def __init__(
-        self,
-        scope: http.Scope,
-        receive: http.Receive,
-        send: http.Send,
-        snapshot: configuration.Snapshot,
-        now: float,
-    ) -> None:
-        self.scope = scope
-        self.receive = receive
-        self.send = send
-        self.snapshot = snapshot
-        self.began = now
-        self.request_id = uuid.uuid4().hex
-        self.method: str = scope["method"]
-        self.headers: http.Headers = list(scope["headers"])
-        self.body_read = False
-        self.outcome = "served"
-
-    def header(self, name: bytes) -> bytes | None:
-        """Return the first header called `name`."""
-        for key, value in self.headers:
-            if key == name:
-                return value
-        return None
-
-    @property
-    def host(self) -> str:
-        """Return the host asked for, without a port."""
-        value = (self.header(b"host") or b"").decode("latin-1")
-        return value.rsplit(":", 1)[0] if ":" in value else value
-
-    @property
-    def has_body(self) -> bool:
-        """Return whether a body follows the request's head."""
-        length = self.header(b"content-length")
-        chunked = self.header(b"transfer-encoding") is not None
-        return chunked or (length is not None and length != b"0")
-
-    async def body(self) -> AsyncIterator[bytes]:
-        """Yield the request's body as it comes."""
-        while True:
-            message = await self.receive()
-            self.body_read = True
-            if message["type"] != "http.request":
-                raise _CallerGoneError
-            if message.get("body"):
-                yield message["body"]
-            if not message.get("more_body", False):
-                return
+# Bodies longer than this, or of unknown length, wait for room on a link
+# behind short ones.
+BULK_BYTES = 256 * 1024
+_BODILESS = (204, 304)
 
 
 class Proxy:
@@ -125,6 +46,8 @@
         pacer: Room on the links between regions.
         servers: Connections to the servers.
         meter: Metrics of this process.
+        rng: Spreads the times at which refused callers come back.
+        max_body_bytes: Largest body taken from a caller.
     """
 
     def __init__(
@@ -137,35 +60,44 @@
         pacer: pacing.Pacer,
         servers: upstream.Upstream,
         meter: metrics.Metrics,
+        rng: random.Random,
+        max_body_bytes: int = exchange_module.MAX_BODY_BYTES,
     ) -> None:
-        self._region = region
-        self._delays_ms = delays_ms
+        self.region = region
+        self.delays_ms = delays_ms
+        self.directory = known
+        self.placement = place
+        self.pacer = pacer
+        self.upstream = servers
+        self.budget = budget.Budget()
+        self.in_flight = 0
         self._config = config
-        self._directory = known
-        self._placement = place
-        self._pacer = pacer
-        self._upstream = servers
         self._meter = meter
-        self.in_flight = 0
+        self._rng = rng
+        self._max_body_bytes = max_body_bytes
 
     async def serve(
         self, scope: http.Scope, receive: http.Receive, send: http.Send
     ) -> None:
         """Answer one request of a caller."""
         now = trio.current_time()
-        exchange = Exchange(scope, receive, send, self._config.snapshot, now)
-        route = exchange.snapshot.router.match(
+        snapshot = self._config.snapshot
+        exchange = exchange_module.Exchange(
+            scope, receive, send, snapshot, now, self._max_body_bytes
+        )
+        route = snapshot.router.match(
             exchange.host, scope["path"], exchange.method
         )
-        pool = exchange.snapshot.tables.pool(route.pool) if route else None
+        pool = snapshot.tables.pool(route.pool) if route else None
         self.in_flight += 1
         try:
-            if route is None or pool is None:
-                await self._refuse(exchange, _no_route())
+            fault = exchange.fault()
+            if fault is not None:
+                await self.refuse(exchange, fault)
+            elif route is None or pool is None:
+                await self.refuse(exchange, _no_route())
             else:
-                await self._serve_route(exchange, route, pool)
-        except _CallerGoneError:
-            exchange.outcome = "caller-gone"
+                await _Carrier(self, exchange, route, pool).run()
         finally:
             self.in_flight -= 1
             labels = {
@@ -176,186 +108,292 @@
             took = trio.current_time() - exchange.began
             self._meter.requests.observe(labels, took)
 
-    async def _serve_route(
-        self, exchange: Exchange, route: tables.Route, pool: tables.Pool
+    async def refuse(
+        self, exchange: exchange_module.Exchange, refusal: http.Refusal
     ) -> None:
-        deadline = exchange.began + _deadline_s(exchange, route)
-        repeatable = route.is_repeatable(exchange.method)
-        tried: list[str] = []
-        for left in reversed(range(MAX_ATTEMPTS)):
-            req = self._request(exchange, route, deadline, tried)
-            grant = await self._placement.acquire(req, pool)
-            if isinstance(grant, messages.Refused):
-                await self._refuse(exchange, _no_slot(pool.name, grant))
-                return
-            tried.append(grant.server.server_id)
-            _log_grant(exchange, route, grant, len(tried))
-            try:
-                await self._attempt(exchange, grant, repeatable, deadline)
-                return
-            except upstream.AttemptFailedError as exc:
-                verdict = attempt.after_failure(
-                    exc.sent, repeatable, not exchange.body_read, left
-                )
-                _log_failure(exchange, grant, exc, verdict)
-                if not verdict.retry:
-                    refusal = _failed(verdict.outcome, exc.reason)
-                    await self._refuse(exchange, refusal)
-                    return
+        """Answer with a refusal of ours."""
+        exchange.outcome = refusal.outcome
+        logger.info(
+            logs.Event(
+                "refused",
+                request=exchange.request_id,
+                error=refusal.error,
+                outcome=refusal.outcome,
+                detail=refusal.remedy,
+            )
+        )
+        # Callers refused together would come back together.
+        spread = refusal.retry_after_s * self._rng.uniform(1, 3)
+        refusal = refusal._replace(retry_after_s=spread)
+        answer = http.refusal_answer(refusal)
+        extra = tuple(exchange.answer_headers())
+        answer = answer._replace(headers=answer.headers + extra)
+        head = exchange.method == "HEAD"
+        await http.send_answer(exchange.send, answer, head)
 
-    def _request(
+
+class _Carrier:
+    """Carry out what the attempts of one request decide."""
+
+    def __init__(
         self,
-        exchange: Exchange,
+        proxy: Proxy,
+        exchange: exchange_module.Exchange,
         route: tables.Route,
-        deadline: float,
-        tried: list[str],
+        pool: tables.Pool,
+    ) -> None:
+        self._proxy = proxy
+        self._exchange = exchange
+        self._route = route
+        self._pool = pool
+        request = events.Request(
+            exchange.request_id,
+            route.is_repeatable(exchange.method),
+            exchange.has_body,
+            _limit_s(exchange, route),
+        )
+        self._machine = attempt.Attempts(request, proxy.budget)
+        self._grant: messages.Grant | None = None
+        self._granted_at = 0.0
+        self._answer_by = trio.CancelScope()
+        self._told_dropped = False
+        self._answering: upstream.Answering | None = None
+
+    async def run(self) -> None:
+        """Carry the request from its head to its end."""
+        try:
+            await self._loop()
+        except exchange_module.CallerGoneError:
+            await self._caller_gone()
+        except trio.Cancelled:
+            with trio.CancelScope(shield=True):
+                await self._caller_gone()
+            raise
+
+    async def _loop(self) -> None:
+        effects = self._tell(events.Started())
+        while effects:
+            event: events.Event | None = None
+            for effect in effects:
+                event = await self._carry(effect) or event
+            effects = self._tell(event) if event is not None else ()
+
+    def _tell(self, event: events.Event) -> attempt.Effects:
+        return self._machine.handle(event, trio.current_time())
+
+    async def _carry(self, effect: events.Effect) -> events.Event | None:
+        match effect:
+            case events.Acquire():
+                return await self._acquire(effect)
+            case events.Send():
+                return await self._send(effect)
+            case events.Relay():
+                return await self._relay()
+            case events.CloseConnection():
+                await self._end_attempt("failed")
+            case events.Refuse():
+                await self._refuse(effect)
+            case events.CutCaller():
+                self._exchange.outcome = "cut"
+                raise serving.CutAnswerError(effect.reason)
+            case events.Finish():
+                self._exchange.outcome = effect.outcome
+        return None
+
+    async def _acquire(self, effect: events.Acquire) -> events.Event:
+        proxy, pool = self._proxy, self._pool
+        refused = messages.Refused("deadline-passed", attempt.RETRY_AFTER_S)
+        answer: messages.Grant | messages.Refused = refused
+        with trio.move_on_at(effect.deadline):
+            for avoid in self._avoid(effect.tried):
+                req = self._request(effect, avoid)
+                answer = await proxy.placement.acquire(req, pool)
+                if isinstance(answer, messages.Grant):
+                    break
+        if isinstance(answer, messages.Refused):
+            return events.NoSlot(answer.reason, answer.retry_after_s)
+        self._grant = answer
+        self._granted_at = trio.current_time()
+        _log_grant(self._exchange, self._route, answer, len(effect.tried) + 1)
+        return events.Granted(answer.server.server_id)
+
+    def _avoid(self, tried: tuple[str, ...]) -> list[tuple[str, ...]]:
+        """Return what to avoid: failure domains tried, else servers tried."""
+        if not tried:
+            return [()]
+        ready = self._proxy.directory.ready_servers(self._route.pool)
+        domains = {
+            one.failure_domain for one in ready if one.server_id in tried
+        }
+        near = {one.server_id for one in ready if one.failure_domain in domains}
+        if len(near) == len(ready):
+            return [tried]
+        return [(*tried, *sorted(near - set(tried))), tried]
+
+    def _request(
+        self, effect: events.Acquire, avoid: tuple[str, ...]
     ) -> messages.Request:
-        ready = self._directory.ready_servers(route.pool)
+        proxy, route = self._proxy, self._route
+        ready = proxy.directory.ready_servers(route.pool)
         known = {server.region for server in ready}
         return messages.Request(
-            exchange.request_id,
+            self._exchange.request_id,
             route.pool,
-            regions.nearest_first(self._region, known, self._delays_ms),
+            regions.nearest_first(proxy.region, known, proxy.delays_ms),
             route.priority,
-            deadline,
-            tuple(tried),
+            effect.deadline,
+            avoid,
         )
 
-    async def _attempt(
-        self,
-        exchange: Exchange,
-        grant: messages.Grant,
-        repeatable: bool,
-        deadline: float,
-    ) -> None:
+    async def _send(self, effect: events.Send) -> events.Event:
+        assert self._grant is not None
+        server, exchange = self._grant.server, self._exchange
+        left_s = effect.deadline - trio.current_time()
         outgoing = upstream.Outgoing(
             exchange.method,
-            _target(exchange.scope),
-            _request_headers(exchange, deadline),
-            exchange.body() if exchange.has_body else None,
+            exchange.target(),
+            exchange.request_headers(left_s),
+            self._body(server) if exchange.has_body else None,
         )
-        began = trio.current_time()
-        kind = "cancelled"
+        self._answer_by = trio.CancelScope(deadline=effect.deadline)
         try:
-            # What may not be repeated gets a new connection: a pooled one
-            # may have been closed at the other end just now, and a request
-            # lost on it could be answered only with `unknown`.
-            async with self._upstream.send(
-                grant.server, outgoing, fresh=not repeatable
-            ) as answer:
-                _check_answer(exchange, answer)
-                await self._relay(exchange, answer)
-            kind = "answered"
-        except upstream.AttemptFailedError as exc:
-            shed = exc.sent is attempt.Sent.REFUSED_NOT_RUN
-            kind = "shed" if shed else "failed"
-            raise
-        finally:
-            took = trio.current_time() - began
-            self._placement.release(grant, messages.Done(kind, took))
-
-    async def _relay(
-        self, exchange: Exchange, answer: httpcore.Response
+            with self._answer_by:
+                self._answering = await self._proxy.upstream.send(
+                    server, outgoing, effect.fresh, self._note_bytes_sent
+                )
+        except upstream.LostError as exc:
+            return events.Lost(str(exc))
+        except exchange_module.BodyTooLargeError:
+            return events.Lost("body too large")
+        if self._answering is None:
+            return events.Lost("no answer in time")
+        return _began(exchange, self._answering.answer)
+
+    def _note_bytes_sent(self) -> None:
+        self._tell(events.BytesSent())
+
+    async def _body(self, server: membership.Server) -> AsyncIterator[bytes]:
+        self._note(events.BodyBegan())
+        async for part in self._exchange.body():
+            if self._exchange.dropped and not self._told_dropped:
+                self._told_dropped = True
+                self._tell(events.BodyDropped())
+            await self._pace(server, part, self._exchange.length)
+            yield part
+        self._note(events.BodySent())
+
+    def _note(self, event: events.Event) -> None:
+        for effect in self._tell(event):
+            if isinstance(effect, events.AnswerBy):
+                self._answer_by.deadline = effect.deadline
+
+    async def _pace(
+        self, server: membership.Server, part: bytes, length: int | None
     ) -> None:
-        headers = [
-            (key, value)
-            for key, value in answer.headers
-            if key.lower() not in _HOP_BY_HOP and key.lower() not in _OURS
-        ]
-        headers += _answer_headers(exchange)
-        await exchange.send(
-            {
-                "type": "http.response.start",
-                "status": answer.status,
-                "headers": headers,
-            }
-        )
-        async for part in answer.aiter_stream():
-            await exchange.send(
-                {
-                    "type": "http.response.body",
-                    "body": part,
-                    "more_body": True,
-                }
+        if server.region != self._proxy.region:
+            bulk = length is None or length > BULK_BYTES
+            await self._proxy.pacer.take(server.region, len(part), bulk)
+
+    async def _relay(self) -> events.Event:
+        assert self._grant is not None
+        assert self._answering is not None
+        server, answer = self._grant.server, self._answering.answer
+        send = self._exchange.send
+        headers = exchange_module.end_to_end(answer.headers)
+        if answer.status in _BODILESS:
+            headers = [one for one in headers if one[0] != b"content-length"]
+        headers += self._exchange.answer_headers()
+        start = {
+            "type": "http.response.start",
+            "status": answer.status,
+            "headers": headers,
+        }
+        await send(start)
+        length = _length(answer)
+        try:
+            async for part in upstream.parts(answer):
+                await self._pace(server, part, length)
+                await send(
+                    {
+                        "type": "http.response.body",
+                        "body": part,
+                        "more_body": True,
+                    }
+                )
+        except upstream.LostError as exc:
+            return events.Lost(str(exc))
+        # The slot and the connection are free before the caller can send its
+        # next request.
+        await self._end_attempt("answered")
+        await send({"type": "http.response.body", "body": b""})
+        return events.AnswerEnded()
+
+    async def _end_attempt(self, kind: str) -> None:
+        """Give slot and connection back; close the latter unless answered."""
+        grant, self._grant = self._grant, None
+        if grant is None:
+            return
+        took = trio.current_time() - self._granted_at
+        if kind == "failed":
+            kind = self._shed_or_failed()
+        self._proxy.placement.release(grant, messages.Done(kind, took))
+        answering, self._answering = self._answering, None
+        if answering is None:
+            return
+        if kind == "answered":
+            await self._proxy.upstream.finish(answering)
+        else:
+            await self._proxy.upstream.drop(answering)
+
+    def _shed_or_failed(self) -> str:
+        shed = self._machine.last_sent is events.Sent.REFUSED_NOT_RUN
+        return "shed" if shed else "failed"
+
+    async def _caller_gone(self) -> None:
+        if self._machine.phase is not attempt.Phase.DONE:
+            self._tell(events.CallerGone())
+        self._exchange.outcome = "caller-gone"
+        await self._end_attempt("cancelled")
+
+    async def _refuse(self, effect: events.Refuse) -> None:
+        outcome = effect.outcome.value
+        if effect.reason == "body too large":
+            refusal = exchange_module.too_large(
+                outcome, exchange_module.MAX_BODY_BYTES
             )
-        await exchange.send({"type": "http.response.body", "body": b""})
-
-    async def _refuse(self, exchange: Exchange, refusal: http.Refusal) -> None:
-        exchange.outcome = refusal.outcome
-        logger.info(
-            logs.Event(
-                "refused",
-                request=exchange.request_id,
-                error=refusal.error,
-                outcome=refusal.outcome,
-            )
-        )
-        answer = http.refusal_answer(refusal)
-        extra = tuple(_answer_headers(exchange))
-        answer = answer._replace(headers=answer.headers + extra)
-        head = exchange.method == "HEAD"
-        await http.send_answer(exchange.send, answer, head)
+        else:
+            refusal = _refusal(effect, self._pool.name)
+        await self._proxy.refuse(self._exchange, refusal)
 
 
-def _deadline_s(exchange: Exchange, route: tables.Route) -> float:
+def _limit_s(exchange: exchange_module.Exchange, route: tables.Route) -> float:
     limit = route.deadline_ms / 1000
     given = exchange.header(b"hyssop-deadline-ms")
-    if given is not None and given.isdigit():
+    if given is not None and given.isdigit() and len(given) < 12:
         return min(limit, int(given) / 1000)
     return limit
 
 
-def _target(scope: http.Scope) -> bytes:
-    target: bytes = scope.get("raw_path") or scope["path"].encode()
-    query: bytes = scope["query_string"]
-    if query:
-        return target + b"?" + query
-    return target
-
-
-def _request_headers(
-    exchange: Exchange, deadline: float
-) -> list[tuple[bytes, bytes]]:
-    headers = [
-        (key, value)
-        for key, value in exchange.headers
-        if key not in _HOP_BY_HOP and key not in _OURS
-    ]
-    left_ms = max(0, round((deadline - trio.current_time()) * 1000))
-    client = (exchange.scope.get("client") or ("unknown", 0))[0]
-    if exchange.header(b"content-length") is None and exchange.has_body:
-        headers.append((b"transfer-encoding", b"chunked"))
-    headers.append((b"hyssop-request-id", exchange.request_id.encode()))
-    headers.append((b"hyssop-deadline-ms", str(left_ms).encode()))
-    headers.append((b"x-forwarded-for", client.encode()))
-    return headers
-
-
-def _answer_headers(exchange: Exchange) -> list[tuple[bytes, bytes]]:
-    return [
-        (b"hyssop-request-id", exchange.request_id.encode()),
-        (b"hyssop-revision", str(exchange.snapshot.revision).encode()),
-    ]
-
-
-def _check_answer(exchange: Exchange, answer: httpcore.Response) -> None:
-    """Hold an answer to the request it must belong to.
-
-    Raises:
-        AttemptFailedError: on another request's answer, or when the server
-            says that it did not run this one.
-    """
+def _began(
+    exchange: exchange_module.Exchange, answer: httpcore.Response
+) -> events.AnswerBegan:
     headers = {key.lower(): value for key, value in answer.headers}
     echoed = headers.get(b"hyssop-request-id")
-    if echoed is not None and echoed != exchange.request_id.encode():
-        raise upstream.AttemptFailedError(
-            attempt.Sent.MAYBE_SENT, "answer of another request"
-        )
-    not_run = headers.get(b"hyssop-outcome") == b"not-run"
-    if answer.status == 503 and not_run and echoed is not None:
-        raise upstream.AttemptFailedError(
-            attempt.Sent.REFUSED_NOT_RUN, "shed by the server"
-        )
+    bodiless = answer.status in _BODILESS or exchange.method == "HEAD"
+    chunked = b"chunked" in headers.get(b"transfer-encoding", b"").lower()
+    return events.AnswerBegan(
+        answer.status,
+        echoed.decode("latin-1") if echoed is not None else None,
+        headers.get(b"hyssop-outcome") == b"not-run",
+        bodiless or chunked or b"content-length" in headers,
+    )
+
+
+def _length(answer: httpcore.Response) -> int | None:
+    for key, value in answer.headers:
+        if key.lower() == b"content-length":
+            return int(value)
+    return None
 
 
 def _no_route() -> http.Refusal:
@@ -364,24 +402,27 @@
     )
 
 
-def _no_slot(pool: str, refused: messages.Refused) -> http.Refusal:
-    remedy = f"ask again later: no server of pool {pool} has a free slot"
-    wait_s = refused.retry_after_s
-    return http.Refusal(503, refused.reason, "not-run", remedy, wait_s)
-
-
-def _failed(outcome: str, reason: str) -> http.Refusal:
-    if outcome == "not-run":
+def _refusal(effect: events.Refuse, pool: str) -> http.Refusal:
+    wait_s = effect.retry_after_s
+    status = 504 if effect.error == "deadline-passed" else 502
+    if effect.outcome is events.Outcome.UNKNOWN:
+        remedy = "look whether it took effect before sending it again"
+    elif effect.error in ("attempt-failed", "deadline-passed"):
         remedy = "send the request again"
     else:
-        remedy = "look whether it took effect before sending it again"
+        status = 503
+        remedy = f"ask again later: no server of pool {pool} has a free slot"
     return http.Refusal(
-        502, "attempt-failed", outcome, f"{remedy} ({reason})", RETRY_AFTER_S
+        status,
+        effect.error,
+        effect.outcome.value,
+        f"{remedy} ({effect.reason})",
+        wait_s,
     )
 
 
 def _log_grant(
-    exchange: Exchange,
+    exchange: exchange_module.Exchange,
     route: tables.Route,
     grant: messages.Grant,
     number: int,
@@ -402,21 +443,3 @@
             revision=exchange.snapshot.revision,
         )
     )
-
-
-def _log_failure(
-    exchange: Exchange,
-    grant: messages.Grant,
-    exc: upstream.AttemptFailedError,
-    verdict: attempt.Verdict,
-) -> None:
-    logger.warning(
-        logs.Event(
-            "attempt-failed",
-            request=exchange.request_id,
-            server=grant.server.server_id,
-            sent=exc.sent.value,
-            reason=exc.reason,
-            retry=verdict.retry,
-        )
-    )
--- a/hyssopfold/entry/upstream.py
+++ b/hyssopfold/entry/upstream.py
@@ -1,19 +1,21 @@
-"""One attempt at a backend server: send, and relay the answer as it comes."""
+"""One attempt at a backend server: send, and hand out the answer's stream."""
 
 from collections.abc import AsyncIterator
-import contextlib
-from typing import Any
+from collections.abc import Callable
 from typing import NamedTuple
 
 import httpcore
 
-from hyssopfold.core.attempts import attempt
 from hyssopfold.core.membership import messages
+from hyssopfold.entry import connections
 
-CONNECT_TIMEOUT_S = 2.0
-IDLE_TIMEOUT_S = 60.0
-
-_HEADERS_STARTED = "http11.send_request_headers.started"
+STALL_S = 60.0
+_FAILURES = (
+    httpcore.NetworkError,
+    httpcore.TimeoutException,
+    httpcore.ProtocolError,
+)
+_TIMEOUTS = {"read": STALL_S, "write": STALL_S}
 
 
 class Outgoing(NamedTuple):
@@ -25,85 +27,110 @@
     body: AsyncIterator[bytes] | None
 
 
-class AttemptFailedError(Exception):
-    """An attempt that brought no answer.
+class Answering(NamedTuple):
+    """An answer that has begun, and the connection that it comes on."""
 
-    Args:
-        sent: How far the request may have got.
-        reason: What happened.
-    """
+    conn: connections.Connection
+    answer: httpcore.Response
 
-    def __init__(self, sent: attempt.Sent, reason: str) -> None:
-        super().__init__(reason)
-        self.sent = sent
-        self.reason = reason
+
+class LostError(Exception):
+    """An attempt that broke; how far it got is known from its events."""
 
 
 class Upstream:
-    """Connections to the backend servers."""
+    """Attempts at the backend servers.
+
+    Args:
+        pool: Keeps the connections.
+    """
 
-    def __init__(self) -> None:
-        self._pool = httpcore.AsyncConnectionPool(
-            max_connections=None, max_keepalive_connections=256,
-            keepalive_expiry=10.0,
-        )  # fmt: skip
+    def __init__(self, pool: connections.Pool) -> None:
+        self.pool = pool
 
-    @contextlib.asynccontextmanager
     async def send(
-        self, server: messages.Server, outgoing: Outgoing, fresh: bool
-    ) -> AsyncIterator[httpcore.Response]:
-        """Yield the server's answer, its body still to be read.
+        self,
+        server: messages.Server,
+        outgoing: Outgoing,
+        fresh: bool,
+        on_first_byte: Callable[[], None],
+    ) -> Answering:
+        """Return the server's answer, its body still to be read.
+
+        A connection on which something went wrong, cancellation too, is
+        closed: the server sees that nobody waits any more, and no later
+        request can meet what is left on it.
 
         Args:
             server: Where to send.
             outgoing: What to send.
             fresh: Whether a new connection must be used.
+            on_first_byte: Called before the server can have seen anything.
 
         Raises:
-            AttemptFailedError: when no answer began.
+            LostError: when no answer began.
         """
-        sent = attempt.Sent.NOT_SENT
-
-        async def trace(event: str, info: dict[str, Any]) -> None:
-            nonlocal sent
-            if event == _HEADERS_STARTED:
-                sent = attempt.Sent.MAYBE_SENT
-
-        extensions = {
-            "trace": trace,
-            "timeout": {
-                "connect": CONNECT_TIMEOUT_S,
-                "read": IDLE_TIMEOUT_S,
-                "write": IDLE_TIMEOUT_S,
-                "pool": CONNECT_TIMEOUT_S,
-            },
-        }
-        url = httpcore.URL(f"http://{server.address}")
-        url.target = outgoing.target
-        req = httpcore.Request(
-            outgoing.method,
-            url,
-            headers=outgoing.headers,
-            content=outgoing.body,
-            extensions=extensions,
-        )
-        async with contextlib.AsyncExitStack() as stack:
-            pool = self._pool
-            if fresh:
-                pool = await stack.enter_async_context(
-                    httpcore.AsyncConnectionPool(max_connections=1)
-                )
-            try:
-                answer = await pool.handle_async_request(req)
-            except (httpcore.NetworkError, httpcore.TimeoutException,
-                    httpcore.ProtocolError) as exc:  # fmt: skip
-                reason = f"{type(exc).__name__} {exc}".strip()
-                raise AttemptFailedError(sent, reason) from exc
-            try:
-                yield answer
-            finally:
-                await answer.aclose()
+        try:
+            conn = await self.pool.take(server, fresh)
+        except connections.NotOpenedError as exc:
+            raise LostError(str(exc)) from exc
+        try:
+            answer = await _begin(conn, server, outgoing, on_first_byte)
+        except BaseException:
+            await self.pool.drop(conn)
+            raise
+        return Answering(conn, answer)
+
+    async def finish(self, answering: Answering) -> None:
+        """Keep the connection of an answer that is whole, if it is clean."""
+        await answering.answer.aclose()
+        await self.pool.give_back(answering.conn)
+
+    async def drop(self, answering: Answering) -> None:
+        """Close the connection of an answer that nobody waits for."""
+        await self.pool.drop(answering.conn)
 
     async def aclose(self) -> None:
-        """Close all connections."""
-        await self._pool.aclose()
+        """Close all idle connections."""
+        await self.pool.aclose()
+
+
+async def _begin(
+    conn: connections.Connection,
+    server: messages.Server,
+    outgoing: Outgoing,
+    on_first_byte: Callable[[], None],
+) -> httpcore.Response:
+    url = httpcore.URL(f"http://{server.address}")
+    url.target = outgoing.target
+    req = httpcore.Request(
+        outgoing.method,
+        url,
+        headers=outgoing.headers,
+        content=outgoing.body,
+        extensions={"timeout": _TIMEOUTS},
+    )
+    conn.stream.on_first_byte = on_first_byte
+    conn.stream.body_follows = outgoing.body is not None
+    try:
+        return await conn.http.handle_async_request(req)
+    except _FAILURES as exc:
+        raise LostError(describe(exc)) from exc
+
+
+async def parts(answer: httpcore.Response) -> AsyncIterator[bytes]:
+    """Yield an answer's body.
+
+    Raises:
+        LostError: when it ends before it is whole.
+    """
+    try:
+        async for part in answer.aiter_stream():
+            yield part
+    except _FAILURES as exc:
+        raise LostError(describe(exc)) from exc
+
+
+def describe(exc: Exception) -> str:
+    """Return what happened in a few words."""
+    return f"{type(exc).__name__} {exc}".strip()
--- a/hyssopfold/http.py
+++ b/hyssopfold/http.py
@@ -3,15 +3,15 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 import errno
+import functools
 from typing import Any
 from typing import NamedTuple
 
-import hypercorn.config
-import hypercorn.trio
 import msgspec
 import trio
 
 from hyssopfold import errors
+from hyssopfold import serving
 
 Scope = dict[str, Any]
 Receive = Callable[[], Awaitable[dict[str, Any]]]
@@ -20,6 +20,11 @@
 Headers = list[tuple[bytes, bytes]]
 
 MAX_BODY_BYTES = 4 * 1024 * 1024
+BACKLOG = 1024
+# A kept-alive connection is closed by a stop only when nothing came on it
+# for longer than a request takes to cross from any region.
+IDLE_BEFORE_CLOSE_S = 0.5
+FINISH_PERIOD_S = 0.05
 
 
 class Answer(NamedTuple):
@@ -118,6 +123,7 @@
     address: str,
     stop: trio.Event,
     grace_s: float,
+    listener: serving.Listener | None = None,
     task_status: trio.TaskStatus[Any] = trio.TASK_STATUS_IGNORED,
 ) -> None:
     """Serve `app` on `address` until `stop` is set.
@@ -127,34 +133,44 @@
         address: IP number and port.
         stop: Set to stop accepting and finish what is in flight.
         grace_s: Longest to wait for requests in flight.
+        listener: Connections of `app`; made here when left out.
         task_status: Told once the address is bound.
 
     Raises:
         PortBusyError: when another process holds the address.
     """
-    cfg = hypercorn.config.Config()
-    cfg.bind = [address]
-    cfg.graceful_timeout = grace_s
-    cfg.accesslog = None
-    cfg.errorlog = None
-    cfg.include_server_header = False
-    cfg.keep_alive_timeout = 75
+    listener = listener or serving.Listener(app, serving.Limits())
+    host, port = address.rsplit(":", 1)
     try:
-        await hypercorn.trio.serve(
-            app,  # type: ignore[arg-type]
-            cfg,
-            shutdown_trigger=stop.wait,
-            task_status=task_status,
-            mode="asgi",
+        sockets = await trio.open_tcp_listeners(
+            int(port), host=host.strip("[]"), backlog=BACKLOG
         )
-    except* OSError as group:
-        for exc in _leaves(group):
-            if isinstance(exc, OSError) and exc.errno == errno.EADDRINUSE:
-                raise errors.PortBusyError(address) from exc
+    except OSError as exc:
+        if exc.errno == errno.EADDRINUSE:
+            raise errors.PortBusyError(address) from exc
         raise
-
-
-def _leaves(exc: BaseException) -> list[BaseException]:
-    if isinstance(exc, BaseExceptionGroup):
-        return [leaf for inner in exc.exceptions for leaf in _leaves(inner)]
-    return [exc]
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(listener.sweep)
+        async with trio.open_nursery() as accepting:
+            accepting.start_soon(
+                functools.partial(
+                    trio.serve_listeners,
+                    listener.serve,
+                    sockets,
+                    handler_nursery=nursery,
+                )
+            )
+            task_status.started([address])
+            await stop.wait()
+            accepting.cancel_scope.cancel()
+        await finish(listener, grace_s)
+        nursery.cancel_scope.cancel()
+
+
+async def finish(listener: serving.Listener, grace_s: float) -> None:
+    """Wait until no connection is open, for `grace_s` seconds at most."""
+    listener.close_after_answers()
+    with trio.move_on_after(grace_s):
+        while listener.connections:
+            listener.close_idle(IDLE_BEFORE_CLOSE_S, trio.current_time())
+            await trio.sleep(FINISH_PERIOD_S)
--- a/hyssopfold/settings.py
+++ b/hyssopfold/settings.py
@@ -7,6 +7,7 @@
 
 from hyssopfold import documents
 from hyssopfold import errors
+from hyssopfold import serving
 
 _LEVELS = ("debug", "info", "warning", "error")
 _SECONDS = documents.number(float, 0.001, 86_400)
@@ -63,6 +64,12 @@
         unit="s",
         help="longest a planned stop waits for requests in flight",
     ),
+    documents.Field(
+        "stop_second_signal",
+        documents.string(choices=("cut", "wait")),
+        "cut",
+        help="whether a second SIGTERM cuts what is in flight or is ignored",
+    ),
     documents.Field(
         "gossip_address",
         documents.address,
@@ -147,6 +154,56 @@
     ),
 )
 
+_CALLER_LIMITS = (
+    documents.Field(
+        "max_body_bytes",
+        documents.number(int, 0, 1 << 50),
+        16 * 1024**3,
+        unit="bytes",
+        help="largest body taken from a caller",
+    ),
+    documents.Field(
+        "max_header_bytes",
+        documents.number(int, 1024, 1 << 20),
+        16_384,
+        unit="bytes",
+        help="largest request line and headers taken from a caller",
+    ),
+    documents.Field(
+        "header_timeout_s",
+        _SECONDS,
+        10.0,
+        unit="s",
+        help="time for a caller to send a whole request head",
+    ),
+    documents.Field(
+        "idle_timeout_s",
+        _SECONDS,
+        75.0,
+        unit="s",
+        help="how long a caller's connection may wait between requests",
+    ),
+    documents.Field(
+        "stall_timeout_s",
+        _SECONDS,
+        60.0,
+        unit="s",
+        help="how long an upload or a download may make no progress",
+    ),
+    documents.Field(
+        "max_connections",
+        documents.number(int, 1, 1_000_000),
+        10_000,
+        help="callers' connections open at once",
+    ),
+    documents.Field(
+        "max_connections_per_caller",
+        documents.number(int, 1, 1_000_000),
+        1_000,
+        help="connections open at once from one address",
+    ),
+)
+
 ENTRY_FIELDS = (
     *_COMMON,
     _MEMBERS,
@@ -164,6 +221,7 @@
         unit="s",
         help="how long callers may cache a look-up",
     ),
+    *_CALLER_LIMITS,
     documents.Field(
         "region_delays_ms",
         documents.keyed(documents.number(float, 0, 10_000)),
@@ -184,6 +242,7 @@
     log_level: str
     log_decision_sample: int
     stop_max_s: float
+    stop_second_signal: str
     gossip_address: str
     gossip_seeds: tuple[str, ...]
     lease_s: float
@@ -204,14 +263,34 @@
     log_level: str
     log_decision_sample: int
     stop_max_s: float
+    stop_second_signal: str
     gossip_address: str
     gossip_seeds: tuple[str, ...]
     lease_s: float
     control: tuple[Member, ...]
     poll_s: float
     lookup_ttl_s: float
+    max_body_bytes: int
+    max_header_bytes: int
+    header_timeout_s: float
+    idle_timeout_s: float
+    stall_timeout_s: float
+    max_connections: int
+    max_connections_per_caller: int
     region_delays_ms: Mapping[str, float]
 
+    @property
+    def limits(self) -> serving.Limits:
+        """Return what one caller may take."""
+        return serving.Limits(
+            header_bytes=self.max_header_bytes,
+            header_s=self.header_timeout_s,
+            idle_s=self.idle_timeout_s,
+            stall_s=self.stall_timeout_s,
+            connections=self.max_connections,
+            connections_per_caller=self.max_connections_per_caller,
+        )
+
 
 def load_control(path: str) -> ControlSettings:
     """Return the checked settings of a control instance.
--- a/hyssopfold/standin/server.py
+++ b/hyssopfold/standin/server.py
@@ -1,7 +1,8 @@
-"""Stand-in backend server: slots, service times and a ledger of what ran."""
+"""Stand-in backend server: slots, service times, faults, a ledger of runs."""
 
 from collections import Counter
 import logging
+import random
 import time
 from typing import NamedTuple
 
@@ -9,17 +10,27 @@
 import msgspec
 import trio
 
-from hyssopfold import http
 from hyssopfold import logs
 from hyssopfold.core.membership import messages
+from hyssopfold.standin import wire
 
 logger = logging.getLogger(__name__)
 
 ANNOUNCE_PERIOD_S = 1.0
+FAULT_HEADER = b"standin-fault"
+LATE_FACTOR = 20.0
+_NOT_RUN = (b"hyssop-outcome", b"not-run")
 
 
 class Options(NamedTuple):
-    """How a stand-in behaves; times are in seconds."""
+    """How a stand-in behaves; times are in seconds.
+
+    Service times are exponential around `service_s` if `exponential`, and
+    `cold_factor` times as long at first, falling to their own length over
+    `warm_requests` requests. `faults` gives the share of requests that meet
+    each fault of `wire.FAULTS`; a request can ask for one by the header
+    `standin-fault`. `idle_s` is when it closes an unused connection.
+    """
 
     server_id: str
     pool: str
@@ -30,10 +41,20 @@
     connections: int
     service_s: float
     announce_to: tuple[str, ...]
+    exponential: bool = False
+    cold_factor: float = 1.0
+    warm_requests: int = 0
+    faults: tuple[tuple[str, float], ...] = ()
+    idle_s: float = float("inf")
+    seed: int = 0
 
 
 class Server:
-    """Answer requests as a backend server would.
+    """Answer requests as a backend server would, and as a bad one.
+
+    `ledger` counts by request id what ran, `keys` by idempotency key,
+    `refused` what it said not to have run, `cancelled` what ran while its
+    caller went away.
 
     Args:
         options: Its place and behaviour.
@@ -45,48 +66,132 @@
         self._sequence = 0
         self._state: messages.State = "ready"
         self._running = 0
+        self._served = 0
+        self._rng = random.Random(options.seed)
         self.ledger: Counter[str] = Counter()
-
-    async def __call__(
-        self, scope: http.Scope, receive: http.Receive, send: http.Send
-    ) -> None:
-        """Serve one request."""
-        if scope["type"] == "lifespan":
-            await http.accept_lifespan(receive, send)
-            return
-        if scope["type"] != "http":
-            return
-        if scope["path"] == "/standin/ledger":
-            answer = http.json_answer(dict(self.ledger))
-        else:
-            answer = await self._work(scope, receive)
-        await http.send_answer(send, answer, scope["method"] == "HEAD")
-
-    async def _work(
-        self, scope: http.Scope, receive: http.Receive
-    ) -> http.Answer:
-        headers = dict(scope["headers"])
-        request_id = headers.get(b"hyssop-request-id", b"")
-        echo = (b"hyssop-request-id", request_id)
-        if self._running >= self._options.slots:
-            not_run = (b"hyssop-outcome", b"not-run")
-            return http.Answer(503, b"", headers=(echo, not_run))
-        self._running += 1
+        self.keys: Counter[str] = Counter()
+        self.refused: Counter[str] = Counter()
+        self.cancelled: Counter[str] = Counter()
+        self.most_running = 0
+
+    async def serve(self, stop: trio.Event, grace_s: float = 0.0) -> None:
+        """Serve until `stop` is set and, for `grace_s`, what is in flight."""
+        host, port = self._options.address.rsplit(":", 1)
+        listeners = await trio.open_tcp_listeners(int(port), host=host)
+        async with trio.open_nursery() as nursery:
+            async with trio.open_nursery() as accepting:
+
+                async def accept() -> None:
+                    await trio.serve_listeners(
+                        self._serve_stream, listeners, handler_nursery=nursery
+                    )
+
+                accepting.start_soon(accept)
+                await stop.wait()
+                accepting.cancel_scope.cancel()
+            with trio.move_on_after(grace_s):
+                while self._running:
+                    await trio.sleep(0.05)
+            nursery.cancel_scope.cancel()
+
+    async def _serve_stream(self, stream: trio.SocketStream) -> None:
+        conn = wire.Connection(stream, self._options.idle_s)
         try:
-            size = await _drain(receive)
-            if size is None:
-                return http.Answer(400, b"cut request", headers=(echo,))
-            await trio.sleep(self._options.service_s)
-            self.ledger[request_id.decode("latin-1")] += 1
+            while await self._serve_one(conn):
+                pass
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            pass
+        except wire.PeerGoneError:
+            pass
         finally:
-            self._running -= 1
+            await conn.aclose()
+
+    async def _serve_one(self, conn: wire.Connection) -> bool:
+        """Serve a request; return whether another may follow."""
+        req = await conn.next_request()
+        if req is None:
+            return False
+        if req.path == "/standin/ledger":
+            await conn.read_body()
+            books = {
+                "ran": dict(self.ledger),
+                "keys": dict(self.keys),
+                "refused": dict(self.refused),
+                "cancelled": dict(self.cancelled),
+            }
+            return await conn.answer(200, msgspec.json.encode(books), ())
+        fault = self._fault(req)
+        echo = (b"hyssop-request-id", req.request_id.encode())
+        if self._running >= self._options.slots and not fault:
+            fault = "shed"
+        if fault in wire.BEFORE_RUN:
+            return await self._without_running(conn, req, fault, echo)
+        size = await conn.read_body()
+        await self._run(conn, req, fault)
         body = {
             "server": self._options.server_id,
-            "method": scope["method"],
-            "path": scope["path"],
+            "method": req.method,
+            "path": req.path,
             "received_bytes": size,
         }
-        return http.json_answer(body)._replace(headers=(echo,))
+        encoded = msgspec.json.encode(body)
+        if fault:
+            return await wire.answer_badly(conn, fault, encoded, echo)
+        return await conn.answer(200, encoded, (echo,))
+
+    def _fault(self, req: wire.Request) -> str:
+        asked = req.headers.get(FAULT_HEADER, b"").decode("latin-1")
+        name, _, where = asked.partition("@")
+        if name and where in ("", self._options.server_id):
+            return name
+        draw = self._rng.random()
+        for name, share in self._options.faults:
+            if draw < share:
+                return name
+            draw -= share
+        return ""
+
+    async def _without_running(
+        self,
+        conn: wire.Connection,
+        req: wire.Request,
+        fault: str,
+        echo: wire.Header,
+    ) -> bool:
+        if fault == "shed":
+            await conn.read_body()
+            self.refused[req.request_id] += 1
+            return await conn.answer(503, b"", (echo, _NOT_RUN))
+        return await wire.refuse_badly(conn, fault, echo)
+
+    async def _run(
+        self, conn: wire.Connection, req: wire.Request, fault: str
+    ) -> None:
+        self.ledger[req.request_id] += 1
+        if req.key:
+            self.keys[req.key] += 1
+        self._running += 1
+        self.most_running = max(self.most_running, self._running)
+        try:
+            await conn.sleep_while_wanted(self._service_s(fault))
+        except wire.PeerGoneError:
+            self.cancelled[req.request_id] += 1
+            raise
+        finally:
+            self._running -= 1
+            self._served += 1
+
+    def _service_s(self, fault: str) -> float:
+        options = self._options
+        mean = options.service_s
+        if options.exponential and mean:
+            mean = self._rng.expovariate(1 / mean)
+        if self._served < options.warm_requests:
+            left = 1 - self._served / options.warm_requests
+            mean *= 1 + (options.cold_factor - 1) * left
+        if fault == "silent":
+            return float("inf")
+        return mean * LATE_FACTOR if fault == "late" else mean
 
     def leave(self) -> None:
         """Announce `leaving` from now on."""
@@ -134,15 +239,3 @@
             )
             return False
         return answer.status == 200
-
-
-async def _drain(receive: http.Receive) -> int | None:
-    """Read a body away; return its size, or None when it was cut."""
-    size = 0
-    while True:
-        message = await receive()
-        if message["type"] != "http.request":
-            return None
-        size += len(message.get("body", b""))
-        if not message.get("more_body", False):
-            return size
--- /dev/null
+++ b/hyssopfold/standin/wire.py
@@ -0,0 +1,250 @@
+"""A stand-in's side of a connection, down to the bytes that go wrong."""
+
+from collections.abc import Callable
+import socket
+import struct
+from typing import NamedTuple
+
+import h11
+import trio
+
+Header = tuple[bytes, bytes]
+
+MAX_READ_BYTES = 65_536
+STRAY_OPEN_S = 5.0
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
+# Faults of a server that does not run the request.
+BEFORE_RUN = frozenset(
+    ("shed", "shed-bare", "shed-other", "die-at-head", "reset-at-head", "early")
+)
+# Faults of a server that runs it and then answers badly or not at all.
+AFTER_RUN = frozenset(
+    (
+        "die",
+        "reset",
+        "silent",
+        "late",
+        "crossed",
+        "stray",
+        "cut-head",
+        "cut-length",
+        "cut-chunked",
+        "cut-unframed",
+        "unframed",
+        "close-after",
+        "hints",
+        "unasked-101",
+        "wrong-503",
+    )
+)
+FAULTS = BEFORE_RUN | AFTER_RUN
+
+
+class PeerGoneError(Exception):
+    """The other end closed the connection."""
+
+
+class Request(NamedTuple):
+    """Head of a request."""
+
+    method: str
+    path: str
+    headers: dict[bytes, bytes]
+
+    @property
+    def request_id(self) -> str:
+        """Return the id that the entry gave it."""
+        return self.headers.get(b"hyssop-request-id", b"").decode("latin-1")
+
+    @property
+    def key(self) -> str:
+        """Return the caller's idempotency key."""
+        return self.headers.get(b"idempotency-key", b"").decode("latin-1")
+
+
+class Connection:
+    """One connection, served one request after the other.
+
+    Args:
+        stream: The connection, owned from now on.
+        idle_s: Seconds without a request after which it is closed.
+    """
+
+    def __init__(self, stream: trio.SocketStream, idle_s: float) -> None:
+        self.stream = stream
+        self._idle_s = idle_s
+        self._http = h11.Connection(h11.SERVER)
+
+    async def next_request(self) -> Request | None:
+        """Return the next request's head; None at the connection's end."""
+        if self._http.our_state is h11.DONE:
+            if self._http.their_state is not h11.DONE:
+                return None
+            self._http.start_next_cycle()
+        with trio.move_on_after(self._idle_s):
+            event = await self._next_event()
+            if not isinstance(event, h11.Request):
+                return None
+            path = event.target.decode("latin-1")
+            headers = {name: value for name, value in event.headers}
+            return Request(event.method.decode("ascii"), path, headers)
+        return None
+
+    async def read_body(self) -> int:
+        """Read the request's body away; return its size in bytes.
+
+        Raises:
+            PeerGoneError: when it is cut.
+        """
+        if self._http.they_are_waiting_for_100_continue:
+            head = h11.InformationalResponse(status_code=100, headers=[])
+            await self.send(head)
+        size = 0
+        while True:
+            event = await self._next_event()
+            if isinstance(event, h11.Data):
+                size += len(event.data)
+            elif isinstance(event, h11.EndOfMessage):
+                return size
+            else:
+                raise PeerGoneError
+
+    async def _next_event(self) -> object:
+        while True:
+            try:
+                event = self._http.next_event()
+            except h11.RemoteProtocolError as exc:
+                raise PeerGoneError from exc
+            if event is not h11.NEED_DATA:
+                return event
+            data = await self.stream.receive_some(MAX_READ_BYTES)
+            self._http.receive_data(data)
+
+    async def send(self, event: h11.Event) -> None:
+        """Send a part of an answer."""
+        data = self._http.send(event)
+        if data:
+            await self.stream.send_all(data)
+
+    async def sleep_while_wanted(self, seconds: float) -> None:
+        """Pass time as work does, but stop when the other end closes.
+
+        Raises:
+            PeerGoneError: when it does.
+        """
+        if not seconds:
+            await trio.lowlevel.checkpoint()
+            return
+        with trio.move_on_after(seconds):
+            data = await self.stream.receive_some(MAX_READ_BYTES)
+            if data:
+                self._http.receive_data(data)
+                await trio.sleep(seconds)
+            else:
+                raise PeerGoneError
+
+    async def answer(
+        self, status: int, body: bytes, headers: tuple[Header, ...]
+    ) -> bool:
+        """Send a whole answer; return whether another request may follow."""
+        length = (b"content-length", str(len(body)).encode())
+        head = h11.Response(status_code=status, headers=[*headers, length])
+        await self.send(head)
+        await self.send(h11.Data(data=body))
+        await self.send(h11.EndOfMessage())
+        return self._http.our_state is h11.DONE
+
+    def reset_on_close(self) -> None:
+        """Make the close a reset."""
+        self.stream.socket.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
+        )
+
+    async def aclose(self) -> None:
+        """Close the connection."""
+        await trio.aclose_forcefully(self.stream)
+
+
+async def refuse_badly(conn: Connection, fault: str, echo: Header) -> bool:
+    """Fail a request that is not run; return whether another may follow."""
+    not_run = (b"hyssop-outcome", b"not-run")
+    match fault:
+        case "shed-bare":
+            await conn.read_body()
+            return await conn.answer(503, b"", ())
+        case "shed-other":
+            await conn.read_body()
+            other = (b"hyssop-request-id", b"other")
+            return await conn.answer(503, b"", (other, not_run))
+        case "early":
+            await conn.answer(413, b"too large", (echo,))
+            # Reads no more, as a server does that is done with an upload.
+            await trio.sleep(2)
+        case "reset-at-head":
+            conn.reset_on_close()
+    return False
+
+
+async def answer_badly(
+    conn: Connection, fault: str, body: bytes, echo: Header
+) -> bool:
+    """Answer a request that ran; return whether another may follow."""
+    if fault in _RAW:
+        await conn.stream.send_all(_RAW[fault](body, echo[1]))
+        if fault == "stray":
+            # Open, as if it could be used again.
+            await trio.sleep(STRAY_OPEN_S)
+        return False
+    other = (b"hyssop-request-id", b"0" * 32)
+    match fault:
+        case "late":
+            return await conn.answer(200, body, (echo,))
+        case "crossed":
+            return await conn.answer(200, b"another's", (other,))
+        case "wrong-503":
+            return await conn.answer(503, body, (echo,))
+        case "hints":
+            link = [(b"link", b"</style.css>")]
+            hints = h11.InformationalResponse(status_code=103, headers=link)
+            await conn.send(hints)
+            return await conn.answer(200, body, (echo,))
+        case "reset":
+            conn.reset_on_close()
+    return False
+
+
+def _head(status: bytes, request_id: bytes, *lines: bytes) -> bytes:
+    echo = b"hyssop-request-id: " + request_id
+    return b"\r\n".join((b"HTTP/1.1 " + status, echo, *lines, b"", b""))
+
+
+def _with_length(body: bytes, request_id: bytes, more: int = 0) -> bytes:
+    length = b"content-length: %d" % (len(body) + more)
+    return _head(b"200 OK", request_id, length) + body
+
+
+def _cut_chunked(body: bytes, request_id: bytes) -> bytes:
+    coding = b"transfer-encoding: chunked"
+    head = _head(b"200 OK", request_id, coding)
+    return head + b"%x\r\n" % len(body) + body + b"\r\n"
+
+
+_RAW: dict[str, Callable[[bytes, bytes], bytes]] = {
+    "cut-head": lambda body, rid: _with_length(body, rid)[:25],
+    "cut-length": lambda body, rid: _with_length(body, rid, more=10),
+    "cut-chunked": _cut_chunked,
+    "cut-unframed": lambda body, rid: _head(b"200 OK", rid) + body[:5],
+    "unframed": lambda body, rid: _head(b"200 OK", rid) + body,
+    "close-after": _with_length,
+    "stray": lambda body, rid: (
+        _with_length(body, rid)
+        + b"HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nanother's"
+    ),
+    "unasked-101": lambda body, rid: _head(
+        b"101 Switching Protocols",
+        rid,
+        b"upgrade: other",
+        b"connection: upgrade",
+    ),
+}
--- a/tests/steps/core/attempts/attempt_steps.py
+++ b/tests/steps/core/attempts/attempt_steps.py
@@ -1,19 +1,108 @@
 """Steps of core/attempts/attempt.feature."""
 
+import math
+
 from behave import then
 from behave import when
 
 from hyssopfold.core.attempts import attempt
+from hyssopfold.core.attempts import budget
+from hyssopfold.core.attempts import messages
+from tests.support import attempts_machine
+
+_LOST = messages.Lost("reset")
+_SHED = messages.AnswerBegan(503, "r", True, True)
+_ENDS = {
+    "not-sent": (_LOST,),
+    "refused-not-run": (messages.BytesSent(), _SHED),
+    "maybe-sent": (messages.BytesSent(), _LOST),
+    "crossed": (messages.AnswerBegan(200, "other", False, True),),
+    "unframed": (messages.AnswerBegan(200, "r", False, False),),
+}
+
 
+def _begin(repeatable=False, limit_s=20.0, left=None, has_body=False):
+    request = messages.Request("r", repeatable, has_body, limit_s)
+    machine = attempt.Attempts(request, left or budget.Budget())
+    machine.handle(messages.Started(), 0.0)
+    machine.handle(messages.Granted("s1"), 0.0)
+    return machine
 
-@when("an attempt that was {sent} fails, repeatable {repeatable}")
+
+@when("an attempt that was {sent} is lost, repeatable {repeatable}")
 def _(context, sent, repeatable):
-    context.verdict = attempt.after_failure(
-        attempt.Sent(sent), repeatable == "yes", True, 2
-    )
+    machine = _begin(repeatable == "yes")
+    for event in _ENDS[sent]:
+        context.effects = machine.handle(event, 1.0)
+
+
+@then("the attempts' next step is {step}")
+def _(context, step):
+    assert isinstance(context.effects[0], messages.CloseConnection)
+    following = context.effects[1]
+    if step == "retry":
+        assert following == messages.Acquire(("s1",), 20.0), following
+    else:
+        assert following.outcome.value == step.split()[1], following
+
+
+@when("an attempt is lost after sending and the next is refused as not run")
+def _(context):
+    machine = _begin(repeatable=True)
+    machine.handle(messages.BytesSent(), 0.1)
+    machine.handle(_LOST, 0.2)
+    machine.handle(messages.Granted("s2"), 0.3)
+    machine.handle(messages.BytesSent(), 0.4)
+    machine.handle(_SHED, 0.5)
+    context.effects = machine.handle(messages.NoSlot("no-slot", 1.0), 0.6)
+
+
+@then("the attempts' refusal says unknown")
+def _(context):
+    assert context.effects[0].outcome is messages.Outcome.UNKNOWN
+
+
+@when("{count:d} requests in a row lose each attempt")
+def _(context, count):
+    left = budget.Budget()
+    context.retries = 0
+    for _ in range(count):
+        machine = _begin(repeatable=True, left=left)
+        number = 1
+        while machine.phase is not attempt.Phase.DONE:
+            machine.handle(_LOST, 0.1)
+            if machine.phase is attempt.Phase.ACQUIRING:
+                number += 1
+                context.retries += 1
+                machine.handle(messages.Granted(f"s{number}"), 0.1)
+
+
+@then("the attempts' retries are at most {most:d}")
+def _(context, most):
+    assert 0 < context.retries <= most, context.retries
+
+
+@when("an upload takes {took:d} s under a limit of {limit:d} s")
+def _(context, took, limit):
+    machine = _begin(limit_s=float(limit), has_body=True)
+    context.began = machine.handle(messages.BodyBegan(), 0.0)
+    machine.handle(messages.BodyDropped(), 1.0)
+    context.took = took
+    context.effects = machine.handle(messages.BodySent(), float(took))
+
+
+@then("the attempts wait {limit:d} s from its end for the answer")
+def _(context, limit):
+    assert context.began == (messages.AnswerBy(math.inf),), context.began
+    by = float(context.took + limit)
+    assert context.effects == (messages.AnswerBy(by),), context.effects
+
+
+@when("random events drive the attempts of many requests")
+def _(context):
+    context.machines = attempts_machine.run()
 
 
-@then("retry is {retry} and the caller is told {outcome}")
-def _(context, retry, outcome):
-    assert context.verdict.retry == (retry == "yes"), context.verdict
-    assert context.verdict.outcome == outcome, context.verdict
+@then("the attempts kept each promise")
+def _(context):
+    assert context.machines > 0
--- /dev/null
+++ b/tests/steps/entry/proxy_steps.py
@@ -0,0 +1,167 @@
+"""Steps of entry/proxy.feature."""
+
+from behave import given
+from behave import then
+from behave import when
+import trio
+
+from tests.support import datapath
+
+
+@given("the data path over {count:d} stand-ins")
+def _(context, count):
+    context.count = count
+    context.script = []
+
+
+def drive(context):
+    """Run the requests that the scenario has listed, once."""
+    if context.script:
+        context.path = trio.run(_drive, context, context.script)
+        context.script = []
+
+
+async def _drive(context, script):
+    path = datapath.DataPath(context.count)
+    context.answers = []
+    async with path.running():
+        for step in script:
+            answer = await step(path)
+            if answer is not None:
+                context.answers.append(answer)
+    return path
+
+
+@when('the data path gets {method} with the fault "{fault}"')
+def _(context, method, fault):
+    body = b"one coffee" if method in ("POST", "PUT") else None
+
+    async def step(path):
+        return await path.ask(method, "/x", fault, body)
+
+    context.script.append(step)
+
+
+@when('the data path gets {method} with the fault ""')
+def _(context, method):
+    context.execute_steps(
+        f'When the data path gets {method} with the fault "none@nobody"'
+    )
+
+
+@when("the data path gets raw bytes")
+def _(context):
+    data = context.text.replace("\n", "\r\n").encode() + b"\r\n"
+
+    async def step(path):
+        return await path.exchange(data)
+
+    context.script.append(step)
+
+
+@when("the data path's server closes its connections unseen")
+def _(context):
+    async def step(path):
+        # What the entry can't see in time: the close is still on its way
+        # when the connection is looked at.
+        for idle in path.pool._idle.values():
+            for conn in idle:
+                conn.is_clean = lambda: True
+                conn.stream._sock.shutdown(2)
+
+    context.script.append(step)
+
+
+@when("a caller of the data path leaves while its request runs")
+def _(context):
+    async def step(path):
+        stream = await path.connect()
+        await stream.send_all(
+            b"POST /x HTTP/1.1\r\nhost: a\r\ncontent-length: 0\r\n"
+            b"standin-fault: silent\r\n\r\n"
+        )
+        server = path.standins[0]
+        while not server.ledger:
+            await trio.sleep(0.01)
+        await stream.aclose()
+        while not server.cancelled:
+            await trio.sleep(0.01)
+        while path.placement.held:
+            await trio.sleep(0.01)
+
+    context.script.append(step)
+
+
+@when("the data path gets {count:d} requests at once")
+def _(context, count):
+    async def step(path):
+        async def one():
+            context.answers.append(await path.ask("GET", "/x"))
+
+        async with trio.open_nursery() as nursery:
+            for _ in range(count):
+                nursery.start_soon(one)
+
+    context.script.append(step)
+
+
+@then('the data path answers {status:d} with outcome "{outcome}"')
+def _(context, status, outcome):
+    drive(context)
+    answer = context.answers[-1]
+    assert not answer.cut, answer
+    assert answer.status == status, answer
+    assert answer.headers.get("hyssop-outcome", "") == outcome, answer
+    assert b"another" not in answer.body, answer
+    if outcome:
+        assert int(answer.headers["retry-after"]) >= 1, answer
+
+
+@then('the data path answers {status:d} with outcome ""')
+def _(context, status):
+    drive(context)
+    answer = context.answers[-1]
+    assert answer.status == status, answer
+    assert "hyssop-outcome" not in answer.headers, answer
+
+
+@then("the data path ran it {runs:d} times")
+def _(context, runs):
+    assert context.path.runs == runs, context.path.runs
+
+
+@then("the data path holds no slot")
+def _(context):
+    drive(context)
+    assert not context.path.placement.held, context.path.placement.held
+
+
+@then("the data path's answer is cut")
+def _(context):
+    drive(context)
+    assert context.answers[-1].cut, context.answers[-1]
+
+
+@then("the data path's connection ends by a reset")
+def _(context):
+    drive(context)
+    data, end = context.answers[-1]
+    assert end == "reset", (data, end)
+
+
+@then("the data path's answer is not another's")
+def _(context):
+    assert b"another" not in context.answers[-1].body, context.answers
+
+
+@then("the data path's server saw the request cancelled")
+def _(context):
+    drive(context)
+    assert sum(context.path.standins[0].cancelled.values()) == 1
+
+
+@then("the data path spreads their retry-after")
+def _(context):
+    drive(context)
+    waits = {answer.headers["retry-after"] for answer in context.answers}
+    assert len(waits) > 1, waits
--- a/tests/support/loopback.py
+++ b/tests/support/loopback.py
@@ -7,7 +7,6 @@
 import trio
 
 from hyssopfold import application
-from hyssopfold import http
 from hyssopfold import settings
 from hyssopfold.standin import server as standin_server
 
@@ -87,7 +86,7 @@
         self.standins.append(standin)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(standin.announce)
-            await http.serve(standin, options.address, trio.Event(), 0.0)
+            await standin.serve(trio.Event())
 
     @contextlib.asynccontextmanager
     async def running(self, pools):
