--- a/hyssopfold/entry/proxy.py
+++ b/hyssopfold/entry/proxy.py
@@ -1,7 +1,6 @@
 """A caller's request on its way through an entry."""
 
 from collections.abc import AsyncIterator
-from collections.abc import Mapping
 import logging
 import random
 
@@ -19,11 +18,11 @@
 from hyssopfold.core.balancing import messages
 from hyssopfold.core.membership import directory
 from hyssopfold.core.membership import messages as membership
-from hyssopfold.core.steering import regions
 from hyssopfold.entry import configuration
 from hyssopfold.entry import exchange as exchange_module
 from hyssopfold.entry import pacing
 from hyssopfold.entry import placement
+from hyssopfold.entry import steering
 from hyssopfold.entry import upstream
 
 logger = logging.getLogger(__name__)
@@ -38,34 +37,35 @@
     """Route requests to backend servers and relay their answers.
 
     Args:
-        region: Region of this entry.
-        delays_ms: One-way delay to each other region.
         config: Source of the tables in force.
-        known: Directory of the servers.
+        steer: Regions that may serve a request.
         place: Slots of the servers.
         pacer: Room on the links between regions.
         servers: Connections to the servers.
         meter: Metrics of this process.
+        region: Region of this entry.
+        known: Directory of the servers.
         rng: Spreads the times at which refused callers come back.
         max_body_bytes: Largest body taken from a caller.
     """
 
     def __init__(
         self,
-        region: str,
-        delays_ms: Mapping[str, float],
         config: configuration.Configuration,
-        known: directory.Directory,
+        steer: steering.Steering,
         place: placement.Placement,
         pacer: pacing.Pacer,
         servers: upstream.Upstream,
         meter: metrics.Metrics,
+        *,
+        region: str,
+        known: directory.Directory,
         rng: random.Random,
         max_body_bytes: int = exchange_module.MAX_BODY_BYTES,
     ) -> None:
         self.region = region
-        self.delays_ms = delays_ms
         self.directory = known
+        self.steering = steer
         self.placement = place
         self.pacer = pacer
         self.upstream = servers
@@ -153,6 +153,7 @@
             _limit_s(exchange, route),
         )
         self._machine = attempt.Attempts(request, proxy.budget)
+        self._decision = proxy.steering.decide(route, exchange.request_id)
         self._grant: messages.Grant | None = None
         self._granted_at = 0.0
         self._answer_by = trio.CancelScope()
@@ -212,6 +213,8 @@
                     break
         if isinstance(answer, messages.Refused):
             return events.NoSlot(answer.reason, answer.retry_after_s)
+        if not effect.tried:
+            proxy.steering.note(pool.name, self._decision, answer.server)
         self._grant = answer
         self._granted_at = trio.current_time()
         _log_grant(self._exchange, self._route, answer, len(effect.tried) + 1)
@@ -233,14 +236,11 @@
     def _request(
         self, effect: events.Acquire, avoid: tuple[str, ...]
     ) -> messages.Request:
-        proxy, route = self._proxy, self._route
-        ready = proxy.directory.ready_servers(route.pool)
-        known = {server.region for server in ready}
         return messages.Request(
             self._exchange.request_id,
-            route.pool,
-            regions.nearest_first(proxy.region, known, proxy.delays_ms),
-            route.priority,
+            self._route.pool,
+            self._decision.regions,
+            self._route.priority,
             effect.deadline,
             avoid,
         )
--- a/tests/support/datapath.py
+++ b/tests/support/datapath.py
@@ -16,6 +16,7 @@
 from hyssopfold.core.balancing import messages
 from hyssopfold.core.membership import directory
 from hyssopfold.core.membership import messages as membership
+from hyssopfold.core.steering import regions
 from hyssopfold.entry import configuration
 from hyssopfold.entry import connections
 from hyssopfold.entry import pacing
@@ -43,6 +44,25 @@
     cut: str
 
 
+class FakeConfiguration:
+    """Tables that stay as they are."""
+
+    def __init__(self):
+        held = state.State(tables.parse(TABLES))
+        self.snapshot = configuration.Snapshot(1, held)
+
+
+class FakeSteering:
+    """Everything is at home."""
+
+    def decide(self, route, request_id):
+        home = messages.Region("dar", False)
+        return regions.Decision((home,), ())
+
+    def note(self, pool, decision, server):
+        pass
+
+
 class FakePlacement:
     """Give the first server that is not to be avoided; count the slots."""
 
@@ -95,14 +115,13 @@
             known.servers.update(name, word, 0.0)
             servers.append(word)
         rng = random.Random(1)
-        config = configuration.Configuration("entry", [], 1.0, rng)
-        config.install(1, state.encode(state.State(tables.parse(TABLES))))
         self.placement = FakePlacement(servers)
         self.pool = connections.Pool(lambda server: 40)
         self.proxy = proxy.Proxy(
-            "dar", {}, config, known, self.placement,
+            FakeConfiguration(), FakeSteering(), self.placement,
             pacer or pacing.Pacer(), upstream.Upstream(self.pool),
-            metrics.Metrics("test"), rng, max_body,
+            metrics.Metrics("test"), region="dar", known=known, rng=rng,
+            max_body_bytes=max_body,
         )  # fmt: skip
         self.listener = serving.Listener(
             self.proxy.serve, limits or serving.Limits()
