Run real processes under faults and check their books

Cause: kills, freezes, blank disks, cuts and planned stops were tried in virtual time only. Found on the way: a busy port of a stand-in showed as an internal error, not as the line that names port and remedy; http.listen now serves both. The first runs ended in FAULT lines of the harness itself: two stops of one server at once left an orphan that held its port, and a refused connection counted as a lost answer. A start of what runs already does nothing now, and a connection that never opened is told apart.

--- a/bench/chaos/callers.py
+++ b/bench/chaos/callers.py
@@ -90,6 +90,8 @@
                 continue
             try:
                 answer = await ask(entry, "GET", path)
+            except connection.NotConnectedError:
+                continue
             except FAILURES:
                 self._notes.reads[books.LOST] += 1
                 continue
@@ -114,7 +116,7 @@
                 continue
             try:
                 answer = await ask(entry, "POST", path, 200, headers)
-            except ConnectionRefusedError:
+            except connection.NotConnectedError:
                 continue
             except FAILURES:
                 return books.LOST
@@ -137,7 +139,7 @@
                     entry, "PUT", path, _UPLOAD_BYTES, (), _UPLOAD_PAUSE_S
                 )
                 told = _told(answer)
-            except ConnectionRefusedError:
+            except connection.NotConnectedError:
                 continue
             except FAILURES:
                 told = books.LOST
--- a/bench/chaos/fleet.py
+++ b/bench/chaos/fleet.py
@@ -27,7 +27,10 @@
         self.unclean_stops: list[str] = []
 
     def start(self, name: str) -> None:
-        """Start a process; its log goes on where it was."""
+        """Start a process unless it runs; its log goes on where it was."""
+        held = self._running.get(name)
+        if held is not None and held.poll() is None:
+            return
         command = layout.command(name, self._folder)
         with open(self._folder / f"{name}.log", "ab") as log:
             self._running[name] = subprocess.Popen(
--- a/bench/chaos/layout.py
+++ b/bench/chaos/layout.py
@@ -14,6 +14,7 @@
 _POOLS = ("catalogue", "ledger")
 SLOTS = 6
 
+
 BASE_PORT = 21_000
 _HTTP = {CONTROL: 0, ENTRY: 100, SERVER: 200}
 _GOSSIP = {CONTROL: 300, ENTRY: 400}
--- a/bench/chaos/schedule.py
+++ b/bench/chaos/schedule.py
@@ -61,7 +61,7 @@
             group = _group(fault.target)
             if busy.get(group, 0.0) <= at:
                 faults.append(fault)
-                busy[group] = at + fault.length_s + _recovery_s(group)
+                busy[group] = at + fault.length_s + _recovery_s(fault)
         at += rng.expovariate(1 / _MEAN_GAP_S)
     return faults
 
@@ -81,5 +81,12 @@
     return layout.CONTROL if role == layout.CONTROL else target
 
 
-def _recovery_s(group: str) -> float:
-    return 4.0 if group == layout.CONTROL else 1.0
+def _recovery_s(fault: Fault) -> float:
+    """Return how long a target needs until it may fail again.
+
+    A planned stop lasts as long as the requests in flight and cached
+    look-ups; a process that has just been started knows no signals yet.
+    """
+    if fault.kind == STOP:
+        return 15.0
+    return 4.0 if layout.role_of(fault.target) == layout.CONTROL else 2.0
--- a/bench/load/connection.py
+++ b/bench/load/connection.py
@@ -10,6 +10,10 @@
 _BODY_BYTES = 65_536
 
 
+class NotConnectedError(ConnectionError):
+    """No connection could be opened, so nothing was sent."""
+
+
 class Answer(NamedTuple):
     """Status, headers, length and the first bytes of a whole answer."""
 
@@ -89,7 +93,10 @@
         if self._stream is not None:
             return
         host, _, port = self.address.rpartition(":")
-        self._stream = await trio.open_tcp_stream(host, int(port))
+        try:
+            self._stream = await trio.open_tcp_stream(host, int(port))
+        except OSError as exc:
+            raise NotConnectedError(self.address) from exc
         self._http = h11.Connection(h11.CLIENT)
 
     async def _send(self, event: h11.Event) -> None:
--- a/hyssopfold/http.py
+++ b/hyssopfold/http.py
@@ -140,15 +140,7 @@
         PortBusyError: when another process holds the address.
     """
     listener = listener or serving.Listener(app, serving.Limits())
-    host, port = address.rsplit(":", 1)
-    try:
-        sockets = await trio.open_tcp_listeners(
-            int(port), host=host.strip("[]"), backlog=BACKLOG
-        )
-    except OSError as exc:
-        if exc.errno == errno.EADDRINUSE:
-            raise errors.PortBusyError(address) from exc
-        raise
+    sockets = await listen(address)
     async with trio.open_nursery() as nursery:
         nursery.start_soon(listener.sweep)
         async with trio.open_nursery() as accepting:
@@ -167,6 +159,23 @@
         nursery.cancel_scope.cancel()
 
 
+async def listen(address: str) -> list[trio.SocketListener]:
+    """Return listeners on `address`, an IP number and port.
+
+    Raises:
+        PortBusyError: when another process holds the address.
+    """
+    host, port = address.rsplit(":", 1)
+    try:
+        return await trio.open_tcp_listeners(
+            int(port), host=host.strip("[]"), backlog=BACKLOG
+        )
+    except OSError as exc:
+        if exc.errno == errno.EADDRINUSE:
+            raise errors.PortBusyError(address) from exc
+        raise
+
+
 async def finish(listener: serving.Listener, grace_s: float) -> None:
     """Wait until no connection is open, for `grace_s` seconds at most."""
     listener.close_after_answers()
--- a/hyssopfold/standin/server.py
+++ b/hyssopfold/standin/server.py
@@ -10,6 +10,7 @@
 import msgspec
 import trio
 
+from hyssopfold import http
 from hyssopfold import logs
 from hyssopfold.core.membership import messages
 from hyssopfold.standin import wire
@@ -29,7 +30,9 @@
     `cold_factor` times as long at first, falling to their own length over
     `warm_requests` requests. `faults` gives the share of requests that meet
     each fault of `wire.FAULTS`; a request can ask for one by the header
-    `standin-fault`. `idle_s` is when it closes an unused connection.
+    `standin-fault`. `idle_s` is when it closes an unused connection. What
+    ran is added to the file `ledger`, a line of JSON each, so that it can be
+    read when the stand-in is killed.
     """
 
     server_id: str
@@ -47,6 +50,7 @@
     faults: tuple[tuple[str, float], ...] = ()
     idle_s: float = float("inf")
     seed: int = 0
+    ledger: str = ""
 
 
 class Server:
@@ -76,8 +80,7 @@
 
     async def serve(self, stop: trio.Event, grace_s: float = 0.0) -> None:
         """Serve until `stop` is set and, for `grace_s`, what is in flight."""
-        host, port = self._options.address.rsplit(":", 1)
-        listeners = await trio.open_tcp_listeners(int(port), host=host)
+        listeners = await http.listen(self._options.address)
         async with trio.open_nursery() as nursery:
             async with trio.open_nursery() as accepting:
 
@@ -167,9 +170,7 @@
     async def _run(
         self, conn: wire.Connection, req: wire.Request, fault: str
     ) -> None:
-        self.ledger[req.request_id] += 1
-        if req.key:
-            self.keys[req.key] += 1
+        self._note_run(req)
         self._running += 1
         self.most_running = max(self.most_running, self._running)
         try:
@@ -181,6 +182,15 @@
             self._running -= 1
             self._served += 1
 
+    def _note_run(self, req: wire.Request) -> None:
+        self.ledger[req.request_id] += 1
+        if req.key:
+            self.keys[req.key] += 1
+        if self._options.ledger:
+            line = {"request": req.request_id, "key": req.key}
+            with open(self._options.ledger, "ab") as file:
+                file.write(msgspec.json.encode(line) + b"\n")
+
     def _service_s(self, fault: str) -> float:
         options = self._options
         mean = options.service_s
