Let members change, come back blank and find older copies

Cause: the register's members were fixed, a blank disk voted under the old name (one instance's lost disk could undo an accepted edit), every instance asked all others each second with a synced write, and a failed write left the promise standing in memory. Change: members are a part of the register and named by incarnation; a change of them needs a majority of old and new; blank instances form a cluster only when all that are listed are blank; catch-up precedes admission; the read asks for accepted ballots and writes nothing; idle members exchange a status each 2 s. Records carry the incarnation; starts are counted, so that an older copy of a folder is found. Saves run in a thread; a failed save stops the votes until all is saved again.

--- a/hyssopfold/application.py
+++ b/hyssopfold/application.py
@@ -20,6 +20,7 @@
 from hyssopfold.control import api
 from hyssopfold.control import instance as control_instance
 from hyssopfold.core.balancing import chooser
+from hyssopfold.core.consensus import messages as consensus_messages
 from hyssopfold.core.consensus import node as consensus_node
 from hyssopfold.core.membership import messages
 from hyssopfold.entry import app as entry_app
@@ -29,6 +30,7 @@
 from hyssopfold.entry import proxy
 from hyssopfold.entry import upstream
 from hyssopfold.storage import folder
+from hyssopfold.storage import records
 from hyssopfold.transport import consensus_wire
 from hyssopfold.transport import gossip
 from hyssopfold.transport import poll_wire
@@ -68,20 +70,19 @@
     logs.configure(cfg.name, cfg.log_level, cfg.log_decision_sample)
     rng = random.Random()
     with folder.DataFolder(cfg.data_folder) as data:
+        kept = records.MemberRecords(data, cfg.name, rng.getrandbits)
+        identity, durable = kept.open(cfg.rpc_address)
         node = consensus_node.Node(
-            cfg.name,
-            [member.name for member in cfg.control],
-            control_instance.load_durable(data),
+            identity,
+            [consensus_messages.Endpoint(*member) for member in cfg.control],
+            durable,
             rng,
             cfg.round_timeout_s,
             cfg.edit_timeout_s,
         )
-        peers = {
-            member.name: rpc.Client(member.rpc_address)
-            for member in cfg.control
-            if member.name != cfg.name
-        }
-        member = control_instance.Instance(node, data, peers)
+        member = control_instance.Instance(
+            node, kept, rpc.Client, cfg.edit_timeout_s
+        )
         spread = gossip.Gossip(
             _myself(cfg, "control"), cfg.gossip_seeds, cfg.lease_s
         )
--- a/hyssopfold/control/api.py
+++ b/hyssopfold/control/api.py
@@ -1,11 +1,12 @@
 """The operators' HTTP API of a control instance."""
 
-import functools
+import hashlib
 import logging
 from typing import TypedDict
 import urllib.parse
 
 import msgspec
+import trio
 
 from hyssopfold import announcements
 from hyssopfold import errors
@@ -15,6 +16,7 @@
 from hyssopfold import state
 from hyssopfold import tables
 from hyssopfold.control import instance as control_instance
+from hyssopfold.control import state_answers
 from hyssopfold.core.consensus import messages
 from hyssopfold.transport import gossip
 
@@ -29,6 +31,10 @@
     tables: str
 
 
+_MEMBERS = "/hyssop/v1/members/"
+_MAX_CHANGE_ID = 128
+
+
 class Api:
     """Serve operators, announcements and probes.
 
@@ -70,6 +76,21 @@
             return await self._put_tables(scope, receive)
         if path == "/hyssop/v1/tables" and method == "GET":
             return await self._get_tables()
+        return await self._answer_state(method, path, receive)
+
+    async def _answer_state(
+        self, method: str, path: str, receive: http.Receive
+    ) -> http.Answer:
+        """Answer about the durable state as a whole and its members."""
+        match (method, path):
+            case ("GET", "/hyssop/v1/status"):
+                return await self._status()
+            case ("GET", "/hyssop/v1/backup"):
+                return await self._get_backup()
+            case ("PUT", "/hyssop/v1/backup"):
+                return await self._put_backup(receive)
+            case ("PUT" | "DELETE", _) if path.startswith(_MEMBERS):
+                return await self._change_members(method, path)
         return await self._probe(path)
 
     async def _probe(self, path: str) -> http.Answer:
@@ -90,14 +111,64 @@
         result = await self._instance.read()
         if isinstance(result, messages.ReadDone):
             return http.json_answer({"revision": result.register.revision})
-        return http.json_answer(
-            {"error": "no-majority", "remedy": "start more instances"}, 503
+        return state_answers.answer(result, "")
+
+    async def _status(self) -> http.Answer:
+        result = await self._instance.read()
+        confirmed = isinstance(result, messages.ReadDone)
+        body = state_answers.describe(
+            self._instance.node, confirmed, trio.current_time()
         )
+        return http.json_answer(body)
+
+    async def _get_backup(self) -> http.Answer:
+        result = await self._instance.read()
+        if isinstance(result, messages.ReadDone):
+            return state_answers.backup(result.register, True)
+        # With the majority lost, what this instance holds may be all that is
+        # left; the document says that it is not confirmed.
+        held = self._instance.node.durable.register
+        return state_answers.backup(held, False)
+
+    async def _put_backup(self, receive: http.Receive) -> http.Answer:
+        body = await http.read_body(receive)
+        try:
+            restore = msgspec.json.decode(
+                body or b"", type=state_answers.RestoreBody
+            )
+            value = state.encode(state.decode(restore["state"].encode()))
+        except (msgspec.DecodeError, errors.InvalidDocumentError) as exc:
+            return _body_fault(str(exc), "a backup")
+        result = await self._instance.edit(
+            restore["change_id"],
+            restore["expect"],
+            value,
+            _digest(restore["state"]),
+            restore["floor"],
+        )
+        _log_edit(restore["change_id"], restore["expect"], result, "restore")
+        return state_answers.answer(result, restore["change_id"])
+
+    async def _change_members(self, method: str, path: str) -> http.Answer:
+        name = urllib.parse.unquote(path.removeprefix(_MEMBERS))
+        if method == "PUT":
+            result = await self._instance.add_member(name)
+        else:
+            result = await self._instance.remove_member(name)
+        logger.info(
+            logs.Event(
+                "members-decision",
+                method=method,
+                name=name,
+                result=type(result).__name__,
+            )
+        )
+        return state_answers.answer(result, name)
 
     async def _get_tables(self) -> http.Answer:
         result = await self._instance.read()
         if not isinstance(result, messages.ReadDone):
-            return _result_answer(result, "")
+            return state_answers.answer(result, "")
         held = state.decode(result.register.value)
         plain = tables.to_plain(held.tables)
         body = {"revision": result.register.revision, **plain}
@@ -111,64 +182,40 @@
             edit = msgspec.json.decode(body or b"", type=EditBody)
             parsed = tables.parse(edit["tables"])
         except msgspec.DecodeError as exc:
-            fault = errors.Fault(
-                "body", 1, "json", str(exc), "the edit's fields"
-            )
-            return http.error_answer(errors.InvalidDocumentError([fault]), 400)
+            return _body_fault(str(exc), "the edit's fields")
         except errors.InvalidDocumentError as exc:
             return http.error_answer(exc, 422)
+        if len(edit["change_id"]) > _MAX_CHANGE_ID:
+            return _body_fault("a change id", f"up to {_MAX_CHANGE_ID} letters")
         result = await self._instance.edit(
             edit["change_id"],
             edit["expect"],
             state.encode(state.State(parsed)),
+            _digest(edit["tables"]),
         )
         client = urllib.parse.quote(str(scope.get("client")))
-        logger.info(
-            logs.Event(
-                "edit",
-                change_id=edit["change_id"],
-                expect=edit["expect"],
-                result=type(result).__name__,
-                client=client,
-            )
-        )
-        return _result_answer(result, edit["change_id"])
-
+        _log_edit(edit["change_id"], edit["expect"], result, client)
+        return state_answers.answer(result, edit["change_id"])
 
-@functools.singledispatch
-def _result_answer(result: messages.Result, change_id: str) -> http.Answer:
-    """Return the HTTP answer for the result of an edit or read."""
-    raise TypeError(f"no such result: {result!r}")
 
+def _digest(document: str) -> str:
+    return hashlib.blake2b(document.encode(), digest_size=8).hexdigest()
 
-@_result_answer.register
-def _(result: messages.EditAccepted, change_id: str) -> http.Answer:
-    return http.json_answer({"revision": result.revision})
 
+def _body_fault(value: str, allowed: str) -> http.Answer:
+    fault = errors.Fault("body", 1, "json", value, allowed)
+    return http.error_answer(errors.InvalidDocumentError([fault]), 400)
 
-@_result_answer.register
-def _(result: messages.EditConflict, change_id: str) -> http.Answer:
-    exc = errors.ConflictError(result.revision, result.winner)
-    body = {
-        "error": exc.kind,
-        "summary": exc.summary,
-        "remedy": exc.remedy,
-        "revision": exc.revision,
-        "winner": exc.winner,
-    }
-    return http.json_answer(body, 409)
 
-
-@_result_answer.register
-def _(result: messages.EditNotAccepted, change_id: str) -> http.Answer:
-    body = {
-        "error": "no-majority",
-        "summary": "no majority of control instances answered; nothing changed",
-        "remedy": "ask another control instance, or start more of them",
-    }
-    return http.json_answer(body, 503)
-
-
-@_result_answer.register
-def _(result: messages.OutcomeUnknown, change_id: str) -> http.Answer:
-    return http.error_answer(errors.OutcomeUnknownError(change_id), 504)
+def _log_edit(
+    change_id: str, expect: int, result: messages.Result, client: str
+) -> None:
+    logger.info(
+        logs.Event(
+            "edit",
+            change_id=change_id,
+            expect=expect,
+            result=type(result).__name__,
+            client=client,
+        )
+    )
--- a/hyssopfold/control/instance.py
+++ b/hyssopfold/control/instance.py
@@ -1,99 +1,147 @@
 """The task that owns a member of the replicated register and its disk."""
 
+from collections.abc import Awaitable
+from collections.abc import Callable
 import functools
 import logging
-import math
+from typing import Any
 from typing import NamedTuple
+from typing import Protocol
 
 import msgspec
 import trio
 
 from hyssopfold import errors
 from hyssopfold import logs
+from hyssopfold.control import outboxes
 from hyssopfold.core.consensus import messages
 from hyssopfold.core.consensus import node as consensus_node
-from hyssopfold.storage import folder
 from hyssopfold.transport import consensus_wire
 from hyssopfold.transport import poll_wire
-from hyssopfold.transport import rpc
 
 logger = logging.getLogger(__name__)
 
-RECORD = "register"
 _QUEUE = 256
-_SEND_TIMEOUT_S = 2.0
+_MEND_S = 5.0
+_ANSWER_MARGIN_S = 2.0
 
 
-def load_durable(data: folder.DataFolder) -> messages.Durable:
-    """Return what the data folder holds, or the blank state.
+class Records(Protocol):
+    """Where votes are kept; each save returns once it is synced."""
 
-    Raises:
-        CorruptStorageError: when the record cannot be trusted.
-    """
-    record = data.read(RECORD)
-    if record is None:
-        return consensus_node.BLANK
-    try:
-        return msgspec.msgpack.decode(record, type=messages.Durable)
-    except msgspec.DecodeError as exc:
-        raise errors.CorruptStorageError(RECORD, str(exc)) from exc
+    def save_promise(self, promised: messages.Ballot) -> None:
+        """Write and sync a promise."""
+
+    def save_register(
+        self, accepted: messages.Ballot, register: messages.Register
+    ) -> None:
+        """Write and sync an accepted register."""
+
+    def save_sightings(self, sightings: tuple[messages.Sighting, ...]) -> None:
+        """Write and sync what was seen of others."""
+
+    def save_all(self, durable: messages.Durable) -> None:
+        """Write and sync all votes."""
 
 
 class _Request(NamedTuple):
-    event: messages.Edit | messages.Read
+    event: messages.Operation
     answer: trio.MemorySendChannel[messages.Result]
 
 
+Save = Callable[..., None]
+RunBlocking = Callable[..., Awaitable[Any]]
+
+
 class Instance:
     """Carry a member's effects: disk, messages, answers.
 
     Args:
         node: The member's decisions.
-        data: Where its votes are kept.
-        peers: Clients to the other members, by name.
+        records: Where its votes are kept.
+        connect: Returns a client to the instance at an address.
+        operation_timeout_s: Time until the member gives an operation up.
+        run_blocking: Runs a blocking call without holding up other tasks.
     """
 
     def __init__(
         self,
         node: consensus_node.Node,
-        data: folder.DataFolder,
-        peers: dict[str, rpc.Client],
+        records: Records,
+        connect: Callable[[str], outboxes.Client],
+        operation_timeout_s: float = 8.0,
+        run_blocking: RunBlocking = trio.to_thread.run_sync,
     ) -> None:
-        self._node = node
-        self._data = data
-        self._peers = peers
+        self.node = node
+        self._records = records
+        self._run_blocking = run_blocking
+        self._outboxes = outboxes.Outboxes(node.replica.id, connect)
         events, self._events = trio.open_memory_channel[
             _Request | messages.Received
         ](_QUEUE)
         self._inbox = events
-        self._outboxes = {
-            name: trio.open_memory_channel[messages.Message](_QUEUE)
-            for name in peers
-        }
         self._answers: dict[int, trio.MemorySendChannel[messages.Result]] = {}
+        self._answer_timeout_s = operation_timeout_s + _ANSWER_MARGIN_S
         self._requests = 0
         self._learned = trio.Condition()
+        self._mend_at: float | None = None
+        self._ran = False
         self.register = node.learned
 
     async def edit(
-        self, change_id: str, expect: int, value: bytes
+        self,
+        change_id: str,
+        expect: int,
+        value: bytes,
+        digest: str = "",
+        floor: int = 0,
     ) -> messages.Result:
-        """Return the outcome of an edit."""
-        self._requests += 1
-        event = messages.Edit(self._requests, change_id, expect, value)
-        return await self._ask(event)
+        """Return the outcome of an edit.
+
+        Args:
+            change_id: Name of the edit; a resent one gets its first answer.
+            expect: Revision that was edited.
+            value: The state to put in force.
+            digest: Tells the edit from another under the same name.
+            floor: Least revision to give.
+        """
+        return await self._ask(
+            lambda request: messages.Edit(
+                request, change_id, expect, value, digest, floor
+            )
+        )
 
     async def read(self) -> messages.Result:
         """Return the register, as of a moment after this call."""
-        self._requests += 1
-        return await self._ask(messages.Read(self._requests))
+        return await self._ask(messages.Read)
+
+    async def add_member(self, name: str) -> messages.Result:
+        """Let an instance vote that has caught up."""
+        return await self._ask(
+            lambda request: messages.AddMember(request, name)
+        )
+
+    async def remove_member(self, name: str) -> messages.Result:
+        """Let a member vote no more."""
+        return await self._ask(
+            lambda request: messages.RemoveMember(request, name)
+        )
 
     async def _ask(
-        self, event: messages.Edit | messages.Read
+        self, make: Callable[[int], messages.Operation]
     ) -> messages.Result:
+        self._requests += 1
+        event = make(self._requests)
         send, receive = trio.open_memory_channel[messages.Result](1)
-        await self._inbox.send(_Request(event, send))
-        return await receive.receive()
+        try:
+            self._inbox.send_nowait(_Request(event, send))
+        except trio.WouldBlock:
+            return messages.EditNotAccepted("too many operations wait")
+        # A disk that hangs in the middle of a sync holds the member up; the
+        # operator must get an answer all the same.
+        with trio.move_on_after(self._answer_timeout_s):
+            return await receive.receive()
+        return messages.OutcomeUnknown()
 
     async def deliver(
         self, envelope: consensus_wire.Envelope
@@ -127,20 +175,61 @@
 
     async def run(self) -> None:
         """Own the member: take one event at a time, carry its effects."""
-        async with trio.open_nursery() as nursery:
-            for name in self._peers:
-                nursery.start_soon(self._send_to, name)
-            nursery.start_soon(self._refresh)
-            while True:
-                event = await self._next_event()
-                now = trio.current_time()
-                for effect in self._node.handle(event, now):
-                    await _carry(effect, self)
+        if self._ran:
+            # What failed may have come between a vote and its write.
+            await self._mend()
+        self._ran = True
+        try:
+            async with trio.open_nursery() as nursery:
+                self._outboxes.start_in(nursery)
+                while True:
+                    await self._handle(await self._next_event())
+        finally:
+            self._abandon_answers()
+
+    async def _handle(self, event: messages.Event) -> None:
+        effects = self.node.handle(event, trio.current_time())
+        for index, effect in enumerate(effects):
+            try:
+                await _carry(effect, self)
+            except errors.StorageWriteError as exc:
+                logger.error(  # noqa: TRY400 - the cause is in the event
+                    logs.Event("storage-failed", error=exc)
+                )
+                self._drop(effects[index + 1 :])
+                self._mend_at = trio.current_time() + _MEND_S
+                await self._handle(messages.StorageFailed(str(exc)))
+                return
+
+    def _drop(self, effects: list[messages.Effect]) -> None:
+        """Answer what would have been told after a save that failed.
+
+        Nothing that rests on the lost write may leave this instance; an edit
+        answered in the same batch may or may not survive.
+        """
+        for effect in effects:
+            if isinstance(effect, messages.Reply):
+                self.reply(effect.request, messages.OutcomeUnknown())
+
+    async def _mend(self) -> None:
+        try:
+            await self.save(self._records.save_all, self.node.durable)
+        except errors.StorageWriteError as exc:
+            self._mend_at = trio.current_time() + _MEND_S
+            await self._handle(messages.StorageFailed(str(exc)))
+            return
+        self._mend_at = None
+        logger.info(logs.Event("storage-mended"))
+        await self._handle(messages.StorageMended())
 
     async def _next_event(self) -> messages.Event:
-        due = self._node.next_deadline()
-        timeout = math.inf if due is None else due - trio.current_time()
-        with trio.move_on_after(max(0.0, timeout)):
+        now = trio.current_time()
+        if self._mend_at is not None and now >= self._mend_at:
+            await self._mend()
+        due = self.node.next_deadline()
+        if self._mend_at is not None:
+            due = min(due, self._mend_at)
+        with trio.move_on_after(max(0.0, due - trio.current_time())):
             item = await self._events.receive()
             if isinstance(item, _Request):
                 self._answers[item.event.request] = item.answer
@@ -148,45 +237,39 @@
             return item
         return messages.Tick()
 
-    async def _refresh(self) -> None:
-        """Learn what was chosen while this instance was down or cut off."""
-        while True:
-            await self.read()
-            await trio.sleep(1.0)
-
-    async def _send_to(self, name: str) -> None:
-        client = self._peers[name]
-        _, outbox = self._outboxes[name]
-        async for message in outbox:
-            envelope = consensus_wire.seal(self._node.name, message)
-            try:
-                await client.call(
-                    consensus_wire.DELIVER, envelope, _SEND_TIMEOUT_S
-                )
-            except errors.PeerUnavailableError as exc:
-                logger.debug(logs.Event("send-failed", to=name, error=exc))
+    def _abandon_answers(self) -> None:
+        for request in list(self._answers):
+            self.reply(request, messages.OutcomeUnknown())
+
+    async def save(self, save: Save, *values: Any) -> None:
+        """Write and sync without holding up other tasks."""
+        await self._run_blocking(save, *values)
 
-    def persist(self, durable: messages.Durable) -> None:
-        """Write and sync a vote."""
-        self._data.write(RECORD, msgspec.msgpack.encode(durable))
+    @property
+    def records(self) -> Records:
+        """Return where votes are kept."""
+        return self._records
 
-    def send(self, to: str, message: messages.Message) -> None:
+    def send(self, to: messages.Endpoint, message: messages.Message) -> None:
         """Queue a message; a full queue loses it, as the wire may."""
-        outbox, _ = self._outboxes[to]
-        try:
-            outbox.send_nowait(message)
-        except trio.WouldBlock:
-            logger.debug(logs.Event("outbox-full", to=to))
+        self._outboxes.send(to, message)
 
     async def learn(self, register: messages.Register) -> None:
         """Put a chosen register in force and wake who waits for it."""
         async with self._learned:
             self.register = register
             self._learned.notify_all()
-        logger.info(logs.Event("revision-in-force", revision=register.revision))
+        logger.info(
+            logs.Event(
+                "revision-in-force",
+                revision=register.revision,
+                epoch=register.epoch,
+                members=len(register.members),
+            )
+        )
 
     def reply(self, request: int, result: messages.Result) -> None:
-        """Answer the caller of `edit` or `read`."""
+        """Answer the caller of an operation."""
         answer = self._answers.pop(request, None)
         if answer is not None:
             answer.send_nowait(result)
@@ -199,8 +282,20 @@
 
 
 @_carry.register
-async def _(effect: messages.Persist, instance: Instance) -> None:
-    instance.persist(effect.durable)
+async def _(effect: messages.SavePromise, instance: Instance) -> None:
+    await instance.save(instance.records.save_promise, effect.promised)
+
+
+@_carry.register
+async def _(effect: messages.SaveRegister, instance: Instance) -> None:
+    await instance.save(
+        instance.records.save_register, effect.accepted, effect.register
+    )
+
+
+@_carry.register
+async def _(effect: messages.SaveSightings, instance: Instance) -> None:
+    await instance.save(instance.records.save_sightings, effect.sightings)
 
 
 @_carry.register
@@ -213,6 +308,14 @@
     await instance.learn(effect.register)
 
 
+@_carry.register
+async def _(effect: messages.Faulted, instance: Instance) -> None:
+    if effect.fault:
+        logger.warning(logs.Event("not-voting", reason=effect.fault))
+    else:
+        logger.info(logs.Event("voting"))
+
+
 @_carry.register
 async def _(effect: messages.Reply, instance: Instance) -> None:
     instance.reply(effect.request, effect.result)
--- /dev/null
+++ b/hyssopfold/core/consensus/operations.py
@@ -0,0 +1,157 @@
+"""What an operation makes of the register that it finds chosen."""
+
+from collections.abc import Sequence
+import functools
+from typing import NamedTuple
+from typing import Protocol
+
+from hyssopfold.core.consensus import messages
+
+MAX_CHANGES = 1000
+MAX_RETIRED = 64
+MAX_MEMBERS = 7
+
+
+class View(Protocol):
+    """What is known of the other instances at this moment."""
+
+    def candidate(self, name: str) -> messages.Member | str:
+        """Return the instance if it has caught up, else why it may not vote."""
+
+    def majority_heard(self, members: Sequence[messages.Member]) -> bool:
+        """Return whether a majority of `members` was heard of lately."""
+
+
+class Outcome(NamedTuple):
+    """The register after an operation and its result.
+
+    A result of None means that another round is needed: a change of members
+    is answered once the old members are no longer needed.
+    """
+
+    register: messages.Register
+    result: messages.Result | None
+
+
+@functools.singledispatch
+def apply(
+    operation: messages.Operation,
+    register: messages.Register,
+    view: View,
+) -> Outcome:
+    """Return what `operation` makes of `register`.
+
+    Applying an operation again gives the first result again.
+    """
+    raise TypeError(f"no such operation: {operation!r}")
+
+
+@apply.register
+def _(
+    operation: messages.Read,
+    register: messages.Register,
+    view: View,
+) -> Outcome:
+    return Outcome(register, messages.ReadDone(register))
+
+
+@apply.register
+def _(
+    operation: messages.Edit,
+    register: messages.Register,
+    view: View,
+) -> Outcome:
+    earlier = register.accepted_change(operation.change_id)
+    if earlier is not None:
+        if earlier.digest != operation.digest:
+            reused = messages.ChangeIdReused(earlier.revision)
+            return Outcome(register, reused)
+        return Outcome(register, messages.EditAccepted(earlier.revision))
+    if operation.expect != register.revision:
+        winner = register.winner_after(operation.expect)
+        conflict = messages.EditConflict(register.revision, winner)
+        return Outcome(register, conflict)
+    revision = max(register.revision + 1, operation.floor)
+    change = messages.Change(operation.change_id, revision, operation.digest)
+    changes = (*register.changes, change)[-MAX_CHANGES:]
+    new = register._replace(
+        revision=revision, value=operation.value, changes=changes
+    )
+    return Outcome(new, messages.EditAccepted(revision))
+
+
+@apply.register
+def _(
+    operation: messages.AddMember,
+    register: messages.Register,
+    view: View,
+) -> Outcome:
+    if register.member(operation.name) is not None:
+        return _members_stand(register)
+    if len(register.members) >= MAX_MEMBERS:
+        return _refuse(register, f"there are {MAX_MEMBERS} members already")
+    new = view.candidate(operation.name)
+    if isinstance(new, str):
+        return _refuse(register, new)
+    return _change(register, (*register.members, new), register.retired)
+
+
+@apply.register
+def _(
+    operation: messages.RemoveMember,
+    register: messages.Register,
+    view: View,
+) -> Outcome:
+    old = register.member(operation.name)
+    if old is None:
+        return _members_stand(register)
+    members = tuple(m for m in register.members if m != old)
+    if not members:
+        return _refuse(register, "the last member cannot be removed")
+    if not view.majority_heard(members):
+        # Nothing could be decided any more until one of them came back.
+        return _refuse(register, "no majority of those that stay answers")
+    return _change(register, members, _retire(register, old.id))
+
+
+@apply.register
+def _(
+    operation: messages.ReplaceMember,
+    register: messages.Register,
+    view: View,
+) -> Outcome:
+    ids = [member.id for member in register.members]
+    if operation.old_id not in ids:
+        return _members_stand(register)
+    members = tuple(
+        operation.new if member.id == operation.old_id else member
+        for member in register.members
+    )
+    return _change(register, members, _retire(register, operation.old_id))
+
+
+def _members_stand(register: messages.Register) -> Outcome:
+    result = messages.MembersChanged(register.epoch, register.members)
+    return Outcome(register, result)
+
+
+def _refuse(register: messages.Register, reason: str) -> Outcome:
+    return Outcome(register, messages.EditNotAccepted(reason))
+
+
+def _retire(register: messages.Register, old_id: str) -> tuple[str, ...]:
+    return (*register.retired, old_id)[-MAX_RETIRED:]
+
+
+def _change(
+    register: messages.Register,
+    members: tuple[messages.Member, ...],
+    retired: tuple[str, ...],
+) -> Outcome:
+    new = register._replace(
+        epoch=register.epoch + 1,
+        members=members,
+        previous=register.members,
+        retired=retired,
+    )
+    return Outcome(new, None)
--- /dev/null
+++ b/hyssopfold/core/consensus/peers.py
@@ -0,0 +1,274 @@
+"""What a member knows of the other control instances from their words."""
+
+from collections.abc import Sequence
+from typing import NamedTuple
+
+from hyssopfold.core.consensus import messages
+from hyssopfold.core.consensus import quorums
+from hyssopfold.core.consensus import replica as replica_module
+
+SILENT_S = 5.0
+MAX_SIGHTINGS = 32
+
+CONFIRMING = "it waits until others have confirmed its data folder"
+OLDER_COPY = (
+    "its data folder is an older copy: stop it, move the folder aside and"
+    " start it again; it comes back blank and is admitted anew"
+)
+RETIRED = (
+    "it was removed or replaced: move its data folder aside, or leave it off"
+)
+OTHER_CLUSTER = (
+    "its data folder belongs to another cluster: move the folder aside and"
+    " start it again"
+)
+
+
+class _Heard(NamedTuple):
+    status: messages.Status
+    at: float
+
+
+class Peers:
+    """Keep the latest status of each other instance, and judge by it.
+
+    Args:
+        replica: What this member holds and knows.
+        listed: Control instances in the settings, this one included.
+    """
+
+    def __init__(
+        self,
+        replica: replica_module.Replica,
+        listed: Sequence[messages.Endpoint],
+    ) -> None:
+        self._replica = replica
+        self._listed = tuple(sorted(listed))
+        self._heard: dict[str, _Heard] = {}
+        identity = replica.identity
+        self._sightings = {s.member_id: s for s in identity.sightings}
+        self._confirmed_by: set[str] = set()
+        self.stale = False
+
+    @property
+    def listed_names(self) -> tuple[str, ...]:
+        """Return the names in the settings, sorted."""
+        return tuple(endpoint.name for endpoint in self._listed)
+
+    def statuses(self, now: float) -> list[messages.Status]:
+        """Return the words of those heard of lately."""
+        return [
+            heard.status
+            for heard in self._heard.values()
+            if now - heard.at <= SILENT_S
+        ]
+
+    def endpoints(self) -> list[messages.Endpoint]:
+        """Return all other instances that are worth talking to."""
+        found = {endpoint.name: endpoint for endpoint in self._listed}
+        for voter in self._replica.register.voters():
+            found[voter.name] = voter.endpoint
+        for name, heard in self._heard.items():
+            found[name] = heard.status.member.endpoint
+        found.pop(self._replica.identity.member.name, None)
+        return list(found.values())
+
+    def endpoint_of(self, member_id: str) -> messages.Endpoint | None:
+        """Return where the instance with this id is reached."""
+        name = member_id.partition("#")[0]
+        for endpoint in self.endpoints():
+            if endpoint.name == name:
+                return endpoint
+        return None
+
+    def sighting_of(self, member_id: str) -> messages.Sighting | None:
+        """Return what was seen of a member."""
+        return self._sightings.get(member_id)
+
+    def note_accepted(
+        self, member_id: str, accepted: messages.Ballot, nonce: str
+    ) -> None:
+        """Remember a vote, so that a folder without it is known as a copy."""
+        known = self._sightings.get(member_id)
+        if known is not None and known.nonce == nonce:
+            newest = max(known.accepted, accepted)
+            self._sightings[member_id] = known._replace(accepted=newest)
+
+    def hear(
+        self,
+        status: messages.Status,
+        now: float,
+        effects: list[messages.Effect],
+    ) -> None:
+        """Take in the word of another instance."""
+        self._heard[status.member.name] = _Heard(status, now)
+        self._note_start(status, effects)
+        self._judge_self(status)
+
+    def _note_start(
+        self, status: messages.Status, effects: list[messages.Effect]
+    ) -> None:
+        member_id = status.member.id
+        known = self._sightings.get(member_id)
+        if known is not None and known.nonce == status.nonce:
+            self.note_accepted(member_id, status.accepted, status.nonce)
+            return
+        if known is not None and _is_older(status, known):
+            return
+        self._sightings.pop(member_id, None)
+        self._sightings[member_id] = messages.Sighting(
+            member_id, status.starts, status.nonce, status.accepted
+        )
+        while len(self._sightings) > MAX_SIGHTINGS:
+            del self._sightings[next(iter(self._sightings))]
+        sightings = tuple(self._sightings.values())
+        effects.append(messages.SaveSightings(sightings))
+
+    def _judge_self(self, status: messages.Status) -> None:
+        """Learn from what the other has seen of this instance."""
+        seen = status.seen
+        identity = self._replica.identity
+        if seen is None or seen.member_id != self._replica.id:
+            return
+        if seen.nonce == identity.nonce:
+            self._confirmed_by |= {status.member.id, status.member.name}
+            return
+        # Put back from a copy, the folder lacks votes that others rely on;
+        # voting on would let a majority forget an accepted edit.
+        if seen.starts >= identity.starts:
+            self.stale = True
+        if seen.accepted > self._replica.first_accepted:
+            self.stale = True
+
+    def is_confirmed(self) -> bool:
+        """Return whether enough others know of no newer start of this one."""
+        if self._replica.identity.starts <= 1:
+            return True
+        voters = self._replica.register.voters()
+        if voters:
+            known = sum(
+                voter.id in self._confirmed_by or voter.id == self._replica.id
+                for voter in voters
+            )
+            return known > len(voters) // 2
+        names = self.listed_names
+        me = self._replica.identity.member.name
+        known = sum(name in self._confirmed_by or name == me for name in names)
+        return known > len(names) // 2
+
+    def fault(self) -> str:
+        """Return why this instance does not vote, or nothing."""
+        if self.stale:
+            return OLDER_COPY
+        register = self._replica.chosen
+        voters = [voter.id for voter in register.voters()]
+        is_retired = self._replica.id in register.retired
+        if is_retired and self._replica.id not in voters:
+            return RETIRED
+        mine = self._replica.register.cluster
+        others = [heard.status.cluster for heard in self._heard.values()]
+        foreign = sum(bool(other) and other != mine for other in others)
+        if mine and foreign > len(self._listed) // 2:
+            return OTHER_CLUSTER
+        return "" if self.is_confirmed() else CONFIRMING
+
+    def majority_heard(
+        self, members: Sequence[messages.Member], now: float
+    ) -> bool:
+        """Return whether a majority of `members` was heard of lately."""
+        heard = {status.member.id for status in self.statuses(now)}
+        heard.add(self._replica.id)
+        return quorums.has_majority(members, heard)
+
+    def may_form(self, now: float) -> bool:
+        """Return whether this instance forms the cluster.
+
+        All that are listed must say that they are blank, and the first by
+        name alone forms: a blank disk beside others with data, or two that
+        begin at once, can never make a second cluster.
+        """
+        me = self._replica.identity.member.name
+        names = self.listed_names
+        if not self._replica.is_blank or not names or names[0] != me:
+            return False
+        blank = {
+            status.member.name
+            for status in self.statuses(now)
+            if status.blank and not status.fault and status.listed == names
+        }
+        return set(names) - {me} <= blank
+
+    def founders(self, now: float) -> tuple[messages.Member, ...]:
+        """Return the members of the cluster that is to be formed."""
+        names = self.listed_names
+        members = [self._replica.identity.member]
+        members += [
+            status.member
+            for status in self.statuses(now)
+            if status.member.name in names
+        ]
+        return tuple(sorted(members))
+
+    def candidate(self, name: str, now: float) -> messages.Member | str:
+        """Return the instance called `name` if it has caught up, else why not."""
+        for status in self.statuses(now):
+            if status.member.name != name:
+                continue
+            if status.fault:
+                return f"{name} does not vote: {status.fault}"
+            if not self._has_caught_up(status):
+                return f"{name} has not caught up yet; try again"
+            if status.member.id in self._replica.register.retired:
+                return f"{name}: {RETIRED}"
+            return status.member
+        return (
+            f"{name} was not heard of; start it with this instance among"
+            " its `control` settings"
+        )
+
+    def _has_caught_up(self, status: messages.Status) -> bool:
+        if status.blank or status.cluster != self._replica.register.cluster:
+            return False
+        return status.accepted >= self._replica.chosen_ballot
+
+    def replacement(
+        self, status: messages.Status
+    ) -> messages.ReplaceMember | None:
+        """Return how to admit a new incarnation under a member's name."""
+        register = self._replica.register
+        old = register.member(status.member.name)
+        new = status.member
+        if old is None or old.id == new.id:
+            return None
+        # Two processes under one name would otherwise replace each other
+        # for ever.
+        if new.id in register.retired or status.fault:
+            return None
+        if not self._has_caught_up(status):
+            return None
+        return messages.ReplaceMember(0, old.id, new)
+
+
+class View:
+    """What is known of the other instances at one moment.
+
+    Args:
+        peers: Their latest words.
+        now: Monotonic time in seconds.
+    """
+
+    def __init__(self, peers: Peers, now: float) -> None:
+        self._peers = peers
+        self._now = now
+
+    def candidate(self, name: str) -> messages.Member | str:
+        """Return the instance if it has caught up, else why it may not vote."""
+        return self._peers.candidate(name, self._now)
+
+    def majority_heard(self, members: Sequence[messages.Member]) -> bool:
+        """Return whether a majority of `members` was heard of lately."""
+        return self._peers.majority_heard(members, self._now)
+
+
+def _is_older(status: messages.Status, known: messages.Sighting) -> bool:
+    return status.starts <= known.starts or status.accepted < known.accepted
--- a/hyssopfold/errors.py
+++ b/hyssopfold/errors.py
@@ -91,6 +91,33 @@
         self.change_id = change_id
 
 
+class ChangeIdReusedError(HyssopError):
+    """A change id belongs to another edit that was accepted before."""
+
+    kind = "change-id-reused"
+    exit_status = 2
+
+    def __init__(self, change_id: str, revision: int) -> None:
+        super().__init__(
+            f"change id {change_id} belongs to the edit that made revision"
+            f" {revision}; nothing changed",
+            "apply this edit under a change id of its own",
+        )
+
+
+class NotAcceptedError(HyssopError):
+    """An operation on the durable state is certain not to take effect."""
+
+    kind = "not-accepted"
+
+    def __init__(self, reason: str) -> None:
+        super().__init__(
+            f"nothing changed: {reason or 'no majority answered in time'}",
+            "ask another control instance, or see that a majority of them"
+            " runs (hyssopctl status)",
+        )
+
+
 class ChildFailedError(HyssopError):
     """A supervised task kept failing."""
 
@@ -115,6 +142,20 @@
         )
 
 
+class StorageFormatError(CorruptStorageError):
+    """A record was written by a program with another format."""
+
+    kind = "storage-format"
+
+    def __init__(self, path: str, found: int, known: int) -> None:
+        HyssopError.__init__(
+            self,
+            f"{path} has format {found}; this program reads format {known}",
+            "start the program's version that wrote it, or move the data"
+            " folder aside and let the instance come back blank",
+        )
+
+
 class StorageBusyError(HyssopError):
     """Another process holds the data folder."""
 
@@ -149,3 +190,15 @@
             f"no answer from {address}: {detail}",
             "check that the process runs and the path to it is open",
         )
+
+
+class InvariantError(HyssopError):
+    """A state that must never arise did."""
+
+    kind = "invariant-broken"
+
+    def __init__(self, what: str) -> None:
+        super().__init__(
+            f"invariant broken: {what}",
+            "stop this instance, keep its data folder and log, and report them",
+        )
--- a/hyssopfold/storage/folder.py
+++ b/hyssopfold/storage/folder.py
@@ -7,10 +7,12 @@
 import zlib
 
 from hyssopfold import errors
+from hyssopfold.storage import disk
 
 FORMAT = 1
 _MAGIC = b"HYSSOP"
 _HEADER = len(_MAGIC) + 2 + 4
+_NEW = ".new"
 
 
 class DataFolder:
@@ -18,14 +20,20 @@
 
     Args:
         path: Folder of this instance alone; made when missing.
+        files: The disk below.
 
     Raises:
         StorageBusyError: when another process holds the folder.
+        StorageWriteError: when the folder cannot be made.
     """
 
-    def __init__(self, path: str) -> None:
+    def __init__(self, path: str, files: disk.Disk | None = None) -> None:
         self.path = pathlib.Path(path)
-        self.path.mkdir(parents=True, exist_ok=True)
+        self._files = files or disk.OsDisk()
+        try:
+            self._make()
+        except OSError as exc:
+            raise errors.StorageWriteError(path, str(exc)) from exc
         self._lock = os.open(self.path / "lock", os.O_RDWR | os.O_CREAT, 0o600)
         try:
             fcntl.flock(self._lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
@@ -33,18 +41,26 @@
             os.close(self._lock)
             raise errors.StorageBusyError(path) from exc
 
+    def _make(self) -> None:
+        if self.path.exists():
+            return
+        self.path.mkdir(parents=True)
+        # The folder's own name lasts only once its parent is synced.
+        self._files.sync_folder(self.path.parent)
+
     def read(self, name: str) -> bytes | None:
         """Return the record called `name`, or None if there is none.
 
         Raises:
-            CorruptStorageError: when its checksum or format is wrong.
+            CorruptStorageError: when its checksum or format is wrong, or the
+                disk cannot read it.
         """
         path = self.path / name
         try:
-            data = path.read_bytes()
-        except FileNotFoundError:
-            return None
-        return _unwrap(str(path), data)
+            data = self._files.read(path)
+        except OSError as exc:
+            raise errors.CorruptStorageError(str(path), str(exc)) from exc
+        return None if data is None else _unwrap(str(path), data)
 
     def write(self, name: str, record: bytes) -> None:
         """Replace the record called `name`; return once it is synced.
@@ -54,26 +70,27 @@
         the old record or the new, never a torn one.
 
         Raises:
-            StorageWriteError: when the disk is full or broken.
+            StorageWriteError: when the disk is full or broken; the record is
+                then the old one or the new one.
         """
         path = self.path / name
-        temporary = self.path / f"{name}.new"
+        temporary = self.path / f"{name}{_NEW}"
         try:
-            with open(temporary, "wb") as file:
-                file.write(_wrap(record))
-                file.flush()
-                os.fsync(file.fileno())
-            os.replace(temporary, path)
-            self._sync_folder()
+            self._files.write(temporary, _wrap(record))
+            self._files.sync(temporary)
+            self._files.replace(temporary, path)
+            self._files.sync_folder(self.path)
         except OSError as exc:
+            self._remove(temporary)
             raise errors.StorageWriteError(str(path), str(exc)) from exc
 
-    def _sync_folder(self) -> None:
-        handle = os.open(self.path, os.O_RDONLY)
+    def _remove(self, path: pathlib.Path) -> None:
+        # On a full disk the half-written file would keep the space that the
+        # next try needs.
         try:
-            os.fsync(handle)
-        finally:
-            os.close(handle)
+            self._files.remove(path)
+        except OSError:
+            return
 
     def close(self) -> None:
         """Let another process have the folder."""
@@ -96,7 +113,7 @@
         raise errors.CorruptStorageError(path, "no header")
     version = int.from_bytes(data[len(_MAGIC) : len(_MAGIC) + 2], "big")
     if version != FORMAT:
-        raise errors.CorruptStorageError(path, f"unknown format {version}")
+        raise errors.StorageFormatError(path, version, FORMAT)
     record = data[_HEADER:]
     checksum = int.from_bytes(data[_HEADER - 4 : _HEADER], "big")
     if zlib.crc32(record) != checksum:
--- a/hyssopfold/supervisor.py
+++ b/hyssopfold/supervisor.py
@@ -40,8 +40,9 @@
         try:
             await child()
             return
-        except errors.PortBusyError:
-            # Restarting cannot free a port that another process holds.
+        except (errors.PortBusyError, errors.InvariantError):
+            # Restarting cannot free a port that another process holds, and
+            # must not let a member vote on from a state that is broken.
             raise
         except Exception as exc:
             now = trio.current_time()
--- /dev/null
+++ b/tests/support/register_machine.py
@@ -0,0 +1,201 @@
+"""A random run of members under failures, one at a time and in pairs."""
+
+from hypothesis import stateful
+from hypothesis import strategies
+
+from hyssopfold.core.consensus import messages
+from hyssopfold.core.consensus import quorums
+from tests.support import fake_members
+from tests.support import register_history
+
+NETWORK = fake_members.Network(0.1, 0.1, 0.001, 0.15)
+RECOVERY_S = 60
+_MAX_NAMES = 5
+
+_INDEX = strategies.integers(0, 6)
+
+
+class RegisterMachine(stateful.RuleBasedStateMachine):
+    """Edits, losses, cuts, crashes, freezes, blank disks, new members."""
+
+    node_class = fake_members.node.Node
+
+    @stateful.initialize(seed=strategies.integers(0, 2**16))
+    def begin(self, seed):
+        """Form three members on a bad network."""
+        self.members = fake_members.FakeMembers(
+            3, seed, NETWORK, self.node_class
+        )
+        self.history = register_history.History(self.members)
+        self.request = 0
+        self.expects = {}
+        self.members.run_until(self._all_vote, RECOVERY_S)
+
+    def _name(self, index):
+        return self.members.names[index % len(self.members.names)]
+
+    def _all_vote(self):
+        names = self._member_names()
+        return bool(names) and all(self.members.voting(n) for n in names)
+
+    def _newest(self):
+        disks = self.members.disks.values()
+        return max(disk.durable for disk in disks).register
+
+    def _member_names(self):
+        return [member.name for member in self._newest().members]
+
+    def _ask(self, name, change_id, expect):
+        self.request += 1
+        self.history.requests[self.request] = change_id
+        expect = self.expects.setdefault(change_id, expect)
+        value = f"{change_id} {expect}".encode()
+        event = messages.Edit(self.request, change_id, expect, value, change_id)
+        self.members.submit(name, event)
+
+    @stateful.rule(index=_INDEX, behind=strategies.integers(0, 1))
+    def edit(self, index, behind):
+        """Edit the newest revision that an instance knows, or an older."""
+        name = self._name(index)
+        member = self.members.nodes.get(name)
+        if member is not None:
+            expect = max(0, member.learned.revision - behind)
+            self._ask(name, f"change-{self.request}", expect)
+
+    @stateful.rule(one=_INDEX, two=_INDEX)
+    def race(self, one, two):
+        """Two operators edit one revision."""
+        revision = self._newest().revision
+        for index in (one, two):
+            self._ask(self._name(index), f"race-{self.request}", revision)
+
+    @stateful.rule(index=_INDEX, back=strategies.integers(1, 5))
+    def resend(self, index, back):
+        """An operator who got no answer sends an edit again."""
+        if self.request < back:
+            return
+        change_id = self.history.requests[self.request - back + 1]
+        self._ask(self._name(index), change_id, self.expects[change_id])
+
+    @stateful.rule(index=_INDEX)
+    def read(self, index):
+        """Read through any instance."""
+        self.members.submit(self._name(index), messages.Read(0))
+
+    @stateful.rule(seconds=strategies.floats(0.0, 3.0))
+    def wait(self, seconds):
+        """Let time pass."""
+        self.members.run(seconds)
+
+    @stateful.rule(index=_INDEX)
+    def crash(self, index):
+        """Kill a process."""
+        self.members.crash(self._name(index))
+
+    @stateful.rule(
+        ahead=strategies.integers(1, 6),
+        place=strategies.sampled_from(("before", "after")),
+    )
+    def crash_at_save(self, ahead, place):
+        """Kill whichever process makes one of the next saves."""
+        self.members.crash_at_save = {self.members.saves + ahead: place}
+
+    @stateful.rule(index=_INDEX)
+    def restart(self, index):
+        """Start a process again, or kill and start it."""
+        self.members.restart(self._name(index))
+
+    @stateful.rule(one=_INDEX, two=_INDEX)
+    def cut_one_way(self, one, two):
+        """Lose all messages from one instance to another."""
+        self.members.cut.add((self._name(one), self._name(two)))
+
+    @stateful.rule(index=_INDEX)
+    def cut_off(self, index):
+        """Cut an instance off in silence."""
+        self.members.isolate(self._name(index))
+
+    @stateful.rule()
+    def heal(self):
+        """End all cuts."""
+        self.members.heal()
+
+    @stateful.rule(index=_INDEX)
+    def freeze(self, index):
+        """Stop a process as SIGSTOP does."""
+        self.members.freeze(self._name(index))
+
+    @stateful.rule(index=_INDEX)
+    def thaw(self, index):
+        """Let a stopped process go on."""
+        self.members.thaw(self._name(index))
+
+    @stateful.rule(index=_INDEX)
+    def fill_disk(self, index):
+        """Fill a disk: saves fail until there is room again."""
+        self.members.disks[self._name(index)].full = True
+
+    @stateful.rule(index=_INDEX)
+    def mend_disk(self, index):
+        """Make room again."""
+        name = self._name(index)
+        if name in self.members.nodes and name not in self.members.frozen:
+            self.members.mend_storage(name)
+
+    @stateful.rule(index=_INDEX)
+    def lose_disk(self, index):
+        """Lose a disk, as long as a majority of intact ones is left."""
+        name = self._name(index)
+        if self._may_lose(name):
+            self.members.wipe(name)
+            self.members.start(name)
+
+    def _may_lose(self, name):
+        disks = self.members.disks
+        intact = {
+            f"{n}#{disk.incarnation}" for n, disk in disks.items() if n != name
+        }
+        newest = max(
+            (member.learned for member in self.members.nodes.values()),
+            key=lambda register: (register.epoch, register.revision),
+            default=messages.BLANK_REGISTER,
+        )
+        held = [disk.durable.register for disk in disks.values()]
+        recent = [newest] + [r for r in held if r.epoch >= newest.epoch]
+        return all(quorums.satisfied(register, intact) for register in recent)
+
+    @stateful.rule(index=_INDEX)
+    def add_member(self, index):
+        """Start a further instance and let it vote."""
+        if len(self.members.names) < _MAX_NAMES:
+            name = f"control-{len(self.members.names) + 1}"
+            self.members.add_instance(name)
+        newest = self.members.names[-1]
+        event = messages.AddMember(0, newest)
+        self.members.submit(self._name(index), event)
+
+    @stateful.rule(index=_INDEX, gone=_INDEX)
+    def remove_member(self, index, gone):
+        """Let a member vote no more."""
+        event = messages.RemoveMember(0, self._name(gone))
+        self.members.submit(self._name(index), event)
+
+    def teardown(self):
+        """End all failures: everyone comes to agree and takes an edit."""
+        if not hasattr(self, "members"):
+            return
+        self.members.crash_at_save = {}
+        self.members.heal()
+        for name, disk in self.members.disks.items():
+            disk.full = False
+            self.members.restart(name)
+        assert self.members.run_until(self._all_vote, RECOVERY_S), "all vote"
+        name = self._member_names()[0]
+        self._ask(name, "last", self._newest().revision)
+        self.members.run(RECOVERY_S)
+        assert "last" in self.history.accepted, "an edit is taken in the end"
+        registers = {
+            self.members.nodes[n].learned for n in self._member_names()
+        }
+        assert len(registers) == 1, "all agree in the end"
+        self.history.check_final(registers.pop())
