--- /dev/null
+++ b/bench/load/connection.py
@@ -0,0 +1,131 @@
+"""A lean HTTP/1.1 connection of one caller, on h11 and a trio stream."""
+
+from typing import NamedTuple
+
+import h11
+import trio
+
+_RECEIVE_BYTES = 65_536
+_PART = b"\0" * 65_536
+_BODY_BYTES = 65_536
+
+
+class Answer(NamedTuple):
+    """Status, headers, length and the first bytes of a whole answer."""
+
+    status: int
+    headers: dict[bytes, bytes]
+    length: int
+    body: bytes = b""
+
+
+class Connection:
+    """Send one request after another to one address.
+
+    Args:
+        address: IP number and port.
+    """
+
+    def __init__(self, address: str) -> None:
+        self.address = address
+        self._stream: trio.SocketStream | None = None
+        self._http = h11.Connection(h11.CLIENT)
+
+    async def request(
+        self,
+        method: str,
+        target: str,
+        headers: list[tuple[str, str]],
+        size: int,
+        pause_s: float = 0.0,
+    ) -> Answer:
+        """Return the whole answer to a request with `size` zero bytes.
+
+        Args:
+            method: Method of the request.
+            target: Path and query.
+            headers: Headers, without a length.
+            size: Bytes of body.
+            pause_s: Seconds to wait after each part of the body.
+
+        Raises:
+            OSError: when the connection broke.
+            h11.ProtocolError: when the answer was no HTTP or was cut.
+        """
+        head = [*headers, ("content-length", str(size))] if size else headers
+        await self._begin(method, target, head)
+        while size > 0:
+            part = _PART[:size]
+            size -= len(part)
+            await self._send(h11.Data(data=part))
+            if pause_s:
+                await trio.sleep(pause_s)
+        await self._send(h11.EndOfMessage())
+        return await self._answer()
+
+    async def send_bytes(
+        self, method: str, target: str, host: str, body: bytes
+    ) -> Answer:
+        """Return the whole answer to a request with this body.
+
+        Raises:
+            OSError: when the connection broke.
+            h11.ProtocolError: when the answer was no HTTP or was cut.
+        """
+        head = [("host", host), ("content-length", str(len(body)))]
+        await self._begin(method, target, head)
+        await self._send(h11.Data(data=body))
+        await self._send(h11.EndOfMessage())
+        return await self._answer()
+
+    async def _begin(
+        self, method: str, target: str, headers: list[tuple[str, str]]
+    ) -> None:
+        await self._connect()
+        request = h11.Request(method=method, target=target, headers=headers)
+        await self._send(request)
+
+    async def _connect(self) -> None:
+        if self._stream is not None:
+            return
+        host, _, port = self.address.rpartition(":")
+        self._stream = await trio.open_tcp_stream(host, int(port))
+        self._http = h11.Connection(h11.CLIENT)
+
+    async def _send(self, event: h11.Event) -> None:
+        data = self._http.send(event)
+        if data and self._stream is not None:
+            await self._stream.send_all(data)
+
+    async def _answer(self) -> Answer:
+        status, length, body = 0, 0, b""
+        headers: dict[bytes, bytes] = {}
+        while True:
+            event = await self._next_event()
+            if isinstance(event, h11.Response):
+                status, headers = event.status_code, dict(event.headers)
+            elif isinstance(event, h11.Data):
+                length += len(event.data)
+                body += bytes(event.data[: _BODY_BYTES - len(body)])
+            elif isinstance(event, h11.EndOfMessage):
+                break
+        if self._http.our_state is h11.DONE is self._http.their_state:
+            self._http.start_next_cycle()
+        else:
+            self.close()
+        return Answer(status, headers, length, body)
+
+    async def _next_event(self) -> h11.Event:
+        while True:
+            event = self._http.next_event()
+            if event is not h11.NEED_DATA:
+                return event
+            assert self._stream is not None
+            data = await self._stream.receive_some(_RECEIVE_BYTES)
+            self._http.receive_data(data)
+
+    def close(self) -> None:
+        """Forget the connection; the next request opens a new one."""
+        if self._stream is not None:
+            self._stream.socket.close()
+            self._stream = None
--- a/hyssopfold/cmd/ctl.py
+++ b/hyssopfold/cmd/ctl.py
@@ -1,8 +1,11 @@
 """Command `hyssopctl`: the operators' tool."""
 
+import getpass
+import json
 import pathlib
 import sys
 from typing import Any
+import urllib.parse
 import uuid
 
 import click
@@ -13,11 +16,15 @@
 from hyssopfold import tables as tables_module
 from hyssopfold.cmd import daemon
 from hyssopfold.control import client as control_client
+from hyssopfold.control import state_answers
 
 DEFAULT_CONTROL = tuple(
     f"http://127.0.0.1:{port}" for port in (7101, 7102, 7103)
 )
 _TABLES = "/hyssop/v1/tables"
+_STATUS = "/hyssop/v1/status"
+_BACKUP = "/hyssop/v1/backup"
+_MEMBERS = "/hyssop/v1/members/"
 
 
 @click.group()
@@ -77,7 +84,7 @@
 ) -> None:
     """Put a tables file in force if the revision is still the one edited."""
     text = _parse(file)
-    change_id = change_id or uuid.uuid4().hex
+    change_id = change_id or _new_change_id()
     body = {"expect": expect, "change_id": change_id, "tables": text}
     reply = client.put(_TABLES, body)
     _raise_refusal(reply, file)
@@ -88,9 +95,145 @@
 @cli.command()
 @click.pass_obj
 def status(client: control_client.Client) -> None:
-    """Show the revision in force."""
-    reply = client.get("/hyssop/v1/readyz")
-    click.echo(f"revision {reply.body['revision']}")
+    """Show the revision in force, who votes and who is behind."""
+    body = client.get_confirmed(_STATUS).body
+    if body["confirmed"]:
+        click.echo(f"revision {body['revision']}")
+    else:
+        click.echo(
+            f"not confirmed: {body['answered_by']} knows revision"
+            f" {body['revision']} and reaches no majority"
+        )
+    if body["changing_members"]:
+        click.echo("a change of members is under way")
+    for one in body["instances"]:
+        click.echo(_describe(one))
+    if not body["confirmed"]:
+        sys.exit(1)
+
+
+def _describe(one: dict[str, Any]) -> str:
+    votes = "votes" if one["votes"] else "does not vote"
+    line = f"{one['name']} {one['address']} {votes} revision {one['revision']}"
+    if one["behind"]:
+        line += f", {one['behind']} behind"
+    if one["fault"]:
+        line += f": {one['fault']}"
+    return line
+
+
+@cli.group()
+def members() -> None:
+    """Add and remove the control instances that vote."""
+
+
+@members.command("add")
+@click.argument("name")
+@click.pass_obj
+def add_member(client: control_client.Client, name: str) -> None:
+    """Let a running control instance vote; it must have caught up."""
+    reply = client.put(_MEMBERS + urllib.parse.quote(name, safe=""), {})
+    _show_members(reply, name)
+
+
+@members.command("remove")
+@click.argument("name")
+@click.pass_obj
+def remove_member(client: control_client.Client, name: str) -> None:
+    """Let a control instance vote no more."""
+    path = _MEMBERS + urllib.parse.quote(name, safe="")
+    _show_members(client.delete(path, name), name)
+
+
+@members.command("replace")
+@click.argument("old")
+@click.argument("new")
+@click.pass_obj
+def replace_member(client: control_client.Client, old: str, new: str) -> None:
+    """Let NEW vote in place of OLD: add the one, then remove the other.
+
+    An instance that comes back blank under its old name needs no command.
+    """
+    path = _MEMBERS + urllib.parse.quote(new, safe="")
+    _show_members(client.put(path, {}), new)
+    path = _MEMBERS + urllib.parse.quote(old, safe="")
+    _show_members(client.delete(path, old), old)
+
+
+def _show_members(reply: control_client.Reply, name: str) -> None:
+    _raise_refusal(reply, name)
+    names = ", ".join(reply.body["members"])
+    click.echo(f"members, epoch {reply.body['epoch']}: {names}")
+
+
+@cli.command()
+@click.argument("file", type=click.Path(dir_okay=False))
+@click.pass_obj
+def backup(client: control_client.Client, file: str) -> None:
+    """Write the durable state into a file."""
+    body = client.get_confirmed(_BACKUP).body
+    path = pathlib.Path(file)
+    path.write_text(json.dumps(body, indent=1) + "\n", encoding="utf-8")
+    sure = "confirmed by a majority" if body["confirmed"] else "NOT confirmed"
+    click.echo(f"{file}: revision {body['revision']}, {sure}")
+
+
+@cli.command()
+@click.argument("file", type=click.Path(exists=True, dir_okay=False))
+@click.option(
+    "--expect", type=int, default=0, help="Revision that is replaced."
+)
+@click.option(
+    "--above",
+    type=int,
+    required=True,
+    help="Highest revision that any entry has in force.",
+)
+@click.option("--change-id", help="Name of this edit; made up when left out.")
+@click.pass_obj
+def restore(
+    client: control_client.Client,
+    file: str,
+    expect: int,
+    above: int,
+    change_id: str | None,
+) -> None:
+    """Put a backup in force, under a revision that all entries take."""
+    held = _read_backup(file)
+    change_id = change_id or _new_change_id()
+    body = {
+        "expect": expect,
+        "change_id": change_id,
+        "floor": max(above, held["revision"]) + 1,
+        "state": held["state"],
+    }
+    reply = client.put(_BACKUP, body)
+    _raise_refusal(reply, file)
+    revision = reply.body["revision"]
+    click.echo(f"restored: revision {revision}, change {change_id}")
+
+
+def _read_backup(file: str) -> dict[str, Any]:
+    try:
+        held = json.loads(pathlib.Path(file).read_text(encoding="utf-8"))
+        if held["format"] == state_answers.BACKUP_FORMAT:
+            int(held["revision"])
+            return dict(held, state=str(held["state"]))
+    except (ValueError, KeyError, TypeError):
+        pass
+    fault = errors.Fault(
+        file, 1, "backup", "its content", "a file made by `hyssopctl backup`"
+    )
+    raise errors.InvalidDocumentError([fault])
+
+
+def _new_change_id() -> str:
+    # Whoever loses a race is told the winner's change id: let it say who.
+    try:
+        name = getpass.getuser()
+    except (KeyError, OSError):
+        name = "operator"
+    return f"{name}-{uuid.uuid4().hex[:12]}"
 
 
 @cli.command()
--- a/hyssopfold/control/api.py
+++ b/hyssopfold/control/api.py
@@ -2,6 +2,7 @@
 
 import hashlib
 import logging
+import time
 from typing import TypedDict
 import urllib.parse
 
@@ -18,6 +19,7 @@
 from hyssopfold.control import instance as control_instance
 from hyssopfold.control import state_answers
 from hyssopfold.core.consensus import messages
+from hyssopfold.core.steering import plans
 from hyssopfold.transport import gossip
 
 logger = logging.getLogger(__name__)
@@ -187,16 +189,47 @@
             return http.error_answer(exc, 422)
         if len(edit["change_id"]) > _MAX_CHANGE_ID:
             return _body_fault("a change id", f"up to {_MAX_CHANGE_ID} letters")
+        try:
+            planned = await self._planned(edit["expect"], parsed)
+        except errors.InvalidDocumentError as exc:
+            return http.error_answer(exc, 422)
+        if planned is None:
+            # Nothing was submitted: the refusal is certain.
+            behind = messages.EditNotAccepted(
+                "this control instance is behind and reaches no majority"
+            )
+            return state_answers.answer(behind, edit["change_id"])
         result = await self._instance.edit(
             edit["change_id"],
             edit["expect"],
-            state.encode(state.State(parsed)),
+            state.encode(planned),
             _digest(edit["tables"]),
         )
         client = urllib.parse.quote(str(scope.get("client")))
         _log_edit(edit["change_id"], edit["expect"], result, client)
         return state_answers.answer(result, edit["change_id"])
 
+    async def _planned(
+        self, expect: int, parsed: tables.Tables
+    ) -> state.State | None:
+        """Return the state to submit: new tables and the shifts they start.
+
+        None when this instance is behind the revision edited and cannot
+        catch up: it could only plan from a state that is not the one edited.
+        """
+        register = self._instance.register
+        if register.revision < expect:
+            result = await self._instance.read()
+            if not isinstance(result, messages.ReadDone):
+                return None
+            register = result.register
+        if register.revision != expect:
+            # Refused by compare-and-set, or a resent edit that gets its first
+            # answer: what it would plan is of no account.
+            return state.State(parsed)
+        held = state.decode(register.value)
+        return plans.after_edit(held, parsed, time.time())
+
 
 def _digest(document: str) -> str:
     return hashlib.blake2b(document.encode(), digest_size=8).hexdigest()
--- a/hyssopfold/control/instance.py
+++ b/hyssopfold/control/instance.py
@@ -17,7 +17,6 @@
 from hyssopfold.core.consensus import messages
 from hyssopfold.core.consensus import node as consensus_node
 from hyssopfold.transport import consensus_wire
-from hyssopfold.transport import poll_wire
 
 logger = logging.getLogger(__name__)
 
@@ -83,9 +82,10 @@
         self._answers: dict[int, trio.MemorySendChannel[messages.Result]] = {}
         self._answer_timeout_s = operation_timeout_s + _ANSWER_MARGIN_S
         self._requests = 0
-        self._learned = trio.Condition()
         self._mend_at: float | None = None
         self._ran = False
+        # Called with each revision and value that is learned.
+        self.listeners: list[Callable[[int, bytes], None]] = []
         self.register = node.learned
 
     async def edit(
@@ -162,17 +162,6 @@
             logger.warning(logs.Event("inbox-full", sender=envelope.sender))
         return consensus_wire.Ack()
 
-    async def poll(self, req: poll_wire.Poll) -> poll_wire.PollAnswer:
-        """Answer once a revision above `req.have` is known, or at time-out."""
-        with trio.move_on_after(req.wait_s):
-            async with self._learned:
-                while self.register.revision <= req.have:
-                    await self._learned.wait()
-        register = self.register
-        if register.revision <= req.have:
-            return poll_wire.PollAnswer(register.revision, b"")
-        return poll_wire.PollAnswer(register.revision, register.value)
-
     async def run(self) -> None:
         """Own the member: take one event at a time, carry its effects."""
         if self._ran:
@@ -241,6 +230,14 @@
         for request in list(self._answers):
             self.reply(request, messages.OutcomeUnknown())
 
+    async def confirm(self) -> bool:
+        """Return whether a majority answers for the revision learned.
+
+        Run each second, it also brings what was chosen while this instance
+        was down or cut off.
+        """
+        return isinstance(await self.read(), messages.ReadDone)
+
     async def save(self, save: Save, *values: Any) -> None:
         """Write and sync without holding up other tasks."""
         await self._run_blocking(save, *values)
@@ -256,9 +253,9 @@
 
     async def learn(self, register: messages.Register) -> None:
         """Put a chosen register in force and wake who waits for it."""
-        async with self._learned:
-            self.register = register
-            self._learned.notify_all()
+        self.register = register
+        for listener in self.listeners:
+            listener(register.revision, register.value)
         logger.info(
             logs.Event(
                 "revision-in-force",
--- a/hyssopfold/errors.py
+++ b/hyssopfold/errors.py
@@ -112,7 +112,7 @@
 
     def __init__(self, reason: str) -> None:
         super().__init__(
-            f"nothing changed: {reason or 'no majority answered in time'}",
+            f"this request changed nothing: {reason or 'no majority answered in time'}",
             "ask another control instance, or see that a majority of them"
             " runs (hyssopctl status)",
         )
