Hold callers' connections to limits; prove it on the wire

Cause: requests that two programs read differently reached the servers, upgrades switched protocols, 100 Continue went out for refused uploads, and nothing bounded a head that never ends, a stalled upload, or the connections of one caller. h11 bounds a head only while it is incomplete.

Change: features at byte level, checks in entry/exchange.py, limits in serving.py; the stand-in writes its ledger to a file.

--- a/hyssopfold/cmd/standin.py
+++ b/hyssopfold/cmd/standin.py
@@ -45,6 +45,7 @@
     help="NAME=SHARE of requests that meet this fault.",
 )
 @click.option("--seed", default=0, show_default=True)
+@click.option("--ledger", default="", help="File to write each run to.")
 @click.option(
     "--announce-to",
     multiple=True,
--- a/hyssopfold/entry/exchange.py
+++ b/hyssopfold/entry/exchange.py
@@ -155,6 +155,8 @@
                 )
             if self.scope["http_version"] == "1.0":
                 return _bad("send no transfer-encoding with HTTP/1.0")
+        if not self.header(b"host"):
+            return _bad("send a host header")
         expect = self.header(b"expect")
         if expect is not None and expect.lower() != b"100-continue":
             remedy = "expect nothing but 100-continue"
--- a/hyssopfold/serving.py
+++ b/hyssopfold/serving.py
@@ -183,10 +183,13 @@
 
     async def _send_error_response(self, status_code: int) -> None:
         body = _REFUSED.get(status_code, _REFUSED[400])
+        # Once the app has the request, a part of it may be at a server.
+        outcome = b"not-run" if self.stream is None else b"unknown"
+        body = body.replace(b'"not-run"', b'"' + outcome + b'"')
         headers = [
             (b"content-type", b"application/json"),
             (b"content-length", str(len(body)).encode()),
-            (b"hyssop-outcome", b"not-run"),
+            (b"hyssop-outcome", outcome),
             (b"connection", b"close"),
         ]
         head = h11.Response(status_code=status_code, headers=headers)
@@ -284,8 +287,14 @@
             self._scope.cancel()
 
     async def _receive(self) -> bytes | bytearray:
+        count = MAX_READ_BYTES
+        if self._parser.their_state is h11.IDLE:
+            # h11 bounds only a head that is not whole yet; read no more than
+            # shows it to be too long.
+            held = len(self._parser.trailing_data[0])
+            count = max(1, self._limits.header_bytes + 1 - held)
         try:
-            return await self._stream.receive_some(MAX_READ_BYTES)
+            return await self._stream.receive_some(count)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             return b""
 
--- a/hyssopfold/standin/server.py
+++ b/hyssopfold/standin/server.py
@@ -18,6 +18,7 @@
 
 ANNOUNCE_PERIOD_S = 1.0
 FAULT_HEADER = b"standin-fault"
+ANSWER_BYTES_HEADER = b"standin-answer-bytes"
 LATE_FACTOR = 20.0
 _NOT_RUN = (b"hyssop-outcome", b"not-run")
 
@@ -29,7 +30,9 @@
     `cold_factor` times as long at first, falling to their own length over
     `warm_requests` requests. `faults` gives the share of requests that meet
     each fault of `wire.FAULTS`; a request can ask for one by the header
-    `standin-fault`. `idle_s` is when it closes an unused connection.
+    `standin-fault`. `idle_s` is when it closes an unused connection. `ledger`
+    names a file that gets a line of JSON for each run as it begins, so that a
+    server that is killed leaves its books behind.
     """
 
     server_id: str
@@ -47,6 +50,7 @@
     faults: tuple[tuple[str, float], ...] = ()
     idle_s: float = float("inf")
     seed: int = 0
+    ledger: str = ""
 
 
 class Server:
@@ -73,6 +77,8 @@
         self.refused: Counter[str] = Counter()
         self.cancelled: Counter[str] = Counter()
         self.most_running = 0
+        self.open: set[wire.Connection] = set()
+        self.last_headers: dict[bytes, bytes] = {}
 
     async def serve(self, stop: trio.Event, grace_s: float = 0.0) -> None:
         """Serve until `stop` is set and, for `grace_s`, what is in flight."""
@@ -96,6 +102,7 @@
 
     async def _serve_stream(self, stream: trio.SocketStream) -> None:
         conn = wire.Connection(stream, self._options.idle_s)
+        self.open.add(conn)
         try:
             while await self._serve_one(conn):
                 pass
@@ -104,6 +111,7 @@
         except wire.PeerGoneError:
             pass
         finally:
+            self.open.discard(conn)
             await conn.aclose()
 
     async def _serve_one(self, conn: wire.Connection) -> bool:
@@ -126,6 +134,9 @@
             fault = "shed"
         if fault in wire.BEFORE_RUN:
             return await self._without_running(conn, req, fault, echo)
+        self.last_headers = req.headers
+        if fault == "hold":
+            await trio.sleep_forever()
         size = await conn.read_body()
         await self._run(conn, req, fault)
         body = {
@@ -135,6 +146,9 @@
             "received_bytes": size,
         }
         encoded = msgspec.json.encode(body)
+        wanted = int(req.headers.get(ANSWER_BYTES_HEADER, b"0"))
+        if wanted:
+            return await conn.answer_long(wanted, echo)
         if fault:
             return await wire.answer_badly(conn, fault, encoded, echo)
         return await conn.answer(200, encoded, (echo,))
@@ -167,6 +181,7 @@
     async def _run(
         self, conn: wire.Connection, req: wire.Request, fault: str
     ) -> None:
+        self._write_down(req)
         self.ledger[req.request_id] += 1
         if req.key:
             self.keys[req.key] += 1
@@ -181,6 +196,13 @@
             self._running -= 1
             self._served += 1
 
+    def _write_down(self, req: wire.Request) -> None:
+        if not self._options.ledger:
+            return
+        line = {"id": req.request_id, "key": req.key, "path": req.path}
+        with open(self._options.ledger, "ab") as file:
+            file.write(msgspec.json.encode(line) + b"\n")
+
     def _service_s(self, fault: str) -> float:
         options = self._options
         mean = options.service_s
--- a/hyssopfold/standin/wire.py
+++ b/hyssopfold/standin/wire.py
@@ -36,6 +36,7 @@
         "hints",
         "unasked-101",
         "wrong-503",
+        "hold",
     )
 )
 FAULTS = BEFORE_RUN | AFTER_RUN
@@ -75,6 +76,8 @@
         self.stream = stream
         self._idle_s = idle_s
         self._http = h11.Connection(h11.SERVER)
+        self._head_only = False
+        self.sent = 0
 
     async def next_request(self) -> Request | None:
         """Return the next request's head; None at the connection's end."""
@@ -88,6 +91,7 @@
                 return None
             path = event.target.decode("latin-1")
             headers = {name: value for name, value in event.headers}
+            self._head_only = event.method == b"HEAD"
             return Request(event.method.decode("ascii"), path, headers)
         return None
 
@@ -151,10 +155,22 @@
         length = (b"content-length", str(len(body)).encode())
         head = h11.Response(status_code=status, headers=[*headers, length])
         await self.send(head)
-        await self.send(h11.Data(data=body))
+        if not self._head_only:
+            await self.send(h11.Data(data=body))
         await self.send(h11.EndOfMessage())
         return self._http.our_state is h11.DONE
 
+    async def answer_long(self, size: int, echo: Header) -> bool:
+        """Answer with `size` bytes in chunks; count them in `sent`."""
+        coding = (b"transfer-encoding", b"chunked")
+        await self.send(h11.Response(status_code=200, headers=[echo, coding]))
+        while self.sent < size:
+            part = b"a" * min(MAX_READ_BYTES, size - self.sent)
+            await self.send(h11.Data(data=part))
+            self.sent += len(part)
+        await self.send(h11.EndOfMessage())
+        return False
+
     def reset_on_close(self) -> None:
         """Make the close a reset."""
         self.stream.socket.setsockopt(
--- a/tests/support/datapath.py
+++ b/tests/support/datapath.py
@@ -133,6 +133,11 @@
         """Return how often requests ran, over all stand-ins."""
         return sum(sum(one.ledger.values()) for one in self.standins)
 
+    @property
+    def taken(self):
+        """Return the bytes of long answers that the entry has taken."""
+        return sum(conn.sent for one in self.standins for conn in one.open)
+
     @contextlib.asynccontextmanager
     async def running(self):
         """Run all of it."""
