--- a/tests/core/consensus/members.feature
+++ b/tests/core/consensus/members.feature
@@ -122,3 +122,12 @@
     And 5 s pass
     Then "control-3" votes
     And all agree on revision 1
+
+  Scenario: the steps of a replacement conform to the specification
+    Given 3 members with seed 10 on a network that loses a tenth
+    When "control-1" gets edit "ana" of revision 0
+    And "control-2" loses its disk and comes back blank
+    And 20 s pass
+    And "control-3" is asked to remove the member "control-1"
+    And 20 s pass
+    Then at least 20 steps conformed
--- a/tests/core/consensus/random.feature
+++ b/tests/core/consensus/random.feature
@@ -8,11 +8,13 @@
     When members run at random under failures one at a time and in pairs
     Then every invariant of the register held
 
-  Scenario Outline: a broken rule is caught: <rule>
+  Scenario Outline: a broken rule is caught by <judge>: <rule>
     Given members that break the rule <rule>
-    Then the broken members are caught: <what>
+    Then the broken members are caught by <judge>: <what>
 
     Examples:
-      | rule | what |
-      | a blank disk is another member | accepted is on a majority's disks |
-      | a majority decides | the revision never falls |
+      | rule                           | judge             | what                                |
+      | a blank disk is another member | the history       | accepted is on a majority's disks   |
+      | a majority decides             | the history       | the revision never falls            |
+      | a blank disk is another member | the specification | learned is chosen                   |
+      | a majority decides             | the specification | propose                             |
--- a/tests/steps/core/consensus/node_steps.py
+++ b/tests/steps/core/consensus/node_steps.py
@@ -11,6 +11,7 @@
 
 from hyssopfold.core.consensus import messages
 from tests.support import broken_members
+from tests.support import conformance
 from tests.support import fake_members
 from tests.support import register_history
 from tests.support import register_machine
@@ -25,6 +26,7 @@
 def _begin(context, count, seed, network):
     context.members = fake_members.FakeMembers(count, seed, network)
     context.history = register_history.History(context.members)
+    context.replay = conformance.Replay(context.members)
     context.requests = {}
     assert context.members.run_until(lambda: _all_vote(context), _FORM_S)
 
@@ -348,6 +350,11 @@
     context.history.check_final(registers.pop())
 
 
+@then("at least {count:d} steps conformed")
+def _(context, count):
+    assert context.replay.steps >= count, context.replay.steps
+
+
 @then("no accepted edit is lost by any of at least {count:d} kills")
 def _(context, count):
     assert len(context.kills) >= count, len(context.kills)
@@ -390,7 +397,7 @@
     context.broken = rule
 
 
-@then("the broken members are caught: {what}")
-def _(context, what):
-    caught = broken_members.catch(context.broken)
+@then("the broken members are caught by {judge}: {what}")
+def _(context, judge, what):
+    caught = broken_members.catch(context.broken, judge)
     assert what in caught, caught
--- a/tests/support/broken_members.py
+++ b/tests/support/broken_members.py
@@ -42,8 +42,18 @@
         yield
 
 
-def catch(rule):
-    """Run members that break `rule` at random; return what stopped them."""
+class _Unreplayed(register_machine.RegisterMachine):
+    is_replayed = False
+
+
+MACHINES = {
+    "the history": _Unreplayed,
+    "the specification": register_machine.RegisterMachine,
+}
+
+
+def catch(rule, judge):
+    """Run members that break `rule` at random; return what `judge` found."""
     settings = hypothesis.settings(
         max_examples=_EXAMPLES,
         stateful_step_count=_STEPS,
@@ -59,7 +69,7 @@
     with broken(rule):
         try:
             stateful.run_state_machine_as_test(
-                register_machine.RegisterMachine, settings=settings
+                MACHINES[judge], settings=settings
             )
         except (AssertionError, errors.InvariantError) as exc:
             return str(exc).splitlines()[0]
--- a/tests/support/fake_members.py
+++ b/tests/support/fake_members.py
@@ -186,8 +186,12 @@
                     self.learned.append((name, effect.register))
                 case messages.Reply():
                     self.results[effect.request] = effect.result
-            for observe in self.observers:
-                observe(name, effect)
+            if not isinstance(effect, SAVES):
+                self._observe(name, effect)
+
+    def _observe(self, name, effect):
+        for observe in self.observers:
+            observe(name, effect)
 
     def _save(self, name, effect):
         """Save, or crash before or after it; return whether to go on."""
@@ -199,6 +203,7 @@
         if self.disks[name].full:
             return False
         self.disks[name].save(effect)
+        self._observe(name, effect)
         if crash == "after":
             self.crash(name)
             return False
@@ -214,7 +219,11 @@
         """Make room on a full disk and let the member save all again."""
         disk = self.disks[name]
         disk.full = False
-        disk.durable = self.nodes[name].durable
+        disk.durable = held = self.nodes[name].durable
+        register = messages.SaveRegister(held.accepted, held.register)
+        if held.accepted != messages.NO_BALLOT:
+            self._observe(name, register)
+        self._observe(name, messages.SavePromise(held.promised))
         self.submit(name, messages.StorageMended())
 
     def _send(self, name, effect):
--- a/tests/support/register_machine.py
+++ b/tests/support/register_machine.py
@@ -5,6 +5,7 @@
 
 from hyssopfold.core.consensus import messages
 from hyssopfold.core.consensus import quorums
+from tests.support import conformance
 from tests.support import fake_members
 from tests.support import register_history
 
@@ -19,6 +20,7 @@
     """Edits, losses, cuts, crashes, freezes, blank disks, new members."""
 
     node_class = fake_members.node.Node
+    is_replayed = True
 
     @stateful.initialize(seed=strategies.integers(0, 2**16))
     def begin(self, seed):
@@ -27,6 +29,8 @@
             3, seed, NETWORK, self.node_class
         )
         self.history = register_history.History(self.members)
+        if self.is_replayed:
+            self.replay = conformance.Replay(self.members)
         self.request = 0
         self.expects = {}
         self.members.run_until(self._all_vote, RECOVERY_S)
