Let a member that may not vote ask for no tick in the past

Cause: a member that lost its vote while a settling read was due kept that due time; next_deadline lay in the past for good and its task spun at a whole core. The fakes now assert that the next tick lies ahead.

--- a/hyssopfold/core/consensus/node.py
+++ b/hyssopfold/core/consensus/node.py
@@ -114,6 +114,10 @@
         if fault != self._told_fault:
             self._told_fault = fault
             effects.append(messages.Faulted(fault))
+        if fault or self.replica.is_blank:
+            # Left standing in the past, it would ask for a tick at once, for
+            # ever: one that does not vote has nothing to settle.
+            self._settle_at = None
         if fault:
             self.proposer.refuse_all(fault, effects)
         elif self.replica.is_blank:
--- a/tests/core/consensus/random.feature
+++ b/tests/core/consensus/random.feature
@@ -15,6 +15,6 @@
     Examples:
       | rule                           | judge             | what                                |
       | a blank disk is another member | the history       | accepted is on a majority's disks   |
-      | a majority decides             | the history       | the revision never falls            |
+      | a majority decides             | the history       | the revision in force never falls   |
       | a blank disk is another member | the specification | learned is chosen                   |
       | a majority decides             | the specification | propose                             |
--- a/tests/support/fake_members.py
+++ b/tests/support/fake_members.py
@@ -243,6 +243,7 @@
         heapq.heappush(self._events, (at, next(self._order), item))
 
     def _tick_later(self, name):
+        """Note when a member wants its next tick, which must lie ahead."""
         due = max(self.now, self.nodes[name].next_deadline())
         held = self._due.get(name)
         if held is None or due < held or held < self.now:
@@ -266,6 +267,9 @@
             return
         del self._due[name]
         self.submit(name, messages.Tick())
+        if name in self.nodes and name not in self.frozen:
+            # A member that asks for ticks in the past would spin for ever.
+            assert self.nodes[name].next_deadline() > self.now, "no spinning"
 
     def _deliver(self, name, sender, to, message):
         if (name, to) in self.cut:
