--- a/hyssopfold/transport/rpc.py
+++ b/hyssopfold/transport/rpc.py
@@ -33,25 +33,24 @@
 FIRST_BACKOFF_S = 0.05
 MAX_BACKOFF_S = 1.0
 HEARTBEAT_S = 3.0
-HEARTBEAT_TIMEOUT_S = 3.0
-
-# A connection that something between the ends has forgotten stays open for
-# good: nothing tells either end. HTTP/2 pings while calls are under way find
-# it within the sum of both times.
-_CLIENT_CONFIG = grpclib.config.Configuration(
-    _keepalive_time=HEARTBEAT_S,
-    _keepalive_timeout=HEARTBEAT_TIMEOUT_S,
-    _http2_max_pings_without_data=0,
-    _http2_min_sent_ping_interval_without_data=HEARTBEAT_S / 2,
-)
-# The serving end frees what a peer left behind, without haste.
-_SERVER_CONFIG = grpclib.config.Configuration(
-    _keepalive_time=30.0,
-    _keepalive_timeout=HEARTBEAT_TIMEOUT_S,
-    _keepalive_permit_without_calls=True,
-    _http2_max_pings_without_data=0,
-    _http2_min_sent_ping_interval_without_data=15.0,
-)
+
+_SERVER_HEARTBEAT_S = 30.0
+
+
+def _heartbeats(period_s: float, always: bool) -> grpclib.config.Configuration:
+    """Return a configuration with HTTP/2 pings.
+
+    A connection that something between the ends has forgotten stays open for
+    good: nothing tells either end. Pings find it within twice `period_s`;
+    unless `always`, only while calls are under way.
+    """
+    return grpclib.config.Configuration(
+        _keepalive_time=period_s,
+        _keepalive_timeout=period_s,
+        _keepalive_permit_without_calls=always,
+        _http2_max_pings_without_data=0,
+        _http2_min_sent_ping_interval_without_data=period_s / 2,
+    )
 
 
 class MessageTooLargeError(Exception):
@@ -175,7 +174,8 @@
     server = grpclib.server.Server(
         [_Service(handlers)],
         codec=codec.MsgpackCodec(links.keyring),
-        config=_SERVER_CONFIG,
+        # The serving end frees what a peer left behind, without haste.
+        config=_heartbeats(_SERVER_HEARTBEAT_S, True),
     )
     start = functools.partial(server.start, ssl=links.server_tls)
     try:
@@ -196,6 +196,7 @@
 
     keyring: auth.Keyring
     rng: random.Random
+    heartbeat_s: float = HEARTBEAT_S
     server_tls: ssl.SSLContext | None = None
     client_tls: ssl.SSLContext | None = None
 
@@ -212,7 +213,7 @@
             host,
             int(port),
             codec=codec.MsgpackCodec(links.keyring, self._hear),
-            config=_CLIENT_CONFIG,
+            config=_heartbeats(links.heartbeat_s, False),
             ssl=links.client_tls,
         )
 
--- a/tests/core/distribution/follower.feature
+++ b/tests/core/distribution/follower.feature
@@ -79,6 +79,12 @@
     Then the cut distribution entry served its old revision and told its age
     And the distribution network has it in force everywhere within 13 s
 
+  Scenario: a process is stopped for minutes and goes on
+    Given a distribution network of 2 entries that loses 0 %
+    And distribution by push, pull and piggyback
+    When distribution entry 1 is stopped for 300 s and cut off when it goes on
+    Then it does not take what lay in its buffers for fresh
+
   Scenario: one-way cuts
     Given a distribution network of 6 entries that loses 0 %
     And distribution by push, pull and piggyback
@@ -103,6 +109,11 @@
     When it is answered with a spoilt difference, then with another value
     Then it reported both, kept its value and asked for the whole one
 
+  Scenario: an answer with a lower revision
+    Given a distribution follower at revision 1
+    When it is answered with distribution revisions 5 and 3
+    Then its distribution revision is still 5
+
   Scenario: random loss, cuts, restarts, freezes and changes
     When distribution runs randomly with its invariants checked
     Then no distribution invariant broke
--- a/tests/steps/core/distribution/follower_steps.py
+++ b/tests/steps/core/distribution/follower_steps.py
@@ -285,6 +285,34 @@
     assert context.asked_after.digest == b"", context.asked_after
 
 
+@when("distribution entry 1 is stopped for 300 s and cut off when it goes on")
+def _(context):
+    net = context.net
+    net.freeze("entry-1")
+    net.run(300)
+    net.isolate("entry-1")
+    net.thaw("entry-1")
+    net.run(2)
+
+
+@then("it does not take what lay in its buffers for fresh")
+def _(context):
+    age = context.net.entries["entry-1"].core.age_s(context.net.now)
+    assert age > 290, age
+
+
+@when("it is answered with distribution revisions 5 and 3")
+def _(context):
+    _take(context, _update(5))
+    _take(context, _update(3))
+
+
+@then("its distribution revision is still 5")
+def _(context):
+    assert context.core.revision == 5
+    assert context.core.value == fake_distribution.value_of(5)
+
+
 class Distribution(stateful.RuleBasedStateMachine):
     """Loss, cuts, restarts, freezes and changes in any order."""
 
