Ask for tokens and certificates, replaced without a stop

Cause: anyone who reached a port could edit the tables, announce servers or send datagrams.

Change: settings name files with shared keys (HMAC seal on gRPC messages and datagrams), tokens for operators and for announcements, a certificate for the HTTP side and mutual TLS between processes; a task reads changed files again, and a file that cannot be used leaves the last good one in force.

--- a/hyssopfold/announcements.py
+++ b/hyssopfold/announcements.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from hyssopfold import access
 from hyssopfold import documents
 from hyssopfold import errors
 from hyssopfold import http
@@ -56,12 +57,18 @@
 
 
 async def answer(
-    spread: gossip.Gossip, path: str, receive: http.Receive
+    spread: gossip.Gossip,
+    scope: http.Scope,
+    receive: http.Receive,
+    guard: access.Guard,
 ) -> http.Answer:
     """Take in a server's announcement and return its answer."""
+    refusal = guard.refuse(scope)
+    if refusal is not None:
+        return refusal
     body = await http.read_body(receive, max_bytes=16_384)
     try:
-        server = parse(path.removeprefix(PATH), body or b"")
+        server = parse(scope["path"].removeprefix(PATH), body or b"")
     except errors.InvalidDocumentError as exc:
         return http.error_answer(exc, 400)
     spread.announce(server)
--- a/hyssopfold/application.py
+++ b/hyssopfold/application.py
@@ -12,9 +12,11 @@
 import trio
 import trio_asyncio
 
+from hyssopfold import certificates
 from hyssopfold import http
 from hyssopfold import logs
 from hyssopfold import metrics
+from hyssopfold import security
 from hyssopfold import settings
 from hyssopfold import supervisor
 from hyssopfold.control import api
@@ -31,7 +33,6 @@
 from hyssopfold.entry import proxy
 from hyssopfold.entry import upstream
 from hyssopfold.storage import folder
-from hyssopfold.transport import auth
 from hyssopfold.transport import consensus_wire
 from hyssopfold.transport import gossip
 from hyssopfold.transport import poll_wire
@@ -68,14 +69,6 @@
     )
 
 
-def _links(
-    cfg: settings.ControlSettings | settings.EntrySettings,
-    rng: random.Random,
-) -> rpc.Links:
-    keyring = auth.load(cfg.peer_key_file, cfg.peer_key_required)
-    return rpc.Links(keyring, rng)
-
-
 async def run_control(cfg: settings.ControlSettings) -> None:
     """Run a control instance until it is told to stop."""
     logs.configure(cfg.name, cfg.log_level, cfg.log_decision_sample)
@@ -89,7 +82,8 @@
             cfg.round_timeout_s,
             cfg.edit_timeout_s,
         )
-        links = _links(cfg, rng)
+        shared = security.load(cfg, rng)
+        links = shared.links
         peers = {
             member.name: rpc.Client(member.rpc_address, links)
             for member in cfg.control
@@ -112,7 +106,9 @@
             lambda revision, _: spread.update_self(revision=revision)
         )
         meter = metrics.Metrics(cfg.name)
-        operators = api.Api(member, spread, meter)
+        operators = api.Api(
+            member, spread, meter, shared.operators, shared.announcers
+        )
         handlers: dict[rpc.Method, rpc.Handler] = {
             consensus_wire.DELIVER: member.deliver,
             poll_wire.POLL: publish.poll,
@@ -121,19 +117,23 @@
             ("member", member.run),
             ("gossip", spread.run),
             ("confirmations", confirmations.run),
+            ("reloading", shared.reloader.run),
             (
                 "rpc",
                 functools.partial(rpc.serve, cfg.rpc_address, handlers, links),
             ),
         ]
-        await _run_daemon(cfg, operators, children, rng, _stop_at_once)
+        await _run_daemon(
+            cfg, operators, children, rng, _stop_at_once, shared.tls
+        )
 
 
 async def run_entry(cfg: settings.EntrySettings) -> None:
     """Run an entry until it is told to stop and its requests are done."""
     logs.configure(cfg.name, cfg.log_level, cfg.log_decision_sample)
     rng = random.Random()
-    links = _links(cfg, rng)
+    shared = security.load(cfg, rng)
+    links = shared.links
     config = configuration.Configuration(
         cfg.name,
         [rpc.Client(member.rpc_address, links) for member in cfg.control],
@@ -166,6 +166,7 @@
         forward,
         place,
         meter,
+        shared.announcers,
     )
 
     async def become_ready() -> None:
@@ -188,6 +189,7 @@
         ("configuration", config.run),
         ("gossip", spread.run),
         ("state", become_ready),
+        ("reloading", shared.reloader.run),
     ]
     if cfg.rpc_address:
         handlers: dict[rpc.Method, rpc.Handler] = {
@@ -195,7 +197,7 @@
         }
         serve = functools.partial(rpc.serve, cfg.rpc_address, handlers, links)
         children.append(("rpc", serve))
-    await _run_daemon(cfg, app, children, rng, leave)
+    await _run_daemon(cfg, app, children, rng, leave, shared.tls)
     await servers.aclose()
 
 
@@ -209,6 +211,7 @@
     children: list[Child],
     rng: random.Random,
     leave: Callable[[], Awaitable[None]],
+    tls: certificates.Server | None,
 ) -> None:
     """Supervise the children and the HTTP server until told to stop."""
     stop = trio.Event()
@@ -217,7 +220,7 @@
             nursery.start_soon(supervisor.supervise, name, child, rng)
         nursery.start_soon(_wait_for_stop, leave, stop)
         serve = functools.partial(
-            http.serve, app, cfg.http_address, stop, cfg.stop_max_s
+            http.serve, app, cfg.http_address, stop, cfg.stop_max_s, tls
         )
         logger.info(logs.Event("started", http=cfg.http_address))
         await supervisor.supervise("http", serve, rng)
--- a/hyssopfold/control/api.py
+++ b/hyssopfold/control/api.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from hyssopfold import access
 from hyssopfold import announcements
 from hyssopfold import errors
 from hyssopfold import http
@@ -20,6 +21,9 @@
 
 logger = logging.getLogger(__name__)
 
+# What probes and scrapers read without a token.
+_OPEN = ("/hyssop/v1/healthz", "/hyssop/v1/readyz", "/metrics")
+
 
 class EditBody(TypedDict):
     """The JSON body of `PUT /hyssop/v1/tables`."""
@@ -36,6 +40,8 @@
         instance: The member behind this API.
         spread: Where announcements go.
         meter: Metrics of this process.
+        operators: Lets operators through.
+        announcers: Lets backend servers through.
     """
 
     def __init__(
@@ -43,7 +49,11 @@
         instance: control_instance.Instance,
         spread: gossip.Gossip,
         meter: metrics.Metrics,
+        operators: access.Guard,
+        announcers: access.Guard,
     ) -> None:
+        self._operators = operators
+        self._announcers = announcers
         self._instance = instance
         self._spread = spread
         self._meter = meter
@@ -65,7 +75,13 @@
     ) -> http.Answer:
         method, path = scope["method"], scope["path"]
         if method == "PUT" and path.startswith(announcements.PATH):
-            return await announcements.answer(self._spread, path, receive)
+            return await announcements.answer(
+                self._spread, scope, receive, self._announcers
+            )
+        if not path.startswith(_OPEN):
+            refusal = self._operators.refuse(scope)
+            if refusal is not None:
+                return refusal
         if path == "/hyssop/v1/tables" and method == "PUT":
             return await self._put_tables(scope, receive)
         if path == "/hyssop/v1/tables" and method == "GET":
--- a/hyssopfold/entry/app.py
+++ b/hyssopfold/entry/app.py
@@ -5,6 +5,7 @@
 
 import trio
 
+from hyssopfold import access
 from hyssopfold import announcements
 from hyssopfold import http
 from hyssopfold import metrics
@@ -29,6 +30,7 @@
         forward: Way of callers' requests.
         place: Counts of requests under way, for the metrics.
         meter: Metrics of this process.
+        announcers: Lets backend servers through.
     """
 
     def __init__(
@@ -40,7 +42,9 @@
         forward: proxy.Proxy,
         place: placement.Placement,
         meter: metrics.Metrics,
+        announcers: access.Guard,
     ) -> None:
+        self._announcers = announcers
         self._delays_ms = delays_ms
         self._lookup_ttl_s = lookup_ttl_s
         self._config = config
@@ -70,7 +74,9 @@
     ) -> http.Answer:
         method, path = scope["method"], scope["path"]
         if method == "PUT" and path.startswith(announcements.PATH):
-            return await announcements.answer(self._spread, path, receive)
+            return await announcements.answer(
+                self._spread, scope, receive, self._announcers
+            )
         match (method, path):
             case ("GET", "/hyssop/v1/lookup"):
                 return self._look_up(scope)
--- a/hyssopfold/http.py
+++ b/hyssopfold/http.py
@@ -3,6 +3,7 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 import errno
+import ssl
 from typing import Any
 from typing import NamedTuple
 
@@ -11,6 +12,7 @@
 import msgspec
 import trio
 
+from hyssopfold import certificates
 from hyssopfold import errors
 
 Scope = dict[str, Any]
@@ -113,11 +115,32 @@
             return
 
 
+class _Config(hypercorn.config.Config):
+    """Settings of hypercorn that take a TLS context of ours."""
+
+    def __init__(self, tls: certificates.Server | None) -> None:
+        super().__init__()
+        self._tls = tls
+
+    @property
+    def ssl_enabled(self) -> bool:
+        """Return whether connections are encrypted."""
+        return self._tls is not None
+
+    def create_ssl_context(self) -> ssl.SSLContext | None:
+        """Return the context whose certificate can be replaced."""
+        if self._tls is None:
+            return None
+        self._tls.context.set_alpn_protocols(self.alpn_protocols)
+        return self._tls.context
+
+
 async def serve(
     app: App,
     address: str,
     stop: trio.Event,
     grace_s: float,
+    tls: certificates.Server | None = None,
     task_status: trio.TaskStatus[Any] = trio.TASK_STATUS_IGNORED,
 ) -> None:
     """Serve `app` on `address` until `stop` is set.
@@ -127,16 +150,19 @@
         address: IP number and port.
         stop: Set to stop accepting and finish what is in flight.
         grace_s: Longest to wait for requests in flight.
+        tls: Certificate to show, or None for plain HTTP.
         task_status: Told once the address is bound.
 
     Raises:
         PortBusyError: when another process holds the address.
     """
-    cfg = hypercorn.config.Config()
+    cfg = _Config(tls)
     cfg.bind = [address]
     cfg.graceful_timeout = grace_s
     cfg.accesslog = None
     cfg.errorlog = None
+    # Over TLS too, HTTP/1.1 alone is spoken.
+    cfg.alpn_protocols = ["http/1.1"]
     cfg.include_server_header = False
     cfg.keep_alive_timeout = 75
     try:
--- a/hyssopfold/settings.py
+++ b/hyssopfold/settings.py
@@ -91,6 +91,45 @@
         help="file with the keys our processes share, one a line: the first"
         " seals, all open; read again when it changes",
     ),
+    documents.Field(
+        "announce_token_file",
+        documents.string(max_length=4096),
+        "",
+        help="file with the tokens of backend servers, one a line, each good;"
+        " read again when it changes; left out, anyone may announce",
+    ),
+    documents.Field(
+        "tls_certificate_file",
+        documents.string(max_length=4096),
+        "",
+        help="PEM certificate chain for http_address; read again when it"
+        " changes; left out, http_address speaks plain HTTP",
+    ),
+    documents.Field(
+        "tls_key_file",
+        documents.string(max_length=4096),
+        "",
+        help="PEM key of tls_certificate_file",
+    ),
+    documents.Field(
+        "peer_certificate_file",
+        documents.string(max_length=4096),
+        "",
+        help="PEM certificate for rpc connections between our processes, which"
+        " then use mutual TLS; its names must hold the IP numbers",
+    ),
+    documents.Field(
+        "peer_certificate_key_file",
+        documents.string(max_length=4096),
+        "",
+        help="PEM key of peer_certificate_file",
+    ),
+    documents.Field(
+        "peer_issuers_file",
+        documents.string(max_length=4096),
+        "",
+        help="PEM certificates of who may issue peers' certificates",
+    ),
     documents.Field(
         "peer_key_required",
         documents.boolean,
@@ -136,6 +175,13 @@
         "an IP number and port, IP:PORT",
         help="where other processes of ours connect",
     ),
+    documents.Field(
+        "operators_token_file",
+        documents.string(max_length=4096),
+        "",
+        help="file with the operators' tokens, one a line, each good; read"
+        " again when it changes; left out, anyone may edit the tables",
+    ),
     documents.Field(
         "data_folder",
         documents.string(max_length=4096),
@@ -173,10 +219,11 @@
     ),
     documents.Field(
         "poll_s",
-        _SECONDS,
-        2.0,
+        documents.number(float, 0.1, 60),
+        10.0,
         unit="s",
-        help="longest between two questions for a newer revision",
+        help="longest that a control instance holds a question for a newer"
+        " revision",
     ),
     documents.Field(
         "lookup_ttl_s",
@@ -209,8 +256,15 @@
     gossip_seeds: tuple[str, ...]
     lease_s: float
     peer_key_file: str
+    announce_token_file: str
+    tls_certificate_file: str
+    tls_key_file: str
+    peer_certificate_file: str
+    peer_certificate_key_file: str
+    peer_issuers_file: str
     peer_key_required: bool
     rpc_address: str
+    operators_token_file: str
     data_folder: str
     control: tuple[Member, ...]
     round_timeout_s: float
@@ -231,6 +285,12 @@
     gossip_seeds: tuple[str, ...]
     lease_s: float
     peer_key_file: str
+    announce_token_file: str
+    tls_certificate_file: str
+    tls_key_file: str
+    peer_certificate_file: str
+    peer_certificate_key_file: str
+    peer_issuers_file: str
     peer_key_required: bool
     control: tuple[Member, ...]
     rpc_address: str
