--- a/bench/distribution.py
+++ b/bench/distribution.py
@@ -18,7 +18,6 @@
 
 import click
 import trio
-import trio_asyncio
 
 from hyssopfold import state
 from hyssopfold import tables
@@ -199,7 +198,7 @@
 async def _measure(
     entries: int, seconds: float, changes: int, seed: int
 ) -> Cost:
-    async with trio_asyncio.open_loop(), trio.open_nursery() as nursery:
+    async with rpc.open_loop(), trio.open_nursery() as nursery:
         farm = _Farm(entries, seed)
         await farm.start(nursery)
         sent, received = farm.traffic()
--- a/hyssopfold/certificates.py
+++ b/hyssopfold/certificates.py
@@ -3,8 +3,11 @@
 from collections.abc import Callable
 from collections.abc import Sequence
 import ssl
+from typing import Any
 from typing import NamedTuple
 
+import trio
+
 from hyssopfold import errors
 
 
@@ -58,6 +61,59 @@
         _load(self.context, self.files)
 
 
+class Stream:
+    """A TLS connection with what serving needs of a plain one.
+
+    Args:
+        plain: The connection below.
+        context: What to show and to ask for.
+    """
+
+    def __init__(self, plain: trio.SocketStream, context: ssl.SSLContext):
+        self._plain = plain
+        self._tls = trio.SSLStream(
+            plain, context, server_side=True, https_compatible=True
+        )
+        self.socket = plain.socket
+
+    async def receive_some(self, max_bytes: int | None = None) -> bytes:
+        """Return some bytes, or none at the end."""
+        return bytes(await self._tls.receive_some(max_bytes))
+
+    async def send_all(self, data: bytes) -> None:
+        """Send `data`."""
+        await self._tls.send_all(data)
+
+    async def send_eof(self) -> None:
+        """Send no more; TLS has no such word, so TCP says it."""
+        await self._plain.send_eof()
+
+    async def aclose(self) -> None:
+        """Close the connection."""
+        await self._tls.aclose()
+
+
+class Listener(trio.abc.Listener[Any]):
+    """Accept TLS connections.
+
+    Args:
+        plain: What accepts the connections below.
+        server: The certificate to show.
+    """
+
+    def __init__(self, plain: trio.SocketListener, server: Server) -> None:
+        self._plain = plain
+        self._server = server
+
+    async def accept(self) -> Stream:
+        """Return the next connection; its handshake comes with its bytes."""
+        return Stream(await self._plain.accept(), self._server.context)
+
+    async def aclose(self) -> None:
+        """Accept no more."""
+        await self._plain.aclose()
+
+
 def _load(context: ssl.SSLContext, files: Files) -> None:
     # Tried on a context of its own first: loading a certificate whose key
     # does not fit leaves a context with half of the pair.
--- a/hyssopfold/transport/rpc.py
+++ b/hyssopfold/transport/rpc.py
@@ -1,7 +1,9 @@
 """Unary gRPC calls between our processes, with a deadline on every call."""
 
+from collections.abc import AsyncIterator
 from collections.abc import Awaitable
 from collections.abc import Callable
+import contextlib
 import errno
 import functools
 import logging
@@ -191,6 +193,31 @@
         server.close()
 
 
+@contextlib.asynccontextmanager
+async def open_loop() -> AsyncIterator[None]:
+    """Run an asyncio loop for grpclib, in which a stray error ends nothing.
+
+    grpclib runs callbacks for each connection in this loop. By default
+    trio-asyncio takes the whole process down when one of them fails, or when
+    a channel is collected unclosed: what one peer did to its connection would
+    end every caller's request.
+    """
+    async with trio_asyncio.open_loop() as loop:
+        loop.set_exception_handler(_log_stray_error)
+        yield
+
+
+def _log_stray_error(loop: Any, context: dict[str, Any]) -> None:
+    logger.error(
+        logs.Event(
+            "stray-asyncio-error",
+            message=context.get("message", ""),
+            error=repr(context.get("exception")),
+            remedy="report it with the lines before",
+        )
+    )
+
+
 class Links(NamedTuple):
     """What all connections of a process have in common."""
 
--- a/tests/steps/security_steps.py
+++ b/tests/steps/security_steps.py
@@ -14,7 +14,6 @@
 import hypothesis
 from hypothesis import strategies
 import trio
-import trio_asyncio
 
 from hyssopfold import access
 from hyssopfold import application
@@ -307,7 +306,7 @@
 
     async def main():
         context.outcomes = []
-        async with trio_asyncio.open_loop(), trio.open_nursery() as nursery:
+        async with rpc.open_loop(), trio.open_nursery() as nursery:
             with trio.fail_after(20):
                 await nursery.start(
                     rpc.serve,
--- a/tests/steps/transport/rpc_steps.py
+++ b/tests/steps/transport/rpc_steps.py
@@ -1,6 +1,8 @@
 """Steps of transport/rpc.feature."""
 
+import asyncio
 import contextlib
+import gc
 import logging
 import random
 import struct
@@ -12,7 +14,6 @@
 import h2.connection
 import msgspec
 import trio
-import trio_asyncio
 
 from hyssopfold import errors
 from hyssopfold.transport import auth
@@ -91,7 +92,7 @@
 
     @contextlib.asynccontextmanager
     async def running(self):
-        async with trio_asyncio.open_loop(), trio.open_nursery() as nursery:
+        async with rpc.open_loop(), trio.open_nursery() as nursery:
             with trio.fail_after(LIMIT_S):
                 await nursery.start(
                     rpc.serve, self.address, {PING: self.ping}, self.links
@@ -290,7 +291,7 @@
 @when("a link calls an address where no one listens, many times")
 def _(context):
     async def main():
-        async with trio_asyncio.open_loop():
+        async with rpc.open_loop():
             client = rpc.Client(loopback.free_address(), _links())
             outcomes = [await _outcome(client, Ping()) for _ in range(200)]
         context.outcomes = [str(one) for one in outcomes]
@@ -383,3 +384,26 @@
 def _(context):
     assert context.handled == 0, context.handled
     assert context.after == Pong(b""), context.after
+
+
+@when("a callback of the links' asyncio loop fails and a channel is dropped")
+def _(context):
+    async def main():
+        server = Server()
+        async with server.running():
+            await _outcome(rpc.Client(server.address, _links()), Ping())
+            gc.collect()
+            asyncio.get_running_loop().call_soon(lambda: 1 / 0)
+            await trio.sleep(0.05)
+            client = rpc.Client(server.address, _links())
+            context.after = await _outcome(client, Ping())
+
+    with _logged() as context.logged:
+        trio.run(main)
+
+
+@then("both link errors are logged and calls are answered")
+def _(context):
+    stray = [one for one in context.logged if "stray" in str(one)]
+    assert len(stray) == 2, context.logged
+    assert context.after == Pong(b""), context.after
--- a/tests/transport/rpc.feature
+++ b/tests/transport/rpc.feature
@@ -40,3 +40,7 @@
   Scenario: a peer without our key
     When a link is called with another key and without a key
     Then neither link call reached the handler
+
+  Scenario: an error inside the asyncio loop
+    When a callback of the links' asyncio loop fails and a channel is dropped
+    Then both link errors are logged and calls are answered
