--- /dev/null
+++ b/bench/queue_model.py
@@ -0,0 +1,179 @@
+"""Score placement policies in a small seeded queue model.
+
+`python -m bench.queue_model --seed N` prints a table; `--plot FILE` draws
+latency against load. It models queues, slots and message delays, no cluster.
+"""
+
+from collections.abc import Callable
+from collections.abc import Iterator
+import itertools
+import random
+from typing import NamedTuple
+
+import click
+
+from bench import queue_model_policies as policies
+
+LOADS = (0.50, 0.70, 0.85, 0.95)
+CASES = (
+    "steady", "server-lost", "entry-lost", "reports-frozen",
+    "reports-lie", "slow-server", "bursts",
+)  # fmt: skip
+MEAN_SERVICE_S = 0.05
+BURST_PERIOD_S = 2.0
+BURST_S = 0.4
+BURST_FACTOR = 2.0
+
+
+class Deployment(NamedTuple):
+    """Servers, slots of each and entries; `delay_s` between domains."""
+
+    name: str
+    servers: int
+    slots: int
+    entries: int
+    delay_s: float
+
+
+DEPLOYMENTS = (
+    Deployment("ledger", 12, 3, 10, 0.0005),
+    Deployment("catalogue", 20, 3, 10, 0.0005),
+    Deployment("inventario", 32, 6, 10, 0.0009),
+)
+
+
+class Score(NamedTuple):
+    """What one run gave; times are in ms, shares from 0 to 1."""
+
+    p50: float
+    p99: float
+    refused: float
+    failed: float
+    over_run: int
+    cross_domain: float
+    messages: float
+
+
+def arrivals(
+    deployment: Deployment, load: float, case: str, seed: int, until_s: float
+) -> Iterator[policies.Request]:
+    """Yield requests; every policy gets the same ones."""
+    rng = random.Random(seed)
+    rate = load * deployment.servers * deployment.slots / MEAN_SERVICE_S
+    quiet = 1 - (BURST_FACTOR - 1) * BURST_S / (BURST_PERIOD_S - BURST_S)
+    now = 0.0
+    for number in itertools.count():
+        factor = 1.0
+        if case == "bursts":
+            burst = now % BURST_PERIOD_S < BURST_S
+            factor = BURST_FACTOR if burst else quiet
+        now += rng.expovariate(rate * factor)
+        if now >= until_s:
+            return
+        entry = rng.randrange(deployment.entries)
+        service_s = rng.expovariate(1 / MEAN_SERVICE_S)
+        yield policies.Request(number, now, entry, service_s)
+
+
+def run(
+    deployment: Deployment,
+    policy: Callable[[policies.World], policies.Policy],
+    load: float,
+    case: str,
+    seed: int,
+    until_s: float,
+) -> Score:
+    """Return the score of one policy in one case."""
+    world = policies.World(deployment, case, random.Random(seed + 1), until_s)
+    chosen = policy(world)
+    world.play(chosen, arrivals(deployment, load, case, seed, until_s))
+    took = sorted(world.took)
+    served = max(1, len(took))
+    offered = max(1, served + world.refused + world.failed)
+    return Score(
+        took[int(0.50 * (served - 1))] * 1000 if took else 0.0,
+        took[int(0.99 * (served - 1))] * 1000 if took else 0.0,
+        world.refused / offered,
+        world.failed / offered,
+        world.over_run,
+        world.crossed / served,
+        world.messages / offered,
+    )
+
+
+def _plot(path: str, rows: list[tuple[str, str, float, str, Score]]) -> None:
+    # An extra that only this option needs.
+    from matplotlib import pyplot  # noqa: PLC0415
+
+    names = sorted({row[0] for row in rows})
+    figure, axes = pyplot.subplots(2, len(names), squeeze=False, sharex=True)
+    for column, name in enumerate(names):
+        for policy in policies.POLICIES:
+            chosen = [
+                row
+                for row in rows
+                if row[0] == name and row[1] == policy and row[3] == "steady"
+            ]
+            loads = [row[2] for row in chosen]
+            axes[0][column].plot(
+                loads, [r[4].p50 for r in chosen], label=policy
+            )
+            axes[1][column].plot(
+                loads, [r[4].p99 for r in chosen], label=policy
+            )
+        axes[0][column].set_title(name)
+        for line, kind in enumerate(("p50", "p99")):
+            axes[line][column].set_yscale("log")
+            axes[line][column].set_ylabel(f"{kind} ms")
+    axes[0][0].legend(fontsize=6)
+    figure.savefig(path)
+
+
+@click.command()
+@click.option("--seed", default=1, show_default=True)
+@click.option("--seconds", default=30.0, show_default=True)
+@click.option("--deployment", "only", default="all", show_default=True)
+@click.option("--case", "cases", multiple=True, type=click.Choice(CASES))
+@click.option("--load", "loads", multiple=True, type=float)
+@click.option("--policy", "names", multiple=True)
+@click.option("--plot", default="", help="write a plot of the steady case")
+def main(
+    seed: int,
+    seconds: float,
+    only: str,
+    cases: tuple[str, ...],
+    loads: tuple[float, ...],
+    names: tuple[str, ...],
+    plot: str,
+) -> None:
+    """Print a table of all policies, loads and cases."""
+    print(
+        "deployment  load  case            policy        p50ms   x    p99ms"
+        "    x  refused  failed  over-run  cross  msgs/req"
+    )
+    rows = []
+    for deployment in DEPLOYMENTS:
+        if only not in ("all", deployment.name):
+            continue
+        for case, load in itertools.product(cases or CASES, loads or LOADS):
+            bound = run(deployment, policies.Central, load, case, seed, seconds)
+            for name, policy in policies.POLICIES.items():
+                if names and name not in names:
+                    continue
+                score = run(deployment, policy, load, case, seed, seconds)
+                rows.append((deployment.name, name, load, case, score))
+                print(
+                    f"{deployment.name:11} {load:.2f}  {case:14}  {name:12}"
+                    f" {score.p50:6.1f} {score.p50 / bound.p50:4.2f}"
+                    f" {score.p99:7.1f} {score.p99 / bound.p99:5.2f}"
+                    f"  {score.refused:6.3f}  {score.failed:6.3f}"
+                    f"  {score.over_run:8d}  {score.cross_domain:5.2f}"
+                    f"  {score.messages:6.2f}",
+                    flush=True,
+                )
+    if plot:
+        _plot(plot, rows)
+
+
+if __name__ == "__main__":
+    main()
--- a/hyssopfold/core/balancing/messages.py
+++ b/hyssopfold/core/balancing/messages.py
@@ -1,4 +1,4 @@
-"""What is asked of placement, and what it answers."""
+"""What is asked of placement, what it answers, and what its parts exchange."""
 
 from typing import NamedTuple
 
@@ -32,10 +32,15 @@
 
 
 class Grant(NamedTuple):
-    """A slot of a server, held until it is released."""
+    """A slot of a server, held until it is released.
+
+    `key` and `number` name the slot between holder and grantor.
+    """
 
     server: membership.Server
     reason: str
+    key: "Key | None" = None
+    number: int = 0
 
 
 class Refused(NamedTuple):
@@ -54,3 +59,163 @@
 
     kind: str
     seconds: float
+
+
+class Key(NamedTuple):
+    """The slots that one grantor grants: those of a pool in a region."""
+
+    pool: str
+    region: str
+
+
+class Member(NamedTuple):
+    """One life of an entry or control instance."""
+
+    name: str
+    incarnation: int
+
+
+class Hold(NamedTuple):
+    """A slot in use: `number` is the holder's, growing from ask to ask."""
+
+    number: int
+    server_id: str
+    server_incarnation: int
+
+
+class Claim(NamedTuple):
+    """A candidate asks for the term, or the grantor renews it.
+
+    `version` 0 prepares a new term. From 1 on the claim sets or renews the
+    list of `members` that may hold slots; None stands for the list that the
+    voter has already accepted under this term and version.
+    """
+
+    key: Key
+    term: int
+    candidate: Member
+    round: int
+    version: int
+    members: tuple[Member, ...] | None
+
+
+class Vote(NamedTuple):
+    """A voter's answer, with the newest list of members that it accepted.
+
+    `holds` lists the slots that the voter uses, when it is an entry that
+    promised not to use older grants; None when it did not. `given_term` is
+    the highest term that it heard of and that control had given.
+    """
+
+    key: Key
+    term: int
+    voter: Member
+    round: int
+    granted: bool
+    promised: int
+    seen_term: int
+    seen_version: int
+    seen_members: tuple[Member, ...]
+    given_term: int
+    holds: tuple[Hold, ...] | None
+
+
+class Resign(NamedTuple):
+    """The grantor grants no more: another may take over at once."""
+
+    key: Key
+    term: int
+    candidate: Member
+
+
+class Beat(NamedTuple):
+    """The grantor tells that it is there, to entries that may ask it.
+
+    `alone` says that control has not given it the term.
+    """
+
+    key: Key
+    term: int
+    grantor: Member
+    alone: bool
+
+
+class Ask(NamedTuple):
+    """A holder wants a slot within `wait_s` seconds."""
+
+    key: Key
+    holder: Member
+    number: int
+    priority: int
+    wait_s: float
+    moved: bool
+    avoid: tuple[str, ...]
+    failure_domain: str
+
+
+class Granted(NamedTuple):
+    """A slot for the ask with this number."""
+
+    key: Key
+    term: int
+    number: int
+    server: membership.Server
+
+
+class Denied(NamedTuple):
+    """No slot for the ask with this number; it is forgotten."""
+
+    key: Key
+    number: int
+    reason: str
+    retry_after_s: float
+
+
+class Release(NamedTuple):
+    """A slot, or an ask that no one waits for any more, is given back."""
+
+    key: Key
+    holder: Member
+    number: int
+    done: Done
+
+
+class Sync(NamedTuple):
+    """All slots that a holder uses, among its asks up to number `high`.
+
+    What the grantor counts beyond these was released, and the release lost;
+    asks up to `high` that come later are late and must be ignored.
+    """
+
+    key: Key
+    holder: Member
+    high: int
+    holds: tuple[Hold, ...]
+    open_asks: tuple[int, ...]
+
+
+Message = Claim | Vote | Resign | Beat | Ask | Granted | Denied | Release | Sync
+
+
+class Send(NamedTuple):
+    """Effect: carry a message to an instance; it may be lost or doubled."""
+
+    to: str
+    message: Message
+
+
+class Answer(NamedTuple):
+    """Effect: answer the request that waits for the ask `number`."""
+
+    number: int
+    result: Grant | Refused
+
+
+class Decided(NamedTuple):
+    """Effect: log a decision of placement."""
+
+    event: str
+    fields: tuple[tuple[str, object], ...]
+
+
+Effect = Send | Answer | Decided
--- a/hyssopfold/core/membership/directory.py
+++ b/hyssopfold/core/membership/directory.py
@@ -45,6 +45,12 @@
         self._held[key] = _Held(word, now + self._lease_s)
         return True
 
+    def renew(self, key: str, now: float, lease_s: float) -> None:
+        """Let the word of `key` hold for at least `lease_s` more seconds."""
+        held = self._held.get(key)
+        if held is not None and held.expires < now + lease_s:
+            self._held[key] = held._replace(expires=now + lease_s)
+
     def expire(self, now: float) -> list[Word]:
         """Drop and return the words whose lease has ended."""
         ended = [key for key, held in self._held.items() if held.expires <= now]
@@ -68,13 +74,16 @@
     word: messages.Server | messages.Instance,
     held: messages.Server | messages.Instance,
 ) -> bool:
-    mine = (word.incarnation, word.sequence)
-    return mine > (held.incarnation, held.sequence)
+    # `gone` comes from the monitor, under the last number that it heard.
+    mine = (word.incarnation, word.sequence, word.state == "gone")
+    return mine > (held.incarnation, held.sequence, held.state == "gone")
 
 
 def _left(held: _Held[Word] | None, word: Word) -> bool:
     if held is None or held.word.state != "leaving":
         return False
+    if word.state == "gone":
+        return False
     return held.word.incarnation == word.incarnation
 
 
--- a/hyssopfold/core/membership/messages.py
+++ b/hyssopfold/core/membership/messages.py
@@ -3,7 +3,7 @@
 from typing import Literal
 from typing import NamedTuple
 
-State = Literal["ready", "leaving"]
+State = Literal["ready", "leaving", "gone"]
 InstanceState = Literal["starting", "ready", "leaving"]
 Role = Literal["control", "entry"]
 
@@ -12,7 +12,9 @@
     """A backend server's own word about itself.
 
     `load` is the number of requests it says it runs; `sequence` grows with
-    each announcement of an `incarnation`.
+    each announcement of an `incarnation`. `monitor` is the instance of ours
+    that hears the announcements and vouches for them to the others; it says
+    `gone` when they stop.
     """
 
     server_id: str
@@ -26,6 +28,7 @@
     incarnation: int
     sequence: int
     load: float
+    monitor: str = ""
 
 
 class Instance(NamedTuple):
@@ -45,9 +48,19 @@
 
 
 class Datagram(NamedTuple):
-    """What one process tells another; `revision` is the one in force."""
+    """What one process tells another; `revision` is the one in force.
+
+    `beats` are signs of life of instances, packed (see `beats`). `buckets`
+    are hashes of all that the sender knows, for comparison; empty in a reply.
+    `want` asks for everything, in datagrams numbered `part` out of `parts`.
+    """
 
     sender: str
     revision: int
     instances: tuple[Instance, ...]
     servers: tuple[Server, ...]
+    beats: bytes = b""
+    buckets: tuple[int, ...] = ()
+    want: bool = False
+    part: int = 0
+    parts: int = 0
--- a/hyssopfold/transport/datagram_wire.py
+++ b/hyssopfold/transport/datagram_wire.py
@@ -1,15 +1,39 @@
 """Datagrams between our processes, as they travel."""
 
+from typing import Any
+from typing import NamedTuple
+
 import msgspec
 
+from hyssopfold.core.balancing import messages as placement
 from hyssopfold.core.membership import messages
 
 MAX_BYTES = 1400
+_GOSSIP = 0
+_PLACEMENT = {
+    1: placement.Claim,
+    2: placement.Vote,
+    3: placement.Resign,
+    4: placement.Beat,
+    5: placement.Ask,
+    6: placement.Granted,
+    7: placement.Denied,
+    8: placement.Release,
+    9: placement.Sync,
+}
+_KINDS = {kind: number for number, kind in _PLACEMENT.items()}
+
+
+class Parcel(NamedTuple):
+    """A message of placement and the name of its sender."""
+
+    sender: str
+    message: placement.Message
 
 
 def encode(datagram: messages.Datagram) -> list[bytes]:
     """Return one or more datagrams, none above `MAX_BYTES`."""
-    data = msgspec.msgpack.encode(datagram)
+    data = bytes([_GOSSIP]) + msgspec.msgpack.encode(datagram)
     items = len(datagram.instances) + len(datagram.servers)
     if len(data) <= MAX_BYTES or items <= 1:
         return [data]
@@ -18,18 +42,37 @@
     first = datagram._replace(
         instances=datagram.instances[:half_instances],
         servers=datagram.servers[:half_servers],
+        parts=0,
     )
     second = datagram._replace(
         instances=datagram.instances[half_instances:],
         servers=datagram.servers[half_servers:],
+        beats=b"",
+        buckets=(),
+        want=False,
     )
     return encode(first) + encode(second)
 
 
-def decode(data: bytes) -> messages.Datagram:
-    """Return the datagram in `data`.
+def encode_placement(sender: str, message: placement.Message) -> bytes:
+    """Return a message of placement as one datagram."""
+    number = _KINDS[type(message)]
+    return bytes([number]) + msgspec.msgpack.encode((sender, message))
+
+
+def decode(data: bytes) -> messages.Datagram | Parcel:
+    """Return what is in `data`.
 
     Raises:
-        msgspec.DecodeError: on bytes that are no datagram.
+        msgspec.DecodeError: on bytes that are no datagram of ours.
     """
-    return msgspec.msgpack.decode(data, type=messages.Datagram)
+    if not data:
+        raise msgspec.DecodeError("empty datagram")
+    number, rest = data[0], data[1:]
+    if number == _GOSSIP:
+        return msgspec.msgpack.decode(rest, type=messages.Datagram)
+    kind: Any = _PLACEMENT.get(number)
+    if kind is None:
+        raise msgspec.DecodeError(f"unknown kind {number}")
+    sender, message = msgspec.msgpack.decode(rest, type=tuple[str, kind])
+    return Parcel(sender, message)
--- a/hyssopfold/transport/gossip.py
+++ b/hyssopfold/transport/gossip.py
@@ -90,7 +90,8 @@
                     logs.Event("bad-datagram", sender=sender, error=exc)
                 )
                 continue
-            self._take_in(datagram)
+            if isinstance(datagram, messages.Datagram):
+                self._take_in(datagram)
 
     def _take_in(self, datagram: messages.Datagram) -> None:
         now = trio.current_time()
