--- a/hyssopfold/application.py
+++ b/hyssopfold/application.py
@@ -15,23 +15,34 @@
 from hyssopfold import http
 from hyssopfold import logs
 from hyssopfold import metrics
+from hyssopfold import serving
 from hyssopfold import settings
 from hyssopfold import supervisor
 from hyssopfold.control import api
 from hyssopfold.control import instance as control_instance
-from hyssopfold.core.balancing import chooser
+from hyssopfold.control import slot_votes
+from hyssopfold.core.balancing import messages as balancing
+from hyssopfold.core.balancing import node
 from hyssopfold.core.consensus import node as consensus_node
+from hyssopfold.core.distribution import follower
+from hyssopfold.core.distribution import history
+from hyssopfold.core.draining import stop as core_stop
 from hyssopfold.core.membership import messages
 from hyssopfold.entry import app as entry_app
 from hyssopfold.entry import configuration
+from hyssopfold.entry import connections
+from hyssopfold.entry import leaving
 from hyssopfold.entry import pacing
 from hyssopfold.entry import placement
 from hyssopfold.entry import proxy
+from hyssopfold.entry import steering
 from hyssopfold.entry import upstream
 from hyssopfold.storage import folder
+from hyssopfold.transport import auth
 from hyssopfold.transport import consensus_wire
 from hyssopfold.transport import gossip
 from hyssopfold.transport import poll_wire
+from hyssopfold.transport import publisher
 from hyssopfold.transport import rpc
 
 logger = logging.getLogger(__name__)
@@ -60,15 +71,28 @@
         sequence=0,
         revision=0,
         load=0.0,
+        rpc_address=cfg.rpc_address,
     )
 
 
+def _member(word: messages.Instance) -> balancing.Member:
+    return balancing.Member(word.name, word.incarnation)
+
+
+def _links(
+    cfg: settings.ControlSettings | settings.EntrySettings,
+    rng: random.Random,
+) -> rpc.Links:
+    keyring = auth.load(cfg.peer_key_file, cfg.peer_key_required)
+    return rpc.Links(keyring, rng)
+
+
 async def run_control(cfg: settings.ControlSettings) -> None:
     """Run a control instance until it is told to stop."""
     logs.configure(cfg.name, cfg.log_level, cfg.log_decision_sample)
     rng = random.Random()
     with folder.DataFolder(cfg.data_folder) as data:
-        node = consensus_node.Node(
+        register = consensus_node.Node(
             cfg.name,
             [member.name for member in cfg.control],
             control_instance.load_durable(data),
@@ -76,25 +100,45 @@
             cfg.round_timeout_s,
             cfg.edit_timeout_s,
         )
+        links = _links(cfg, rng)
         peers = {
-            member.name: rpc.Client(member.rpc_address)
+            member.name: rpc.Client(member.rpc_address, links)
             for member in cfg.control
             if member.name != cfg.name
         }
-        member = control_instance.Instance(node, data, peers)
+        member = control_instance.Instance(register, data, peers)
+        confirmations = publisher.Confirmations(member.confirm)
+        publish = publisher.Publisher(
+            history.History(), confirmations.age_s, confirmations.confirm
+        )
+        publish.publish(member.register.revision, member.register.value)
+        member.listeners.append(publish.publish)
         spread = gossip.Gossip(
-            _myself(cfg, "control"), cfg.gossip_seeds, cfg.lease_s
+            _myself(cfg, "control"),
+            cfg.gossip_seeds,
+            cfg.lease_s,
+            links.keyring,
+            rng,
+        )
+        votes = slot_votes.SlotVotes(_member(spread.myself), data, spread)
+        member.listeners.append(
+            lambda revision, _: spread.update_self(revision=revision)
         )
         meter = metrics.Metrics(cfg.name)
         operators = api.Api(member, spread, meter)
         handlers: dict[rpc.Method, rpc.Handler] = {
             consensus_wire.DELIVER: member.deliver,
-            poll_wire.POLL: member.poll,
+            poll_wire.POLL: publish.poll,
         }
         children: list[Child] = [
             ("member", member.run),
             ("gossip", spread.run),
-            ("rpc", functools.partial(rpc.serve, cfg.rpc_address, handlers)),
+            ("slot-votes", votes.run),
+            ("confirmations", confirmations.run),
+            (
+                "rpc",
+                functools.partial(rpc.serve, cfg.rpc_address, handlers, links),
+            ),
         ]
         await _run_daemon(cfg, operators, children, rng, _stop_at_once)
 
@@ -103,21 +147,58 @@
     """Run an entry until it is told to stop and its requests are done."""
     logs.configure(cfg.name, cfg.log_level, cfg.log_decision_sample)
     rng = random.Random()
-    peers = [rpc.Client(member.rpc_address) for member in cfg.control]
-    config = configuration.Configuration(cfg.name, peers, cfg.poll_s, rng)
-    spread = gossip.Gossip(_myself(cfg, "entry"), cfg.gossip_seeds, cfg.lease_s)
-    place = placement.Placement(spread.directory, chooser.Chooser(rng))
-    servers = upstream.Upstream()
+    links = _links(cfg, rng)
+    config = configuration.Configuration(
+        cfg.name,
+        [rpc.Client(member.rpc_address, links) for member in cfg.control],
+        rpc.Clients(links),
+        rng,
+        timing=follower.Timing(hold_s=cfg.poll_s),
+    )
+    spread = gossip.Gossip(
+        _myself(cfg, "entry"),
+        cfg.gossip_seeds,
+        cfg.lease_s,
+        links.keyring,
+        rng,
+    )
+    spread.on_revision = config.hear
+    place = placement.Placement(
+        node.Node(
+            node.Config(
+                _member(spread.myself),
+                cfg.region,
+                cfg.failure_domain,
+                tuple(member.name for member in cfg.control),
+            ),
+            spread.directory,
+            rng,
+            trio.current_time(),
+        ),
+        spread,
+    )
+
+    def bound(server: messages.Server) -> int:
+        entries = len(spread.directory.ready_entries())
+        return max(1, server.connections // max(1, entries))
+
+    connected = connections.Pool(bound)
+    servers = upstream.Upstream(connected)
     meter = metrics.Metrics(cfg.name)
+    steer = steering.Steering(
+        cfg.region, cfg.region_delays_ms, config, spread.directory
+    )
     forward = proxy.Proxy(
-        cfg.region,
-        cfg.region_delays_ms,
         config,
-        spread.directory,
+        steer,
         place,
         pacing.Pacer(),
         servers,
         meter,
+        region=cfg.region,
+        known=spread.directory,
+        rng=rng,
+        max_body_bytes=cfg.max_body_bytes,
     )
     app = entry_app.App(
         dict(cfg.region_delays_ms),
@@ -130,27 +211,37 @@
     )
 
     async def become_ready() -> None:
-        while config.snapshot.revision == 0:
+        while config.snapshot.revision == 0 or not spread.ready:
             await trio.sleep(0.05)
         spread.update_self(state="ready")
         while True:
             revision = config.snapshot.revision
+            place.set_pools(config.snapshot.tables.pools)
             spread.update_self(revision=revision, load=float(forward.in_flight))
             await trio.sleep(0.1)
 
-    async def leave() -> None:
-        # Callers cache look-ups: those who hold an old answer are served
-        # until it has expired.
-        spread.update_self(state="leaving")
-        logger.info(logs.Event("leaving", wait_s=cfg.lookup_ttl_s))
-        await trio.sleep(cfg.lookup_ttl_s + gossip.PERIOD_S)
-
+    listener = serving.Listener(app, cfg.limits)
+    leave = leaving.Leave(
+        core_stop.Stop(cfg.lookup_ttl_s, gossip.PERIOD_S, cfg.stop_max_s),
+        listener,
+        spread,
+        place,
+    )
     children: list[Child] = [
         ("configuration", config.run),
         ("gossip", spread.run),
+        ("steering", steer.run),
+        ("placement", place.run),
         ("state", become_ready),
+        ("connections", connected.sweep),
     ]
-    await _run_daemon(cfg, app, children, rng, leave)
+    if cfg.rpc_address:
+        handlers: dict[rpc.Method, rpc.Handler] = {
+            poll_wire.POLL: config.publisher.poll
+        }
+        serve = functools.partial(rpc.serve, cfg.rpc_address, handlers, links)
+        children.append(("rpc", serve))
+    await _run_daemon(cfg, app, children, rng, leave.run, listener)
     await servers.aclose()
 
 
@@ -164,15 +255,17 @@
     children: list[Child],
     rng: random.Random,
     leave: Callable[[], Awaitable[None]],
+    listener: serving.Listener | None = None,
 ) -> None:
     """Supervise the children and the HTTP server until told to stop."""
     stop = trio.Event()
     async with trio_asyncio.open_loop(), trio.open_nursery() as nursery:
         for name, child in children:
             nursery.start_soon(supervisor.supervise, name, child, rng)
-        nursery.start_soon(_wait_for_stop, leave, stop)
+        listener = listener or serving.Listener(app, serving.Limits())
+        nursery.start_soon(_wait_for_stop, cfg, leave, listener, stop)
         serve = functools.partial(
-            http.serve, app, cfg.http_address, stop, cfg.stop_max_s
+            http.serve, app, cfg.http_address, stop, cfg.stop_max_s, listener
         )
         logger.info(logs.Event("started", http=cfg.http_address))
         await supervisor.supervise("http", serve, rng)
@@ -181,15 +274,29 @@
 
 
 async def _wait_for_stop(
-    leave: Callable[[], Awaitable[None]], stop: trio.Event
+    cfg: settings.ControlSettings | settings.EntrySettings,
+    leave: Callable[[], Awaitable[None]],
+    listener: serving.Listener,
+    stop: trio.Event,
 ) -> None:
+    async def leave_and_stop() -> None:
+        await leave()
+        stop.set()
+
     with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        async for number in signals:
-            name = signal.Signals(number).name
-            logger.info(logs.Event("stop-asked", signal=name))
-            await leave()
-            stop.set()
-            return
+        async with trio.open_nursery() as nursery:
+            asked = False
+            async for number in signals:
+                name = signal.Signals(number).name
+                if not asked:
+                    logger.info(logs.Event("stop-asked", signal=name))
+                    nursery.start_soon(leave_and_stop)
+                elif cfg.stop_second_signal == "cut":
+                    leaving.cut(listener, f"second {name}")
+                    stop.set()
+                else:
+                    logger.info(logs.Event("second-signal-ignored"))
+                asked = True
 
 
 def run(main: Callable[[Any], Awaitable[None]], cfg: Any) -> None:
--- a/hyssopfold/core/balancing/grantor.py
+++ b/hyssopfold/core/balancing/grantor.py
@@ -138,6 +138,7 @@
             server
             for server_id, server in self._servers.items()
             if self.ledger.used(server_id) < self._limits[server_id]
+            and server.failure_domain not in ask.closed_domains
         ]
         if not free:
             return None
--- a/hyssopfold/core/balancing/holder.py
+++ b/hyssopfold/core/balancing/holder.py
@@ -105,6 +105,7 @@
                 region.moved,
                 req.avoid,
                 self._failure_domain,
+                region.closed_domains,
             )
             resend_at = now + RESEND_S
             self._open[self._number] = _Open(
--- a/hyssopfold/core/membership/spread.py
+++ b/hyssopfold/core/membership/spread.py
@@ -115,9 +115,12 @@
 
     def update_self(self, now: float, **changes: Any) -> None:
         """Change this instance's word; it is spread when it differs."""
-        word = self.myself._replace(**changes)
-        quiet = word._replace(load=self.myself.load)
-        if quiet == self.myself:
+        before = self.myself
+        word = before._replace(**changes)
+        self.myself = word
+        # The revision goes along with every datagram, and the load of an
+        # entry is no ground for a decision elsewhere: neither is news.
+        if word._replace(load=before.load, revision=before.revision) == before:
             return
         self.myself = word._replace(sequence=word.sequence + 1)
         self._note_self(now)
@@ -154,13 +157,11 @@
     def _renew(self, server_id: str, now: float, lease_s: float) -> None:
         self.known.servers.renew(server_id, now, lease_s)
 
-    def _vouched(
-        self, held: messages.Server, server: messages.Server
-    ) -> bool:
+    def _vouched(self, held: messages.Server, server: messages.Server) -> bool:
         """Return whether the others know already what a server says."""
-        if held.monitor != self.myself.name:
-            if self.known.instances.get(held.monitor) is None:
-                return False
+        mine = held.monitor == self.myself.name
+        if not mine and self.known.instances.get(held.monitor) is None:
+            return False
         if held.state == "leaving" and held.incarnation == server.incarnation:
             return True
         same = held._replace(
@@ -338,9 +339,7 @@
         return tuple(found)
 
     def _datagram(self) -> messages.Datagram:
-        return messages.Datagram(
-            self.myself.name, self.myself.revision, (), ()
-        )
+        return messages.Datagram(self.myself.name, self.myself.revision, (), ())
 
     def _with_records(self, keys: Iterable[str]) -> messages.Datagram:
         instances = []
@@ -397,10 +396,10 @@
             return []
         # Many that fall silent here at once show that this instance is cut
         # off from them, rather than that all of them died: hold them.
-        if self._mostly_silent(server.region, now):
-            if now - at < CUT_OFF_HOLD_S:
-                self._renew(server.server_id, now, HANDOVER_S)
-                return []
+        held = now - at < CUT_OFF_HOLD_S
+        if held and self._mostly_silent(server.region, now):
+            self._renew(server.server_id, now, HANDOVER_S)
+            return []
         word = self._heard.get(server.server_id, server)
         word = word._replace(state="gone", monitor=self.myself.name)
         self.known.servers.update(server.server_id, word, now)
--- a/hyssopfold/transport/datagram_wire.py
+++ b/hyssopfold/transport/datagram_wire.py
@@ -7,8 +7,10 @@
 
 from hyssopfold.core.balancing import messages as placement
 from hyssopfold.core.membership import messages
+from hyssopfold.transport import auth
 
-MAX_BYTES = 1400
+# What fits into an Ethernet frame, less the seal.
+MAX_BYTES = 1400 - auth.OVERHEAD_BYTES
 _GOSSIP = 0
 _PLACEMENT = {
     1: placement.Claim,
--- a/tests/support/fake_entries.py
+++ b/tests/support/fake_entries.py
@@ -64,9 +64,7 @@
         self.lives = itertools.count(1)
         for name in self.control_names:
             self.start_control(name)
-        self.servers = {
-            f"s{n}": server(f"s{n}") for n in range(servers)
-        }
+        self.servers = {f"s{n}": server(f"s{n}") for n in range(servers)}
         self.entries = {}
         self.cut = set()
         self.loss = self.doubling = 0.0
