--- a/hyssopfold/core/membership/spread.py
+++ b/hyssopfold/core/membership/spread.py
@@ -187,7 +187,7 @@
 
     def _tell(self, key: str) -> None:
         size = len(list(self.known.instances.words()))
-        self._news[key] = 3 + math.ceil(math.log2(size + 1))
+        self._news[key] = 2 + math.ceil(math.log2(size + 1) / 2)
 
     def receive(
         self, datagram: messages.Datagram, now: float
@@ -195,15 +195,18 @@
         """Take in what another instance tells."""
         self.highest_revision = max(self.highest_revision, datagram.revision)
         effects: list[Send | Changed] = []
+        # What comes in answer to a question is known widely already.
+        is_news = bool(datagram.beats)
         for instance in datagram.instances:
             if not self._is_credible(instance, datagram.sender):
                 continue
             if self.known.instances.update(instance.name, instance, now):
-                self._tell(instance.name)
+                if is_news:
+                    self._tell(instance.name)
                 lease_s = self.instance_lease_s()
                 self.known.instances.renew(instance.name, now, lease_s)
         for server in datagram.servers:
-            effects += self._take_server(server, now)
+            effects += self._take_server(server, is_news, now)
         self._beats.learn(self.known)
         for name in self._beats.merge(datagram.beats, now):
             if name != self.myself.name:
@@ -212,7 +215,7 @@
         return effects + self._reply(datagram, now)
 
     def _take_server(
-        self, server: messages.Server, now: float
+        self, server: messages.Server, is_news: bool, now: float
     ) -> list[Send | Changed]:
         if server.state != "gone" and not self._is_monitored(server):
             return []
@@ -225,7 +228,8 @@
             return []
         if server.state == "gone":
             self._renew(server.server_id, now, GONE_S)
-        self._tell(server.server_id)
+        if is_news:
+            self._tell(server.server_id)
         changed = Changed(server.server_id, server.region, server.state)
         if server.state != "gone" or not self._hears(server, now):
             return [changed]
@@ -285,9 +289,10 @@
         ]
         if not differ:
             return []
-        bucket = self._rng.choice(differ)
-        keys = [key for key in self._keys() if _bucket(key) == bucket]
-        self._rng.shuffle(keys)
+        self._rng.shuffle(differ)
+        order = {bucket: place for place, bucket in enumerate(differ)}
+        keys = [key for key in self._keys() if _bucket(key) in order]
+        keys.sort(key=lambda key: order[_bucket(key)])
         chosen = keys[: MAX_NEWS * MAX_ANSWERS]
         return [
             Send(asker, self._with_records(chosen[at : at + MAX_NEWS]))
