--- a/hyssopfold/core/balancing/grantor.py
+++ b/hyssopfold/core/balancing/grantor.py
@@ -56,6 +56,8 @@
         self._capacity = 0
         self._limits: dict[str, int] = {}
         self._servers: dict[str, membership.Server] = {}
+        self._turns: dict[str, int] = {}
+        self._turn = 0
         self._headroom = 0.0
         self._warm_up_s = 0.0
 
@@ -118,6 +120,8 @@
         self, ask: messages.Ask, server: membership.Server, now: float
     ) -> list[messages.Effect]:
         self.ledger.grant(ask.holder, ask.number, server)
+        self._turn += 1
+        self._turns[server.server_id] = self._turn
         self._health.used(server.server_id, self._warm_up_s, now)
         granted = messages.Granted(self._key, self.term, ask.number, server)
         return [messages.Send(ask.holder.name, granted)]
@@ -151,14 +155,14 @@
 
     def _rank(
         self, server: membership.Server, ask: messages.Ask
-    ) -> tuple[bool, float, float, str]:
+    ) -> tuple[bool, float, int]:
         used = self.ledger.used(server.server_id)
-        # What a server reports only breaks ties.
+        # Its own count is exact, so what servers report is not used here.
+        # Among equals the one used longest ago: none goes cold unseen.
         return (
             server.failure_domain != ask.failure_domain,
             used / self._limits[server.server_id],
-            server.load,
-            server.server_id,
+            self._turns.get(server.server_id, 0),
         )
 
     def release(
