--- a/hyssopfold/application.py
+++ b/hyssopfold/application.py
@@ -21,7 +21,9 @@
 from hyssopfold import supervisor
 from hyssopfold.control import api
 from hyssopfold.control import instance as control_instance
-from hyssopfold.core.balancing import chooser
+from hyssopfold.control import slot_votes
+from hyssopfold.core.balancing import messages as balancing
+from hyssopfold.core.balancing import node
 from hyssopfold.core.consensus import messages as consensus_messages
 from hyssopfold.core.consensus import node as consensus_node
 from hyssopfold.core.distribution import follower
@@ -75,6 +77,10 @@
     )
 
 
+def _member(word: messages.Instance) -> balancing.Member:
+    return balancing.Member(word.name, word.incarnation)
+
+
 async def run_control(cfg: settings.ControlSettings) -> None:
     """Run a control instance until it is told to stop."""
     logs.configure(cfg.name, cfg.log_level, cfg.log_decision_sample)
@@ -82,7 +88,7 @@
     with folder.DataFolder(cfg.data_folder) as data:
         kept = records.MemberRecords(data, cfg.name, rng.getrandbits)
         identity, durable = kept.open(cfg.rpc_address)
-        node = consensus_node.Node(
+        register = consensus_node.Node(
             identity,
             [consensus_messages.Endpoint(*member) for member in cfg.control],
             durable,
@@ -93,7 +99,7 @@
         shared = security.load(cfg, rng)
         links = shared.links
         member = control_instance.Instance(
-            node,
+            register,
             kept,
             functools.partial(rpc.Client, links=links),
             cfg.edit_timeout_s,
@@ -109,7 +115,9 @@
             cfg.gossip_seeds,
             cfg.lease_s,
             links.keyring,
+            rng,
         )
+        votes = slot_votes.SlotVotes(_member(spread.myself), data, spread)
         member.listeners.append(
             lambda revision, _: spread.update_self(revision=revision)
         )
@@ -124,6 +132,7 @@
         children: list[Child] = [
             ("member", member.run),
             ("gossip", spread.run),
+            ("slot-votes", votes.run),
             ("confirmations", confirmations.run),
             ("reloading", shared.reloader.run),
             (
@@ -150,10 +159,27 @@
         timing=follower.Timing(hold_s=cfg.poll_s),
     )
     spread = gossip.Gossip(
-        _myself(cfg, "entry"), cfg.gossip_seeds, cfg.lease_s, links.keyring
+        _myself(cfg, "entry"),
+        cfg.gossip_seeds,
+        cfg.lease_s,
+        links.keyring,
+        rng,
     )
     spread.on_revision = config.hear
-    place = placement.Placement(spread.directory, chooser.Chooser(rng))
+    place = placement.Placement(
+        node.Node(
+            node.Config(
+                _member(spread.myself),
+                cfg.region,
+                cfg.failure_domain,
+                tuple(member.name for member in cfg.control),
+            ),
+            spread.directory,
+            rng,
+            trio.current_time(),
+        ),
+        spread,
+    )
 
     def bound(server: messages.Server) -> int:
         entries = len(spread.directory.ready_entries())
@@ -189,11 +215,12 @@
     )
 
     async def become_ready() -> None:
-        while config.snapshot.revision == 0:
+        while config.snapshot.revision == 0 or not spread.ready:
             await trio.sleep(0.05)
         spread.update_self(state="ready")
         while True:
             revision = config.snapshot.revision
+            place.set_pools(config.snapshot.tables.pools)
             spread.update_self(revision=revision, load=float(forward.in_flight))
             await trio.sleep(0.1)
 
@@ -202,11 +229,13 @@
         core_stop.Stop(cfg.lookup_ttl_s, gossip.PERIOD_S, cfg.stop_max_s),
         listener,
         spread,
+        place,
     )
     children: list[Child] = [
         ("configuration", config.run),
         ("gossip", spread.run),
         ("steering", steer.run),
+        ("placement", place.run),
         ("state", become_ready),
         ("reloading", shared.reloader.run),
         ("connections", connected.sweep),
