--- a/hyssopfold/http.py
+++ b/hyssopfold/http.py
@@ -143,15 +143,7 @@
         PortBusyError: when another process holds the address.
     """
     listener = listener or serving.Listener(app, serving.Limits())
-    host, port = address.rsplit(":", 1)
-    try:
-        sockets = await trio.open_tcp_listeners(
-            int(port), host=host.strip("[]"), backlog=BACKLOG
-        )
-    except OSError as exc:
-        if exc.errno == errno.EADDRINUSE:
-            raise errors.PortBusyError(address) from exc
-        raise
+    sockets = await listen(address)
     open_listeners: list[trio.abc.Listener[Any]] = [*sockets]
     if tls is not None:
         open_listeners = [certificates.Listener(one, tls) for one in sockets]
@@ -173,6 +165,23 @@
         nursery.cancel_scope.cancel()
 
 
+async def listen(address: str) -> list[trio.SocketListener]:
+    """Return listeners on `address`, an IP number and port.
+
+    Raises:
+        PortBusyError: when another process holds the address.
+    """
+    host, port = address.rsplit(":", 1)
+    try:
+        return await trio.open_tcp_listeners(
+            int(port), host=host.strip("[]"), backlog=BACKLOG
+        )
+    except OSError as exc:
+        if exc.errno == errno.EADDRINUSE:
+            raise errors.PortBusyError(address) from exc
+        raise
+
+
 async def finish(listener: serving.Listener, grace_s: float) -> None:
     """Wait until no connection is open, for `grace_s` seconds at most."""
     listener.close_after_answers()
--- a/tests/steps/fuzz/inputs_steps.py
+++ b/tests/steps/fuzz/inputs_steps.py
@@ -96,7 +96,7 @@
 
 
 def _example_envelope():
-    message = consensus.Prepare(consensus.Ballot(3, "control-1"))
+    message = consensus.Prepare(consensus.Ballot(3, "control-1#a"), "c")
     return consensus_wire.seal("control-1", message)
 
 
