--- a/bench/distribution.py
+++ b/bench/distribution.py
@@ -233,12 +233,20 @@
 @click.option(
     "--part", type=click.Choice(["all", "force", "cost"]), default="all"
 )
-def main(seed: int, entries: int, runs: int, seconds: float, part: str) -> None:
+@click.option("--all-ways/--usual-ways", default=True, show_default=True)
+def main(
+    seed: int,
+    entries: int,
+    runs: int,
+    seconds: float,
+    part: str,
+    all_ways: bool,
+) -> None:
     """Print seconds until in force and what an entry costs."""
     if part != "cost":
         click.echo(f"seconds until in force at {entries} entries, {runs} runs")
         click.echo("ways | lost | median | p95 | worst | asks/s | bytes/s")
-        for ways in WAYS:
+        for ways in WAYS if all_ways else WAYS[-1:]:
             for loss in LOSSES:
                 got = in_force(seed, entries, ways, loss, runs)
                 click.echo(
--- a/hyssopfold/cmd/daemon.py
+++ b/hyssopfold/cmd/daemon.py
@@ -9,6 +9,7 @@
 import trio
 
 from hyssopfold import errors
+from hyssopfold import security
 
 
 def start(
@@ -20,10 +21,15 @@
     """Check the settings, then run the daemon; exit with what it came to."""
     try:
         cfg = load(path)
+        faults = security.faults(cfg)
+        if faults:
+            raise errors.InvalidDocumentError(faults)
     except errors.InvalidDocumentError as exc:
         for fault in exc.faults:
             click.echo(str(fault), err=True)
         sys.exit(exc.exit_status)
+    for danger in security.unprotected(cfg):
+        click.echo(f"unprotected: {danger}", err=True)
     if check:
         click.echo(f"{path}: settings are good")
         return
--- a/hyssopfold/documents.py
+++ b/hyssopfold/documents.py
@@ -42,6 +42,8 @@
     def __init__(self, source: str) -> None:
         self.source = source
         self.faults: list[errors.Fault] = []
+        # Line of each key that was read, by its path.
+        self.lines: dict[str, int] = {}
 
     def fault(self, node: yaml.Node | None, where: str, allowed: str) -> None:
         """Note that `node` at key path `where` should have been `allowed`."""
@@ -79,6 +81,7 @@
         for key_node, value_node in node.value:
             key = str(key_node.value)
             path = f"{where}.{key}" if where else key
+            self.lines.setdefault(path, key_node.start_mark.line + 1)
             if key not in known:
                 self.fault(key_node, path, f"one of {', '.join(known)}")
                 continue
--- a/hyssopfold/logs.py
+++ b/hyssopfold/logs.py
@@ -3,6 +3,7 @@
 import json
 import logging
 import re
+import time
 
 _PLAIN = re.compile(r"[A-Za-z0-9_./:@%+,\-]+\Z")
 
@@ -37,6 +38,9 @@
 class KeyValueFormatter(logging.Formatter):
     """Format each record as one line of key=value pairs."""
 
+    # The instances' lines are laid side by side: local times would not fit.
+    converter = staticmethod(time.gmtime)
+
     def __init__(self, instance: str) -> None:
         super().__init__()
         self._instance = quote(instance)
@@ -90,5 +94,5 @@
     root = logging.getLogger()
     root.handlers[:] = [handler]
     root.setLevel(level.upper())
-    for name in ("httpcore", "hypercorn", "hpack", "asyncio"):
+    for name in ("httpcore", "hypercorn", "hpack", "asyncio", "grpclib"):
         logging.getLogger(name).setLevel(logging.WARNING)
--- a/hyssopfold/settings.py
+++ b/hyssopfold/settings.py
@@ -9,6 +9,7 @@
 from hyssopfold import errors
 from hyssopfold import serving
 
+MIN_LEASE_S = 2.0
 _LEVELS = ("debug", "info", "warning", "error")
 _SECONDS = documents.number(float, 0.001, 86_400)
 
@@ -385,13 +386,14 @@
         InvalidDocumentError: listing every fault with file and line.
     """
     reader, values = _load(path, CONTROL_FIELDS)
-    names = [member.name for member in values["control"]]
-    if values["name"] not in names:
-        reader.fault_at(
-            1, "control", f"a list without {values['name']}", "this one too"
-        )
-    if len(set(names)) != len(names):
-        reader.fault_at(1, "control", "a name twice", "each member once")
+    _check_common(reader, values)
+    addresses = {one.name: one.rpc_address for one in values["control"]}
+    name, mine = values["name"], values["rpc_address"]
+    if name and name not in addresses:
+        _fault(reader, "control", f"a list without {name}", "this one too")
+    elif mine and addresses.get(name, mine) != mine:
+        allowed = f"{addresses[name]}, as under control"
+        _fault(reader, "rpc_address", mine, allowed)
     reader.raise_faults()
     return ControlSettings(**values)
 
@@ -403,13 +405,52 @@
         InvalidDocumentError: listing every fault with file and line.
     """
     reader, values = _load(path, ENTRY_FIELDS)
-    if not values["control"]:
-        reader.fault_at(1, "control", "an empty list", "one member or more")
+    _check_common(reader, values)
+    if "control" in reader.lines and not values["control"]:
+        _fault(reader, "control", "an empty list", "one member or more")
     reader.raise_faults()
     values["region_delays_ms"] = values["region_delays_ms"] or {}
     return EntrySettings(**values)
 
 
+def _fault(
+    reader: documents.Reader, where: str, value: str, allowed: str
+) -> None:
+    reader.fault_at(reader.lines.get(where, 1), where, value, allowed)
+
+
+_TOGETHER = (
+    ("tls_certificate_file", "tls_key_file"),
+    (
+        "peer_certificate_file",
+        "peer_certificate_key_file",
+        "peer_issuers_file",
+    ),
+)
+
+
+def _check_common(reader: documents.Reader, values: dict[str, Any]) -> None:
+    """Note faults between keys, for every daemon."""
+    names = [member.name for member in values["control"]]
+    addresses = [member.rpc_address for member in values["control"]]
+    for kind, held in (("name", names), ("rpc_address", addresses)):
+        for twice in sorted({one for one in held if held.count(one) > 1}):
+            value = f"{kind} {twice} twice"
+            _fault(reader, "control", value, "each member once")
+    if values["http_address"] == values["rpc_address"] != "":
+        allowed = "an address other than http_address"
+        _fault(reader, "rpc_address", values["rpc_address"], allowed)
+    for keys in _TOGETHER:
+        if any(values[key] for key in keys):
+            for key in keys:
+                if not values[key]:
+                    allowed = f"a file, as {' and '.join(keys)} go together"
+                    _fault(reader, key, "(missing)", allowed)
+    if values["lease_s"] < MIN_LEASE_S:
+        allowed = f"{MIN_LEASE_S:g} or more: a word comes each second"
+        _fault(reader, "lease_s", f"{values['lease_s']:g}", allowed)
+
+
 def _load(
     path: str, fields: tuple[documents.Field, ...]
 ) -> tuple[documents.Reader, dict[str, Any]]:
--- a/scripts/check_reference.py
+++ b/scripts/check_reference.py
@@ -1,4 +1,4 @@
-"""Write docs/operators/tables.md and errors.md from the declarations.
+"""Write the reference pages of docs/operators/ from the declarations.
 
 With `--write` the pages are written; without, they must be as they would be.
 """
@@ -11,6 +11,7 @@
 
 from hyssopfold import documents
 from hyssopfold import errors
+from hyssopfold import settings
 from hyssopfold import tables
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
@@ -31,6 +32,16 @@
 """
 
 
+_SETTINGS_HEAD = """# The settings
+
+Each daemon reads one YAML file, `--settings FILE`; `--check` reads it, prints every
+fault with its line and what is allowed, and ends with status 2 if there is one.
+Unknown keys are refused. Keys, tokens and certificates are named by file and are
+read again when the file changes; all else needs a restart. In a file of keys or
+tokens each line is one; a line that begins with `#` is a comment.
+"""
+
+
 def _field_rows(fields: Sequence[documents.Field]) -> list[str]:
     lines = ["| key | default | unit | meaning |", "| --- | --- | --- | --- |"]
     for field in fields:
@@ -62,6 +73,19 @@
     return "\n".join(parts)
 
 
+def settings_page() -> str:
+    """Return the reference of the settings."""
+    control, entry = settings.CONTROL_FIELDS, settings.ENTRY_FIELDS
+    shared = [field for field in control if field in entry]
+    parts = [_SETTINGS_HEAD, "## Of every daemon\n"]
+    parts += ["\n".join(_field_rows(shared)) + "\n"]
+    for title, fields in (("hyssop-control", control), ("hyssop-entry", entry)):
+        own = [field for field in fields if field not in shared]
+        parts += [f"## Of {title} alone\n"]
+        parts += ["\n".join(_field_rows(own)) + "\n"]
+    return "\n".join(parts)
+
+
 def errors_page() -> str:
     """Return the list of errors."""
     kinds = [
@@ -82,6 +106,7 @@
     """Check or write the pages; return the exit status."""
     pages = {
         PAGES / "tables.md": tables_page(),
+        PAGES / "settings.md": settings_page(),
         PAGES / "errors.md": errors_page(),
     }
     stale = []
--- /dev/null
+++ b/tests/steps/logs_steps.py
@@ -0,0 +1,84 @@
+"""Steps of logs.feature."""
+
+import json
+import logging
+import re
+
+from behave import then
+from behave import when
+import hypothesis
+from hypothesis import strategies
+
+from hyssopfold import logs
+
+_FIELD = re.compile(r'(\w+)=("(?:[^"\\]|\\.)*"|[^" ]*)(?: |\Z)')
+
+
+def _read(line):
+    """Read a line as operators' tools do; return its fields in order."""
+    fields, place = [], 0
+    while place < len(line):
+        match = _FIELD.match(line, place)
+        assert match, line[place:]
+        value = match.group(2)
+        if value.startswith('"'):
+            value = json.loads(value)
+        fields.append((match.group(1), value))
+        place = match.end()
+    return fields
+
+
+def _line(event):
+    record = logging.LogRecord("x", logging.INFO, "", 0, event, None, None)
+    return logs.KeyValueFormatter("entry-1").format(record)
+
+
+@when("log events with random values are written")
+def _(context):
+    context.checked = 0
+    text = strategies.one_of(
+        strategies.text(),
+        strategies.sampled_from(["a\nlevel=error", 'x" event="y', "", "\\"]),
+    )
+
+    @hypothesis.given(text, text)
+    @hypothesis.settings(max_examples=500)
+    def check(path, header):
+        line = _line(logs.Event("served", path=path, header=header))
+        assert line.isascii() and line.isprintable(), line
+        fields = _read(line)
+        names = [name for name, _ in fields]
+        assert names == [
+            "time", "level", "instance", "logger", "event", "path", "header"
+        ], names  # fmt: skip
+        assert dict(fields)["path"] == path
+        assert dict(fields)["header"] == header
+        context.checked += 1
+
+    check()
+
+
+@then("each log line gives back exactly the values that were written")
+def _(context):
+    assert context.checked >= 500, context.checked
+
+
+@when("100 decision lines and 3 other lines are logged at one in 10")
+def _(context):
+    sampling = logs.SamplingFilter(10)
+    names = ["place-decision"] * 100 + ["started"] * 3
+    context.written = [
+        name
+        for name in names
+        if sampling.filter(
+            logging.LogRecord(
+                "x", logging.INFO, "", 0, logs.Event(name), None, None
+            )
+        )
+    ]
+
+
+@then("10 decision lines and 3 other lines were written")
+def _(context):
+    assert context.written.count("place-decision") == 10
+    assert context.written.count("started") == 3
