--- a/bench/distribution.py
+++ b/bench/distribution.py
@@ -233,6 +233,14 @@
 @click.option(
     "--part", type=click.Choice(["all", "force", "cost"]), default="all"
 )
+@click.option(
+    "--farm",
+    multiple=True,
+    type=int,
+    default=(4, 12, 50, 200),
+    show_default=True,
+    help="Entries on real connections; may be given several times.",
+)
 @click.option("--all-ways/--usual-ways", default=True, show_default=True)
 def main(
     seed: int,
@@ -241,6 +249,7 @@
     seconds: float,
     part: str,
     all_ways: bool,
+    farm: tuple[int, ...],
 ) -> None:
     """Print seconds until in force and what an entry costs."""
     if part != "cost":
@@ -257,7 +266,7 @@
     if part != "force":
         click.echo(f"one entry, both ends, over {seconds:g} s")
         click.echo("entries | changes | CPU % | sent B/s | received B/s")
-        for count in (4, 12, 50, 200):
+        for count in farm:
             for changes in (0, 10):
                 each = cost(count, seconds, changes, seed)
                 click.echo(
--- a/tests/steps/transport/rpc_steps.py
+++ b/tests/steps/transport/rpc_steps.py
@@ -172,6 +172,33 @@
     assert context.accepted == 1, context.accepted
 
 
+@when("a link call times out with no other answer since, beside a held one")
+def _(context):
+    async def main():
+        server = Server()
+        context.held = []
+
+        async def hold(client):
+            context.held.append(await _outcome(client, Ping(0.8)))
+
+        async with server.running():
+            client = rpc.Client(server.relay.address, _links())
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(hold, client)
+                await _outcome(client, Ping(5.0), 0.2)
+                context.next = await _outcome(client, Ping())
+            context.accepted = server.relay.accepted
+
+    trio.run(main)
+
+
+@then("the held link call is answered and the next call has a new connection")
+def _(context):
+    assert context.held == [Pong(b"")], context.held
+    assert context.next == Pong(b""), context.next
+    assert context.accepted == 2, context.accepted
+
+
 async def _is_closed(stream):
     with trio.move_on_after(LIMIT_S):
         try:
--- a/tests/transport/rpc.feature
+++ b/tests/transport/rpc.feature
@@ -12,6 +12,10 @@
     When a link call times out while others are answered
     Then all other link calls were answered over one connection
 
+  Scenario: a connection that was given up still brings what it owes
+    When a link call times out with no other answer since, beside a held one
+    Then the held link call is answered and the next call has a new connection
+
   Scenario: garbage, oversized and malformed messages
     When a link server gets garbage, an oversized and a malformed message
     Then each sender was dropped and logged and others are served on
