Hold idempotency keys by claims at two entries of the region

Cause: a caller whose answer was lost sends its payment again, through the same entry or the next one of its look-up; nothing of ours knew the key, and the payment ran twice (the first scenario of tests/entry/claims.feature).

Weighed: nothing (the server's matter), one holder a key, two holders, all regions' entries. Two of the region: its death is one fault, a call within a region costs about a millisecond, a call to another region 70 to 110 ms.

Change: core/attempts/claims decides, entry/claims asks over the peers' links; a planned stop hands claims over; unreachable holders refuse as not-run.

--- a/hyssopfold/application.py
+++ b/hyssopfold/application.py
@@ -20,6 +20,7 @@
 from hyssopfold import supervisor
 from hyssopfold.control import api
 from hyssopfold.control import instance as control_instance
+from hyssopfold.core.attempts import claims as core_claims
 from hyssopfold.core.balancing import chooser
 from hyssopfold.core.consensus import node as consensus_node
 from hyssopfold.core.distribution import follower
@@ -27,6 +28,7 @@
 from hyssopfold.core.draining import stop as core_stop
 from hyssopfold.core.membership import messages
 from hyssopfold.entry import app as entry_app
+from hyssopfold.entry import claims
 from hyssopfold.entry import configuration
 from hyssopfold.entry import connections
 from hyssopfold.entry import leaving
@@ -162,6 +164,12 @@
     steer = steering.Steering(
         cfg.region, cfg.region_delays_ms, config, spread.directory
     )
+    claimed = claims.Claims(
+        lambda: spread.myself,
+        spread.directory,
+        rpc.Clients(links),
+        core_claims.Table(),
+    )
     forward = proxy.Proxy(
         config,
         steer,
@@ -169,8 +177,8 @@
         pacing.Pacer(),
         servers,
         meter,
-        region=cfg.region,
-        known=spread.directory,
+        claimed=claimed,
+        here=proxy.Here(cfg.region, spread.directory),
         rng=rng,
         max_body_bytes=cfg.max_body_bytes,
     )
@@ -198,6 +206,7 @@
         core_stop.Stop(cfg.lookup_ttl_s, gossip.PERIOD_S, cfg.stop_max_s),
         listener,
         spread,
+        claimed.hand_over,
     )
     children: list[Child] = [
         ("configuration", config.run),
@@ -205,10 +214,12 @@
         ("steering", steer.run),
         ("state", become_ready),
         ("connections", connected.sweep),
+        ("claims", claimed.run),
     ]
     if cfg.rpc_address:
         handlers: dict[rpc.Method, rpc.Handler] = {
-            poll_wire.POLL: config.publisher.poll
+            poll_wire.POLL: config.publisher.poll,
+            **claimed.handlers(),
         }
         serve = functools.partial(rpc.serve, cfg.rpc_address, handlers, links)
         children.append(("rpc", serve))
--- a/hyssopfold/core/attempts/attempt.py
+++ b/hyssopfold/core/attempts/attempt.py
@@ -61,9 +61,7 @@
     @property
     def outcome(self) -> messages.Outcome:
         """Return what is certain if no whole answer comes."""
-        live = self.phase in (Phase.SENDING, Phase.RELAYING)
-        open_now = live and self.last_sent is _SENT.MAYBE_SENT
-        if self.maybe_ran or open_now:
+        if self.maybe_ran or self.last_sent is _SENT.MAYBE_SENT:
             return messages.Outcome.UNKNOWN
         return messages.Outcome.NOT_RUN
 
--- a/hyssopfold/entry/exchange.py
+++ b/hyssopfold/entry/exchange.py
@@ -74,7 +74,8 @@
         self.request_id = uuid.uuid4().hex
         self.method: str = scope["method"]
         self.headers: http.Headers = scope["headers"]
-        self.outcome = "answered"
+        self.outcome = "unknown"
+        self.status = 0
         self._by_name = dict(reversed(self.headers))
         self.dropped = False
         self._kept: list[bytes] = []
--- a/hyssopfold/entry/leaving.py
+++ b/hyssopfold/entry/leaving.py
@@ -1,5 +1,7 @@
 """An entry's planned stop, carried out step by step."""
 
+from collections.abc import Awaitable
+from collections.abc import Callable
 import logging
 
 import trio
@@ -23,6 +25,7 @@
         steps: Decides when each step is due.
         listener: Connections of callers.
         spread: Tells the other entries.
+        hand_over: Gives what is held here for others to them.
     """
 
     def __init__(
@@ -30,10 +33,12 @@
         steps: stop.Stop,
         listener: serving.Listener,
         spread: gossip.Gossip,
+        hand_over: Callable[[], Awaitable[None]],
     ) -> None:
         self._steps = steps
         self._listener = listener
         self._spread = spread
+        self._hand_over = hand_over
 
     async def run(self) -> None:
         """Return when nothing is in flight any more, or time is up."""
@@ -42,9 +47,14 @@
         self._spread.update_self(state="leaving")
         self._listener.close_after_answers()
         logger.info(logs.Event("leaving", requests=self._listener.requests))
+        handed_over = False
         while self._steps.phase is not stop.Phase.DONE:
             await trio.sleep(PERIOD_S)
             self._tick(trio.current_time())
+            if self._steps.phase is stop.Phase.DRAINING and not handed_over:
+                # No other entry asks this one any more.
+                handed_over = True
+                await self._hand_over()
         took = trio.current_time() - began
         logger.info(logs.Event("left", after_s=took, cut=self._steps.cut))
 
--- a/hyssopfold/entry/proxy.py
+++ b/hyssopfold/entry/proxy.py
@@ -3,6 +3,7 @@
 from collections.abc import AsyncIterator
 import logging
 import random
+from typing import NamedTuple
 
 import httpcore
 import trio
@@ -18,6 +19,7 @@
 from hyssopfold.core.balancing import messages
 from hyssopfold.core.membership import directory
 from hyssopfold.core.membership import messages as membership
+from hyssopfold.entry import claims
 from hyssopfold.entry import configuration
 from hyssopfold.entry import exchange as exchange_module
 from hyssopfold.entry import pacing
@@ -33,6 +35,13 @@
 _BODILESS = (204, 304)
 
 
+class Here(NamedTuple):
+    """The entry's region, and its directory of the servers."""
+
+    region: str
+    known: directory.Directory
+
+
 class Proxy:
     """Route requests to backend servers and relay their answers.
 
@@ -43,8 +52,8 @@
         pacer: Room on the links between regions.
         servers: Connections to the servers.
         meter: Metrics of this process.
-        region: Region of this entry.
-        known: Directory of the servers.
+        claimed: Claims on idempotency keys.
+        here: Where this entry is, and whom it knows.
         rng: Spreads the times at which refused callers come back.
         max_body_bytes: Largest body taken from a caller.
     """
@@ -58,13 +67,13 @@
         servers: upstream.Upstream,
         meter: metrics.Metrics,
         *,
-        region: str,
-        known: directory.Directory,
+        claimed: claims.Claims,
+        here: Here,
         rng: random.Random,
         max_body_bytes: int = exchange_module.MAX_BODY_BYTES,
     ) -> None:
-        self.region = region
-        self.directory = known
+        self.region = here.region
+        self.directory = here.known
         self.steering = steer
         self.placement = place
         self.pacer = pacer
@@ -74,6 +83,7 @@
         self._config = config
         self._meter = meter
         self._rng = rng
+        self._claims = claimed
         self._max_body_bytes = max_body_bytes
 
     async def serve(
@@ -97,7 +107,7 @@
             elif route is None or pool is None:
                 await self.refuse(exchange, _no_route())
             else:
-                await _Carrier(self, exchange, route, pool).run()
+                await self._serve_once(exchange, route, pool)
         finally:
             self.in_flight -= 1
             labels = {
@@ -108,6 +118,29 @@
             took = trio.current_time() - exchange.began
             self._meter.requests.observe(labels, took)
 
+    async def _serve_once(
+        self,
+        exchange: exchange_module.Exchange,
+        route: tables.Route,
+        pool: tables.Pool,
+    ) -> None:
+        """Serve a request, but not again under the same idempotency key."""
+        keyed = exchange.header(b"idempotency-key") is not None
+        if not keyed or route.is_repeatable(exchange.method):
+            await _Carrier(self, exchange, route, pool).run()
+            return
+        held = await self._claims.claim(exchange)
+        if isinstance(held, http.Refusal):
+            await self.refuse(exchange, held)
+            return
+        carrier = _Carrier(self, exchange, route, pool)
+        try:
+            await carrier.run()
+        finally:
+            self._claims.settle(
+                held, exchange.request_id, carrier.fate, exchange.status
+            )
+
     async def refuse(
         self, exchange: exchange_module.Exchange, refusal: http.Refusal
     ) -> None:
@@ -160,6 +193,13 @@
         self._told_dropped = False
         self._answering: upstream.Answering | None = None
 
+    @property
+    def fate(self) -> str:
+        """Return what is certain of the request, for its claim."""
+        if self._exchange.outcome == "answered":
+            return "answered"
+        return self._machine.outcome.value
+
     async def run(self) -> None:
         """Carry the request from its head to its end."""
         try:
@@ -308,6 +348,7 @@
             "status": answer.status,
             "headers": headers,
         }
+        self._exchange.status = answer.status
         await send(start)
         length = _length(answer)
         try:
--- a/tests/steps/entry/leaving_steps.py
+++ b/tests/steps/entry/leaving_steps.py
@@ -47,7 +47,12 @@
 def _run(context, step):
     async def main():
         path = datapath.DataPath(1)
-        leave = leaving.Leave(context.steps, path.listener, context.spread)
+        leave = leaving.Leave(
+            context.steps,
+            path.listener,
+            context.spread,
+            path.claims.hand_over,
+        )
         async with path.running(), trio.open_nursery() as nursery:
             context.answer = await step(path, leave, nursery)
             while context.steps.phase is not stop.Phase.DONE:
--- a/tests/support/datapath.py
+++ b/tests/support/datapath.py
@@ -8,15 +8,18 @@
 import httpcore
 import trio
 
+from hyssopfold import errors
 from hyssopfold import http
 from hyssopfold import metrics
 from hyssopfold import serving
 from hyssopfold import state
 from hyssopfold import tables
+from hyssopfold.core.attempts import claims as core_claims
 from hyssopfold.core.balancing import messages
 from hyssopfold.core.membership import directory
 from hyssopfold.core.membership import messages as membership
 from hyssopfold.core.steering import regions
+from hyssopfold.entry import claims
 from hyssopfold.entry import configuration
 from hyssopfold.entry import connections
 from hyssopfold.entry import pacing
@@ -83,6 +86,51 @@
         self.done.append(done.kind)
 
 
+class FakeEntries:
+    """Entries that hold each other's claims; calls stay in this process.
+
+    `down` are those that answer no call.
+    """
+
+    def __init__(self, names):
+        self.down = set()
+        self.known = directory.Directory(lease_s=1e9)
+        self.claims = {}
+        for name in names:
+            self.start(name, 1)
+
+    def start(self, name, incarnation, state="ready"):
+        """Start an entry, with nothing in its memory."""
+        word = membership.Instance(
+            name, "entry", f"{name}-http", f"{name}-gossip", "dar", "dar-1",
+            state, incarnation, 1, 1, 0.0, name,
+        )  # fmt: skip
+        self.known.instances.update(name, word, 0.0)
+        self.claims[name] = claims.Claims(
+            lambda: self.known.instances.get(name),
+            self.known,
+            self,
+            core_claims.Table(),
+        )
+
+    def to(self, address):
+        """Return a client to an entry."""
+        return _FakeClient(self, address)
+
+
+class _FakeClient:
+    def __init__(self, entries, name):
+        self._entries = entries
+        self._name = name
+
+    async def call(self, method, req, timeout_s):
+        await trio.lowlevel.checkpoint()
+        if self._name in self._entries.down:
+            raise errors.PeerUnavailableError(self._name, "down")
+        handlers = self._entries.claims[self._name].handlers()
+        return await handlers[method](req)
+
+
 class DataPath:
     """An entry and its stand-ins.
 
@@ -116,11 +164,12 @@
             servers.append(word)
         rng = random.Random(1)
         self.placement = FakePlacement(servers)
+        self.claims = FakeEntries(["entry-1"]).claims["entry-1"]
         self.pool = connections.Pool(lambda server: 40)
         self.proxy = proxy.Proxy(
             FakeConfiguration(), FakeSteering(), self.placement,
             pacer or pacing.Pacer(), upstream.Upstream(self.pool),
-            metrics.Metrics("test"), region="dar", known=known, rng=rng,
+            metrics.Metrics("test"), claimed=self.claims, here=proxy.Here("dar", known), rng=rng,
             max_body_bytes=max_body,
         )  # fmt: skip
         self.listener = serving.Listener(
@@ -145,6 +194,7 @@
             async with trio.open_nursery() as nursery:
                 for standin in self.standins:
                     nursery.start_soon(standin.serve, trio.Event())
+                nursery.start_soon(self.claims.run)
                 await nursery.start(self._serve)
                 try:
                     yield self
