--- a/spec/claims_spec.py
+++ b/spec/claims_spec.py
@@ -1,6 +1,6 @@
 """Claims on idempotency keys, checked exhaustively with variants that fail.
 
-Three entries rank for one key; a request and a resend of it ask the first two,
+Three entries rank for one key; a request and two resends of it ask the first two,
 each holder by itself and in any order. One fault may strike at any moment: a
 holder dies (and is back with nothing in its memory), or is cut off from one
 of the two requests. Run as a script.
@@ -12,7 +12,7 @@
 import minicheck
 
 RANKED = (0, 1, 2)
-REQUESTS = (0, 1)
+REQUESTS = (0, 1, 2)
 FREE = -1
 FIELDS = ("held", "up", "asks", "phases", "faults", "cut", "runs", "told")
 
@@ -26,12 +26,12 @@
 
     held: tuple[int, ...] = (FREE,) * 3
     up: tuple[bool, ...] = (True,) * 3
-    asks: tuple[tuple[str, ...], ...] = (("",) * 3,) * 2
-    phases: tuple[str, ...] = ("asking",) * 2
+    asks: tuple[tuple[str, ...], ...] = (("",) * 3,) * 3
+    phases: tuple[str, ...] = ("asking",) * 3
     faults: int = 0
     cut: tuple[int, int] = (FREE, FREE)
     runs: int = 0
-    told: tuple[str, ...] = ("",) * 2
+    told: tuple[str, ...] = ("",) * 3
 
 
 class Rules(NamedTuple):
