--- a/hyssopfold/standin/server.py
+++ b/hyssopfold/standin/server.py
@@ -56,7 +56,8 @@
 class Server:
     """Answer requests as a backend server would, and as a bad one.
 
-    `ledger` counts by request id what ran, `keys` by idempotency key,
+    `ledger` counts by request id what ran, `keys` by idempotency key, of which
+    `posted` came with what may run only once,
     `refused` what it said not to have run, `cancelled` what ran while its
     caller went away.
 
@@ -74,6 +75,7 @@
         self._rng = random.Random(options.seed)
         self.ledger: Counter[str] = Counter()
         self.keys: Counter[str] = Counter()
+        self.posted: set[str] = set()
         self.refused: Counter[str] = Counter()
         self.cancelled: Counter[str] = Counter()
         self.most_running = 0
@@ -185,6 +187,8 @@
         self.ledger[req.request_id] += 1
         if req.key:
             self.keys[req.key] += 1
+            if req.method == "POST":
+                self.posted.add(req.key)
         self._running += 1
         self.most_running = max(self.most_running, self._running)
         try:
--- a/tests/support/datapath.py
+++ b/tests/support/datapath.py
@@ -1,6 +1,7 @@
 """An entry's data path on loopback, over stand-ins and a fake placement."""
 
 import contextlib
+import os
 import random
 import socket
 from typing import NamedTuple
@@ -35,7 +36,7 @@
   - {name: all, pool: shop, deadline_ms: 800}
   - {name: upload, pool: shop, path_prefix: /upload, deadline_ms: 300}
 """
-WAIT_S = 30
+WAIT_S = float(os.environ.get("HYSSOP_SOAK_WAIT_S", "30"))
 
 
 class Answer(NamedTuple):
@@ -73,10 +74,14 @@
         self.servers = servers
         self.held = []
         self.done = []
+        self.rotate = False
+        self.left = set()
 
     async def acquire(self, req, pool):
+        if self.rotate:
+            self.servers.append(self.servers.pop(0))
         for server in self.servers:
-            if server.server_id not in req.avoid:
+            if server.server_id not in (*req.avoid, *self.left):
                 self.held.append(server.server_id)
                 return messages.Grant(server, "test")
         return messages.Refused("no-free-slot", 1.0)
@@ -131,52 +136,101 @@
         return await handlers[method](req)
 
 
+def make_standins(count, **options):
+    """Return stand-ins with their announcements, each in a domain of its own.
+
+    Args:
+        count: Number of them.
+        options: Fields of their options to replace.
+    """
+    made = []
+    for index in range(1, count + 1):
+        chosen = standin_server.Options(
+            server_id=f"s{index}",
+            pool="shop",
+            address=loopback.free_address(),
+            region="dar",
+            failure_domain=f"dar-{index}",
+            slots=3,
+            connections=330,
+            service_s=0.0,
+            announce_to=(),
+            seed=index,
+        )._replace(**options)
+        word = membership.Server(
+            chosen.server_id,
+            chosen.pool,
+            chosen.address,
+            chosen.region,
+            chosen.failure_domain,
+            chosen.slots,
+            chosen.connections,
+            "ready",
+            1,
+            1,
+            0.0,
+        )
+        made.append((standin_server.Server(chosen), word))
+    return made
+
+
 class DataPath:
     """An entry and its stand-ins.
 
     Args:
-        count: Number of stand-ins, each in a failure domain of its own.
+        count: Number of stand-ins.
         limits: What a caller may take.
+        pacer: Room on the links.
+        max_body: Largest body taken.
+        standins: Stand-ins run by someone else, in place of own ones.
+        entries: The entries that hold claims.
+        name: Name of this entry among them.
         options: Fields of the stand-ins' options to replace.
     """
 
     def __init__(
-        self, count=2, limits=None, pacer=None, max_body=1 << 40, **options
+        self,
+        count=2,
+        limits=None,
+        pacer=None,
+        max_body=1 << 40,
+        standins=None,
+        entries=None,
+        name="entry-1",
+        **options,
     ):
         self.address = loopback.free_address()
-        self.standins = []
+        made = standins or make_standins(count, **options)
+        self.standins = [standin for standin, _ in made]
+        self.owned = [] if standins else self.standins
         known = directory.Directory(lease_s=1e9)
-        servers = []
-        for index in range(1, count + 1):
-            name = f"s{index}"
-            chosen = standin_server.Options(
-                server_id=name, pool="shop", address=loopback.free_address(),
-                region="dar", failure_domain=f"dar-{index}", slots=3,
-                connections=330, service_s=0.0, announce_to=(),
-            )._replace(**options)  # fmt: skip
-            self.standins.append(standin_server.Server(chosen))
-            word = membership.Server(
-                name, "shop", chosen.address, chosen.region,
-                chosen.failure_domain, chosen.slots, chosen.connections,
-                "ready", 1, 1, 0.0,
-            )  # fmt: skip
-            known.servers.update(name, word, 0.0)
-            servers.append(word)
+        for _, word in made:
+            known.servers.update(word.server_id, word, 0.0)
         rng = random.Random(1)
-        self.placement = FakePlacement(servers)
-        self.claims = FakeEntries(["entry-1"]).claims["entry-1"]
+        self.placement = FakePlacement([word for _, word in made])
+        self.claims = (entries or FakeEntries([name])).claims[name]
         self.pool = connections.Pool(lambda server: 40)
         self.proxy = proxy.Proxy(
-            FakeConfiguration(), FakeSteering(), self.placement,
-            pacer or pacing.Pacer(), upstream.Upstream(self.pool),
-            metrics.Metrics("test"), claimed=self.claims, here=proxy.Here("dar", known), rng=rng,
+            FakeConfiguration(),
+            FakeSteering(),
+            self.placement,
+            pacer or pacing.Pacer(),
+            upstream.Upstream(self.pool),
+            metrics.Metrics("test"),
+            claimed=self.claims,
+            here=proxy.Here("dar", known),
+            rng=rng,
             max_body_bytes=max_body,
-        )  # fmt: skip
+        )
+        self.app = self.proxy.serve
         self.listener = serving.Listener(
-            self.proxy.serve, limits or serving.Limits()
+            self._call_app, limits or serving.Limits()
         )
         self.stop = trio.Event()
 
+    async def _call_app(self, scope, receive, send):
+        await self.app(scope, receive, send)
+
     @property
     def runs(self):
         """Return how often requests ran, over all stand-ins."""
@@ -192,7 +246,7 @@
         """Run all of it."""
         with trio.fail_after(WAIT_S):
             async with trio.open_nursery() as nursery:
-                for standin in self.standins:
+                for standin in self.owned:
                     nursery.start_soon(standin.serve, trio.Event())
                 nursery.start_soon(self.claims.run)
                 await nursery.start(self._serve)
