--- /dev/null
+++ b/bench/datapath/__init__.py
@@ -0,0 +1,1 @@
+"""What the data path costs: latency, processor time, memory, planned stops."""
