Read short answers whole before passing them on, in one write

Cause: a short answer that broke off reached the caller as cut, though it could be asked for again; and each answer left in three writes.

Change: answers with a length up to 64 KiB are read whole first, then head and body leave together. A cut one is retried where it may be.

The cut-length scenarios change: a short one is retried (GET) or unknown (POST), a long one (new fault cut-long) still reaches the caller as cut.

--- a/hyssopfold/entry/proxy.py
+++ b/hyssopfold/entry/proxy.py
@@ -2,6 +2,7 @@
 
 from collections.abc import AsyncIterator
 import logging
+import math
 import random
 from typing import NamedTuple
 
@@ -32,6 +33,7 @@
 # Bodies longer than this, or of unknown length, wait for room on a link
 # behind short ones.
 BULK_BYTES = 256 * 1024
+SHORT_ANSWER_BYTES = 64 * 1024
 _BODILESS = (204, 304)
 
 
@@ -191,6 +193,7 @@
         self._granted_at = 0.0
         self._answer_by = trio.CancelScope()
         self._told_dropped = False
+        self._short: bytes | None = None
         self._answering: upstream.Answering | None = None
 
     @property
@@ -301,6 +304,7 @@
                 self._answering = await self._proxy.upstream.send(
                     server, outgoing, effect.fresh, self._note_bytes_sent
                 )
+                await self._read_short()
         except upstream.LostError as exc:
             return events.Lost(str(exc))
         except exchange_module.BodyTooLargeError:
@@ -309,6 +313,23 @@
             return events.Lost("no answer in time")
         return _began(exchange, self._answering.answer)
 
+    async def _read_short(self) -> None:
+        """Read a short answer whole before its head is passed on.
+
+        One that is cut can then be asked for again at another server, in
+        place of being passed on as cut; and it leaves in one piece.
+        """
+        assert self._answering is not None
+        answer = self._answering.answer
+        # It has begun: from here on only a stall ends it.
+        self._answer_by.deadline = math.inf
+        self._short = None
+        length = _length(answer)
+        if length is None or length > SHORT_ANSWER_BYTES:
+            return
+        found = [part async for part in upstream.parts(answer)]
+        self._short = b"".join(found)
+
     def _note_bytes_sent(self) -> None:
         self._tell(events.BytesSent())
 
@@ -349,8 +370,15 @@
             "headers": headers,
         }
         self._exchange.status = answer.status
-        await send(start)
         length = _length(answer)
+        if self._short is not None:
+            await self._pace(server, self._short, length)
+            await self._end_attempt("answered")
+            await send(start)
+            await send({"type": "http.response.body", "body": self._short})
+            return events.AnswerEnded()
+        await send(start)
+        await send({"type": "http.response.body", "more_body": True})
         try:
             async for part in upstream.parts(answer):
                 await self._pace(server, part, length)
--- a/hyssopfold/serving.py
+++ b/hyssopfold/serving.py
@@ -222,6 +222,8 @@
         self._cut = False
         self.idle_since = trio.current_time()
         self.busy = False
+        self.holding = False
+        self._held = b""
 
     async def run(self) -> None:
         """Read requests and run the app until the connection ends."""
@@ -320,13 +322,25 @@
     async def _on_event(self, event: hypercorn.events.Event) -> None:
         match event:
             case hypercorn.events.RawData():
-                await self._write(event.data)
+                if self.holding:
+                    self._held += event.data
+                else:
+                    await self._write(event.data)
             case hypercorn.events.Closed():
+                await self.flush()
                 await self._close()
             case hypercorn.events.Updated():
+                await self.flush()
                 self.busy = not event.idle
                 self.idle_since = trio.current_time()
 
+    async def flush(self) -> None:
+        """Write what was held back to leave in one piece."""
+        self.holding = False
+        if self._held:
+            held, self._held = self._held, b""
+            await self._write(held)
+
     async def _write(self, data: bytes) -> None:
         async with self._send_lock:
             try:
@@ -445,6 +459,8 @@
     async def send(self, message: Any) -> None:
         if message["type"] == "http.response.start":
             self.started = True
+            # Head and body of a short answer are one write, not three.
+            self._conn.holding = True
             if not self._whole:
                 # The rest of the body won't be read: no more requests here.
                 message["headers"] = [
@@ -455,6 +471,8 @@
             self.finished = True
             self.discard_rest()
         await self._send(message)
+        if message.get("more_body", False):
+            await self._conn.flush()
 
     def discard_rest(self) -> None:
         """Keep the reader of the connection from waiting for the app.
--- a/hyssopfold/standin/wire.py
+++ b/hyssopfold/standin/wire.py
@@ -29,6 +29,7 @@
         "stray",
         "cut-head",
         "cut-length",
+        "cut-long",
         "cut-chunked",
         "cut-unframed",
         "unframed",
@@ -249,6 +250,9 @@
 _RAW: dict[str, Callable[[bytes, bytes], bytes]] = {
     "cut-head": lambda body, rid: _with_length(body, rid)[:25],
     "cut-length": lambda body, rid: _with_length(body, rid, more=10),
+    "cut-long": lambda body, rid: _with_length(
+        b"a" * 100_000, rid, more=100_000
+    ),
     "cut-chunked": _cut_chunked,
     "cut-unframed": lambda body, rid: _head(b"200 OK", rid) + body[:5],
     "unframed": lambda body, rid: _head(b"200 OK", rid) + body,
