--- a/hyssopfold/application.py
+++ b/hyssopfold/application.py
@@ -22,6 +22,7 @@
 from hyssopfold.control import instance as control_instance
 from hyssopfold.core.attempts import claims as core_claims
 from hyssopfold.core.balancing import chooser
+from hyssopfold.core.consensus import messages as consensus_messages
 from hyssopfold.core.consensus import node as consensus_node
 from hyssopfold.core.distribution import follower
 from hyssopfold.core.distribution import history
@@ -38,6 +39,7 @@
 from hyssopfold.entry import steering
 from hyssopfold.entry import upstream
 from hyssopfold.storage import folder
+from hyssopfold.storage import records
 from hyssopfold.transport import auth
 from hyssopfold.transport import consensus_wire
 from hyssopfold.transport import gossip
@@ -88,21 +90,23 @@
     logs.configure(cfg.name, cfg.log_level, cfg.log_decision_sample)
     rng = random.Random()
     with folder.DataFolder(cfg.data_folder) as data:
+        kept = records.MemberRecords(data, cfg.name, rng.getrandbits)
+        identity, durable = kept.open(cfg.rpc_address)
         node = consensus_node.Node(
-            cfg.name,
-            [member.name for member in cfg.control],
-            control_instance.load_durable(data),
+            identity,
+            [consensus_messages.Endpoint(*member) for member in cfg.control],
+            durable,
             rng,
             cfg.round_timeout_s,
             cfg.edit_timeout_s,
         )
         links = _links(cfg, rng)
-        peers = {
-            member.name: rpc.Client(member.rpc_address, links)
-            for member in cfg.control
-            if member.name != cfg.name
-        }
-        member = control_instance.Instance(node, data, peers)
+        member = control_instance.Instance(
+            node,
+            kept,
+            functools.partial(rpc.Client, links=links),
+            cfg.edit_timeout_s,
+        )
         confirmations = publisher.Confirmations(member.confirm)
         publish = publisher.Publisher(
             history.History(), confirmations.age_s, confirmations.confirm
