--- a/hyssopfold/standin/server.py
+++ b/hyssopfold/standin/server.py
@@ -31,9 +31,9 @@
     `cold_factor` times as long at first, falling to their own length over
     `warm_requests` requests. `faults` gives the share of requests that meet
     each fault of `wire.FAULTS`; a request can ask for one by the header
-    `standin-fault`. `idle_s` is when it closes an unused connection. What
-    ran is added to the file `ledger`, a line of JSON each, so that it can be
-    read when the stand-in is killed.
+    `standin-fault`. `idle_s` is when it closes an unused connection. `ledger`
+    names a file that gets a line of JSON for each run as it begins, so that a
+    server that is killed leaves its books behind.
     """
 
     server_id: str
@@ -183,7 +183,12 @@
     async def _run(
         self, conn: wire.Connection, req: wire.Request, fault: str
     ) -> None:
-        self._note_run(req)
+        self._write_down(req)
+        self.ledger[req.request_id] += 1
+        if req.key:
+            self.keys[req.key] += 1
+            if req.method == "POST":
+                self.posted.add(req.key)
         self._running += 1
         self.most_running = max(self.most_running, self._running)
         try:
@@ -195,16 +200,12 @@
             self._running -= 1
             self._served += 1
 
-    def _note_run(self, req: wire.Request) -> None:
-        self.ledger[req.request_id] += 1
-        if req.key:
-            self.keys[req.key] += 1
-            if req.method == "POST":
-                self.posted.add(req.key)
-        if self._options.ledger:
-            line = {"request": req.request_id, "key": req.key}
-            with open(self._options.ledger, "ab") as file:
-                file.write(msgspec.json.encode(line) + b"\n")
+    def _write_down(self, req: wire.Request) -> None:
+        if not self._options.ledger:
+            return
+        line = {"id": req.request_id, "key": req.key, "path": req.path}
+        with open(self._options.ledger, "ab") as file:
+            file.write(msgspec.json.encode(line) + b"\n")
 
     def _service_s(self, fault: str) -> float:
         options = self._options
