--- a/hyssopfold/entry/connections.py
+++ b/hyssopfold/entry/connections.py
@@ -97,7 +97,10 @@
 
     def get_extra_info(self, info: str) -> Any:
         """Return `is_readable`, the one thing httpcore asks for."""
-        return self._sock.is_readable() if info == "is_readable" else None
+        if info != "is_readable":
+            return None
+        # A closed one counts as readable: it is not to be used again.
+        return self._sock.fileno() < 0 or self._sock.is_readable()
 
 
 class Connection:
--- a/hyssopfold/serving.py
+++ b/hyssopfold/serving.py
@@ -262,7 +262,10 @@
         """Return whether no byte of a request has come on it."""
         if self.busy or self._parser.trailing_data[0]:
             return False
-        return not self._stream.socket.is_readable()
+        sock = self._stream.socket
+        # One that has just ended is closed, but not yet out of the set; to
+        # ask its socket would fail, and end the listener with all others.
+        return sock.fileno() >= 0 and not sock.is_readable()
 
     async def _read(self) -> None:
         head_by = float("inf")
--- a/tests/serving.feature
+++ b/tests/serving.feature
@@ -64,6 +64,12 @@
     When one caller opens more connections than it may
     Then the wire closes those beyond the limit
 
+  Scenario: a connection that ends while idle ones are looked for
+    Under load the look for idle connections met one that had just been
+    closed, and failed: the listener ended, and every upload on it was cut.
+    When idle connections are looked for as one has just been closed
+    Then the wire still serves
+
   Scenario: an upload waits for its server
     The server reads nothing. What the caller sends must not pile up here.
     When an upload of 200 MB goes to a server that reads nothing
--- a/tests/steps/serving_steps.py
+++ b/tests/steps/serving_steps.py
@@ -223,6 +223,26 @@
     assert [data for data, _ in closed] == [b"", b""], closed
 
 
+@when("idle connections are looked for as one has just been closed")
+def _(context):
+    async def step(path):
+        stream = await path.connect()
+        while not path.listener.connections:
+            await trio.sleep(0.01)
+        (conn,) = path.listener._open
+        conn._stream.socket.close()
+        path.listener.close_idle(0.0, float("inf"))
+        await stream.aclose()
+        return await path.ask("GET", "/x")
+
+    _run(context, step)
+
+
+@then("the wire still serves")
+def _(context):
+    assert context.wire.status == 200, context.wire
+
+
 @when("an upload of {size:d} MB goes to a server that reads nothing")
 def _(context, size):
     async def step(path):
