--- a/hyssopfold/application.py
+++ b/hyssopfold/application.py
@@ -22,6 +22,7 @@
 from hyssopfold.control import api
 from hyssopfold.control import instance as control_instance
 from hyssopfold.control import slot_votes
+from hyssopfold.core.attempts import claims as core_claims
 from hyssopfold.core.balancing import messages as balancing
 from hyssopfold.core.balancing import node
 from hyssopfold.core.consensus import messages as consensus_messages
@@ -31,6 +32,7 @@
 from hyssopfold.core.draining import stop as core_stop
 from hyssopfold.core.membership import messages
 from hyssopfold.entry import app as entry_app
+from hyssopfold.entry import claims
 from hyssopfold.entry import configuration
 from hyssopfold.entry import connections
 from hyssopfold.entry import leaving
@@ -191,6 +193,12 @@
     steer = steering.Steering(
         cfg.region, cfg.region_delays_ms, config, spread.directory
     )
+    claimed = claims.Claims(
+        lambda: spread.myself,
+        spread.directory,
+        rpc.Clients(links),
+        core_claims.Table(),
+    )
     forward = proxy.Proxy(
         config,
         steer,
@@ -198,8 +206,8 @@
         pacing.Pacer(),
         servers,
         meter,
-        region=cfg.region,
-        known=spread.directory,
+        claimed=claimed,
+        here=proxy.Here(cfg.region, spread.directory),
         rng=rng,
         max_body_bytes=cfg.max_body_bytes,
     )
@@ -229,7 +237,8 @@
         core_stop.Stop(cfg.lookup_ttl_s, gossip.PERIOD_S, cfg.stop_max_s),
         listener,
         spread,
-        place,
+        place.leave,
+        claimed.hand_over,
     )
     children: list[Child] = [
         ("configuration", config.run),
@@ -239,10 +248,12 @@
         ("state", become_ready),
         ("reloading", shared.reloader.run),
         ("connections", connected.sweep),
+        ("claims", claimed.run),
     ]
     if cfg.rpc_address:
         handlers: dict[rpc.Method, rpc.Handler] = {
-            poll_wire.POLL: config.publisher.poll
+            poll_wire.POLL: config.publisher.poll,
+            **claimed.handlers(),
         }
         serve = functools.partial(rpc.serve, cfg.rpc_address, handlers, links)
         children.append(("rpc", serve))
