--- a/hyssopfold/application.py
+++ b/hyssopfold/application.py
@@ -15,19 +15,24 @@
 from hyssopfold import http
 from hyssopfold import logs
 from hyssopfold import metrics
+from hyssopfold import serving
 from hyssopfold import settings
 from hyssopfold import supervisor
 from hyssopfold.control import api
 from hyssopfold.control import instance as control_instance
 from hyssopfold.core.balancing import chooser
+from hyssopfold.core.consensus import messages as consensus_messages
 from hyssopfold.core.consensus import node as consensus_node
 from hyssopfold.core.distribution import follower
 from hyssopfold.core.distribution import history
+from hyssopfold.core.draining import stop as core_stop
 from hyssopfold.core.membership import messages
 from hyssopfold.entry import adoption
 from hyssopfold.entry import app as entry_app
 from hyssopfold.entry import blocks
 from hyssopfold.entry import configuration
+from hyssopfold.entry import connections
+from hyssopfold.entry import leaving
 from hyssopfold.entry import lookups
 from hyssopfold.entry import pacing
 from hyssopfold.entry import placement
@@ -36,6 +41,7 @@
 from hyssopfold.entry import steering
 from hyssopfold.entry import upstream
 from hyssopfold.storage import folder
+from hyssopfold.storage import records
 from hyssopfold.transport import auth
 from hyssopfold.transport import consensus_wire
 from hyssopfold.transport import gossip
@@ -86,21 +92,23 @@
     logs.configure(cfg.name, cfg.log_level, cfg.log_decision_sample)
     rng = random.Random()
     with folder.DataFolder(cfg.data_folder) as data:
+        kept = records.MemberRecords(data, cfg.name, rng.getrandbits)
+        identity, durable = kept.open(cfg.rpc_address)
         node = consensus_node.Node(
-            cfg.name,
-            [member.name for member in cfg.control],
-            control_instance.load_durable(data),
+            identity,
+            [consensus_messages.Endpoint(*member) for member in cfg.control],
+            durable,
             rng,
             cfg.round_timeout_s,
             cfg.edit_timeout_s,
         )
         links = _links(cfg, rng)
-        peers = {
-            member.name: rpc.Client(member.rpc_address, links)
-            for member in cfg.control
-            if member.name != cfg.name
-        }
-        member = control_instance.Instance(node, data, peers)
+        member = control_instance.Instance(
+            node,
+            kept,
+            functools.partial(rpc.Client, links=links),
+            cfg.edit_timeout_s,
+        )
         confirmations = publisher.Confirmations(member.confirm)
         publish = publisher.Publisher(
             history.History(), confirmations.age_s, confirmations.confirm
@@ -151,7 +159,13 @@
     )
     spread.on_revision = config.hear
     place = placement.Placement(spread.directory, chooser.Chooser(rng))
-    servers = upstream.Upstream()
+
+    def bound(server: messages.Server) -> int:
+        entries = len(spread.directory.ready_entries())
+        return max(1, server.connections // max(1, entries))
+
+    connected = connections.Pool(bound)
+    servers = upstream.Upstream(connected)
     meter = metrics.Metrics(cfg.name)
     clients = blocks.Blocks(cfg.client_blocks)
     steer = steering.Steering(
@@ -172,6 +186,10 @@
         pacing.Pacer(),
         servers,
         meter,
+        region=cfg.region,
+        known=spread.directory,
+        rng=rng,
+        max_body_bytes=cfg.max_body_bytes,
     )
     app = entry_app.App(
         look_up,
@@ -194,19 +212,23 @@
             spread.update_self(revision=revision, load=float(forward.in_flight))
             await trio.sleep(0.1)
 
-    async def leave() -> None:
-        # Callers cache look-ups: those who hold an old answer are served
-        # until it has expired.
-        spread.update_self(state="leaving")
-        logger.info(logs.Event("leaving", wait_s=cfg.lookup_ttl_s))
-        await trio.sleep(cfg.lookup_ttl_s + gossip.PERIOD_S + lookups.MAX_AGE_S)
-
+    listener = serving.Listener(app, cfg.limits)
+    leave = leaving.Leave(
+        core_stop.Stop(
+            cfg.lookup_ttl_s,
+            gossip.PERIOD_S + lookups.MAX_AGE_S,
+            cfg.stop_max_s,
+        ),
+        listener,
+        spread,
+    )
     children: list[Child] = [
         ("configuration", config.run),
         ("gossip", spread.run),
         ("steering", steer.run),
         ("client-blocks", clients.run),
         ("state", become_ready),
+        ("connections", connected.sweep),
     ]
     if cfg.rpc_address:
         handlers: dict[rpc.Method, rpc.Handler] = {
@@ -214,7 +236,7 @@
         }
         serve = functools.partial(rpc.serve, cfg.rpc_address, handlers, links)
         children.append(("rpc", serve))
-    await _run_daemon(cfg, app, children, rng, leave)
+    await _run_daemon(cfg, app, children, rng, leave.run, listener)
     await servers.aclose()
 
 
@@ -228,15 +250,17 @@
     children: list[Child],
     rng: random.Random,
     leave: Callable[[], Awaitable[None]],
+    listener: serving.Listener | None = None,
 ) -> None:
     """Supervise the children and the HTTP server until told to stop."""
     stop = trio.Event()
     async with trio_asyncio.open_loop(), trio.open_nursery() as nursery:
         for name, child in children:
             nursery.start_soon(supervisor.supervise, name, child, rng)
-        nursery.start_soon(_wait_for_stop, leave, stop)
+        listener = listener or serving.Listener(app, serving.Limits())
+        nursery.start_soon(_wait_for_stop, cfg, leave, listener, stop)
         serve = functools.partial(
-            http.serve, app, cfg.http_address, stop, cfg.stop_max_s
+            http.serve, app, cfg.http_address, stop, cfg.stop_max_s, listener
         )
         logger.info(logs.Event("started", http=cfg.http_address))
         await supervisor.supervise("http", serve, rng)
@@ -245,15 +269,29 @@
 
 
 async def _wait_for_stop(
-    leave: Callable[[], Awaitable[None]], stop: trio.Event
+    cfg: settings.ControlSettings | settings.EntrySettings,
+    leave: Callable[[], Awaitable[None]],
+    listener: serving.Listener,
+    stop: trio.Event,
 ) -> None:
+    async def leave_and_stop() -> None:
+        await leave()
+        stop.set()
+
     with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        async for number in signals:
-            name = signal.Signals(number).name
-            logger.info(logs.Event("stop-asked", signal=name))
-            await leave()
-            stop.set()
-            return
+        async with trio.open_nursery() as nursery:
+            asked = False
+            async for number in signals:
+                name = signal.Signals(number).name
+                if not asked:
+                    logger.info(logs.Event("stop-asked", signal=name))
+                    nursery.start_soon(leave_and_stop)
+                elif cfg.stop_second_signal == "cut":
+                    leaving.cut(listener, f"second {name}")
+                    stop.set()
+                else:
+                    logger.info(logs.Event("second-signal-ignored"))
+                asked = True
 
 
 def run(main: Callable[[Any], Awaitable[None]], cfg: Any) -> None:
--- a/tests/steps/entry/steering_steps.py
+++ b/tests/steps/entry/steering_steps.py
@@ -65,13 +65,13 @@
     clients.table = blocks.parse(lines, "blocks")
     delays = {"dar": 35.0, "arusha": 35.0}
     return steering.Steering(
-        region, delays, context.config, context.known, clients
+        region, delays, context.configuration, context.known, clients
     )
 
 
 @given("steering at entries of dar and arusha that know client blocks")
 def _(context):
-    context.config = _Config()
+    context.configuration = _Config()
     context.known = _known()
     context.entries = [
         _steering(context, region, lines)
@@ -86,7 +86,7 @@
 def _(context, minutes):
     drained = shift_world.with_drains(TABLES, regions=("dar",))
     held = plans.after_edit(state.State(TABLES), drained, 0.0)
-    context.config.snapshot = configuration.Snapshot(2, held)
+    context.configuration.snapshot = configuration.Snapshot(2, held)
     for entry in context.entries:
         for second in range(minutes * 60 + 1):
             entry.step(float(second), float(second))
@@ -119,7 +119,7 @@
 def _(context):
     running = context.entries[0]
     status = entry_status.Status(
-        context.config, _Spread(context.known), running, _Placement()
+        context.configuration, _Spread(context.known), running, _Placement()
     )
 
     async def read():
@@ -129,7 +129,7 @@
     body = msgspec.json.decode(answer.body)
     started = shares.Shares()
     # Its clock is an hour ahead: by it the drain is done.
-    started.install(context.config.snapshot.held, 0.0, 3600.0)
+    started.install(context.configuration.snapshot.held, 0.0, 3600.0)
     for pool, parts in adoption.parts_of(body["pools"]).items():
         started.adopt(pool, parts)
     mine, theirs = started.reports()[0], running.shares.reports()[0]
