--- a/hyssopfold/application.py
+++ b/hyssopfold/application.py
@@ -183,7 +183,7 @@
         config,
         steer,
         place,
-        pacing.Pacer(),
+        pacing.Pacer(cfg.region, config, spread.directory),
         servers,
         meter,
         region=cfg.region,
--- /dev/null
+++ b/tests/steps/core/steering/links_steps.py
@@ -0,0 +1,67 @@
+"""Steps of core/steering/links.feature."""
+
+from behave import given
+from behave import then
+from behave import when
+
+from bench import link_model
+from hyssopfold.core.steering import links
+
+
+def _p99(delays):
+    return delays[int(len(delays) * 0.99)]
+
+
+@then(
+    "without pacing of links the 99th percentile of checks is above {ms:d} ms"
+)
+def _(context, ms):
+    delays, _ = link_model.run(1, paced=False)
+    assert _p99(delays) > ms, _p99(delays)
+
+
+def _check_paced(context, lost):
+    delays, mbit = link_model.run(1, paced=True, lost=lost)
+    assert _p99(delays) < context.p99_ms, _p99(delays)
+    assert mbit >= context.mbit, mbit
+
+
+@then(
+    "with pacing of links it is under {ms:d} ms and uploads get {mbit:d}"
+    " Mbit/s at least"
+)
+def _(context, ms, mbit):
+    context.p99_ms, context.mbit = ms, mbit
+    _check_paced(context, lost=False)
+
+
+@then("with pacing of links and an entry lost midway all of that holds")
+def _(context):
+    _check_paced(context, lost=True)
+
+
+@given("a link with room for {rate:d} bytes a second")
+def _(context, rate):
+    context.link = links.Link(float(rate))
+
+
+@when("{size:d} bytes of bulk are taken from the link")
+def _(context, size):
+    assert context.link.take(size, True, 10.0) == 0.0
+
+
+@then("{size:d} more bytes of bulk wait between {low:f} and {high:f} s")
+def _(context, size, low, high):
+    assert low <= context.link.take(size, True, 10.0) <= high
+
+
+@then("{size:d} interactive bytes wait 0 s")
+def _(context, size):
+    assert context.link.take(size, False, 10.0) == 0.0
+
+
+@then("many interactive bytes bar bulk for {most:f} s at most")
+def _(context, most):
+    for _ in range(100):
+        context.link.take(1_000_000, False, 20.0)
+    assert context.link.take(1, True, 20.0) <= most
