--- a/hyssopfold/entry/app.py
+++ b/hyssopfold/entry/app.py
@@ -5,6 +5,7 @@
 
 import trio
 
+from hyssopfold import access
 from hyssopfold import announcements
 from hyssopfold import http
 from hyssopfold import metrics
@@ -30,6 +31,7 @@
         forward: Way of callers' requests.
         place: Counts of requests under way, for the metrics.
         meter: Metrics of this process.
+        announcers: Lets backend servers through.
     """
 
     def __init__(
@@ -41,7 +43,9 @@
         forward: proxy.Proxy,
         place: placement.Placement,
         meter: metrics.Metrics,
+        announcers: access.Guard,
     ) -> None:
+        self._announcers = announcers
         self._pages: dict[str, Callable[[http.Scope], http.Answer]] = {
             "/hyssop/v1/lookup": look_up.answer,
             "/hyssop/v1/status": lambda _: status.answer(),
@@ -76,7 +80,9 @@
     ) -> http.Answer:
         method, path = scope["method"], scope["path"]
         if method == "PUT" and path.startswith(announcements.PATH):
-            return await announcements.answer(self._spread, path, receive)
+            return await announcements.answer(
+                self._spread, scope, receive, self._announcers
+            )
         if method == "GET" and path in self._pages:
             return self._pages[path](scope)
         return http.json_answer(
