--- a/hyssopfold/application.py
+++ b/hyssopfold/application.py
@@ -31,14 +31,18 @@
 from hyssopfold.core.distribution import history
 from hyssopfold.core.draining import stop as core_stop
 from hyssopfold.core.membership import messages
+from hyssopfold.entry import adoption
 from hyssopfold.entry import app as entry_app
+from hyssopfold.entry import blocks
 from hyssopfold.entry import claims
 from hyssopfold.entry import configuration
 from hyssopfold.entry import connections
 from hyssopfold.entry import leaving
+from hyssopfold.entry import lookups
 from hyssopfold.entry import pacing
 from hyssopfold.entry import placement
 from hyssopfold.entry import proxy
+from hyssopfold.entry import status as entry_status
 from hyssopfold.entry import steering
 from hyssopfold.entry import upstream
 from hyssopfold.storage import folder
@@ -190,8 +194,17 @@
     connected = connections.Pool(bound)
     servers = upstream.Upstream(connected)
     meter = metrics.Metrics(cfg.name)
+    clients = blocks.Blocks(cfg.client_blocks)
     steer = steering.Steering(
-        cfg.region, cfg.region_delays_ms, config, spread.directory
+        cfg.region, cfg.region_delays_ms, config, spread.directory, clients
+    )
+    look_up = lookups.Lookups(
+        cfg.region,
+        cfg.region_delays_ms,
+        cfg.lookup_ttl_s,
+        config,
+        spread,
+        steer,
     )
     claimed = claims.Claims(
         lambda: spread.myself,
@@ -203,7 +216,7 @@
         config,
         steer,
         place,
-        pacing.Pacer(),
+        pacing.Pacer(cfg.region, config, spread.directory),
         servers,
         meter,
         claimed=claimed,
@@ -212,8 +225,8 @@
         max_body_bytes=cfg.max_body_bytes,
     )
     app = entry_app.App(
-        dict(cfg.region_delays_ms),
-        cfg.lookup_ttl_s,
+        look_up,
+        entry_status.Status(config, spread, steer, place),
         config,
         spread,
         forward,
@@ -225,6 +238,8 @@
     async def become_ready() -> None:
         while config.snapshot.revision == 0 or not spread.ready:
             await trio.sleep(0.05)
+        steer.step(trio.current_time(), time.time())
+        await adoption.adopt(spread, steer.shares)
         spread.update_self(state="ready")
         while True:
             revision = config.snapshot.revision
@@ -234,7 +249,11 @@
 
     listener = serving.Listener(app, cfg.limits)
     leave = leaving.Leave(
-        core_stop.Stop(cfg.lookup_ttl_s, gossip.PERIOD_S, cfg.stop_max_s),
+        core_stop.Stop(
+            cfg.lookup_ttl_s,
+            gossip.PERIOD_S + lookups.MAX_AGE_S,
+            cfg.stop_max_s,
+        ),
         listener,
         spread,
         place.leave,
@@ -245,6 +264,7 @@
         ("gossip", spread.run),
         ("steering", steer.run),
         ("placement", place.run),
+        ("client-blocks", clients.run),
         ("state", become_ready),
         ("reloading", shared.reloader.run),
         ("connections", connected.sweep),
--- a/hyssopfold/cmd/ctl.py
+++ b/hyssopfold/cmd/ctl.py
@@ -15,8 +15,10 @@
 from hyssopfold import errors
 from hyssopfold import tables as tables_module
 from hyssopfold.cmd import daemon
+from hyssopfold.cmd import status as status_module
 from hyssopfold.control import client as control_client
 from hyssopfold.control import state_answers
+from hyssopfold.entry import blocks as blocks_module
 
 DEFAULT_CONTROL = tuple(
     f"http://127.0.0.1:{port}" for port in (7101, 7102, 7103)
@@ -95,7 +97,7 @@
 @cli.command()
 @click.pass_obj
 def status(client: control_client.Client) -> None:
-    """Show the revision in force, who votes and who is behind."""
+    """Show the revision, who votes, shares in force and planned, headroom."""
     body = client.get_confirmed(_STATUS).body
     if body["confirmed"]:
         click.echo(f"revision {body['revision']}")
@@ -108,6 +110,8 @@
         click.echo("a change of members is under way")
     for one in body["instances"]:
         click.echo(_describe(one))
+    for line in status_module.status_lines(status_module.gather(client)):
+        click.echo(line)
     if not body["confirmed"]:
         sys.exit(1)
 
@@ -239,12 +243,23 @@
 @cli.command()
 @click.pass_obj
 def drains(client: control_client.Client) -> None:
-    """Show what the tables ask to be emptied."""
-    reply = client.get(_TABLES)
-    for pool in reply.body["pools"]:
-        for kind, names in pool["drains"].items():
-            for name in names:
-                click.echo(f"{pool['name']} {kind} {name}")
+    """Show who is being emptied, what is left, and whether it is empty."""
+    for line in status_module.drain_lines(status_module.gather(client)):
+        click.echo(line)
+
+
+@cli.group()
+def blocks() -> None:
+    """Build the table of client blocks that entries load."""
+
+
+@blocks.command("build")
+@click.argument("source", type=click.Path(exists=True, dir_okay=False))
+@click.argument("target", type=click.Path(dir_okay=False))
+def build_blocks(source: str, target: str) -> None:
+    """Build the file TARGET, for the setting client_blocks, from SOURCE."""
+    size = blocks_module.build(source, target)
+    click.echo(f"{target}: {size} bytes")
 
 
 def _parse(file: str) -> str:
--- a/hyssopfold/entry/proxy.py
+++ b/hyssopfold/entry/proxy.py
@@ -188,7 +188,9 @@
             _limit_s(exchange, route),
         )
         self._machine = attempt.Attempts(request, proxy.budget)
-        self._decision = proxy.steering.decide(route, exchange.request_id)
+        self._decision = proxy.steering.decide(
+            route, exchange.request_id, exchange.client
+        )
         self._grant: messages.Grant | None = None
         self._granted_at = 0.0
         self._answer_by = trio.CancelScope()
