--- /dev/null
+++ b/bench/control/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of the durable state."""
--- a/hyssopfold/core/consensus/acceptor.py
+++ b/hyssopfold/core/consensus/acceptor.py
@@ -26,7 +26,9 @@
         ballot = prepare.ballot
         if ballot < held.promised:
             return None, messages.Refused(ballot, held.promised)
-        promise = messages.Promise(ballot, held.accepted, held.register)
+        is_known = prepare.held == held.accepted
+        register = messages.BLANK_REGISTER if is_known else held.register
+        promise = messages.Promise(ballot, held.accepted, register)
         if ballot == held.promised:
             return None, promise
         self._replace(held._replace(promised=ballot))
--- a/hyssopfold/core/consensus/messages.py
+++ b/hyssopfold/core/consensus/messages.py
@@ -137,14 +137,21 @@
 
 
 class Prepare(NamedTuple):
-    """Ask an acceptor to promise a ballot."""
+    """Ask an acceptor to promise a ballot.
+
+    `held` is the ballot that the proposer has accepted itself.
+    """
 
     ballot: Ballot
     cluster: str
+    held: Ballot = NO_BALLOT
 
 
 class Promise(NamedTuple):
-    """Promise to refuse lower ballots, with what was accepted so far."""
+    """Promise to refuse lower ballots, with what was accepted so far.
+
+    The register is left out (blank) when the proposer holds the same one.
+    """
 
     ballot: Ballot
     accepted: Ballot
--- a/hyssopfold/core/consensus/proposer.py
+++ b/hyssopfold/core/consensus/proposer.py
@@ -39,11 +39,13 @@
         self,
         ballot: messages.Ballot,
         base: messages.Register,
+        base_ballot: messages.Ballot,
         base_is_chosen: bool,
         expires: float,
     ) -> None:
         self.ballot = ballot
         self.base = base
+        self.base_ballot = base_ballot
         self.base_is_chosen = base_is_chosen
         self.expires = expires
         self.asked: set[str] = set()
@@ -263,6 +265,7 @@
         self._round = _Round(
             ballot,
             self._replica.register,
+            accepted,
             accepted <= self._replica.chosen_ballot,
             now + self._round_timeout_s,
         )
@@ -274,7 +277,9 @@
         """Ask the voters of `register` that this round has not asked yet."""
         current = self._round
         assert current is not None
-        message = messages.Prepare(current.ballot, register.cluster)
+        message = messages.Prepare(
+            current.ballot, register.cluster, current.base_ballot
+        )
         voters = [v for v in register.voters() if v.id not in current.asked]
         current.asked.update(voter.id for voter in voters)
         # The own vote goes first, so that it is synced before anyone hears of
@@ -316,6 +321,8 @@
             return
         if current.outcome is not None:
             return
+        if promise.accepted == current.base_ballot:
+            promise = promise._replace(register=current.base)
         current.promises[sender] = promise
         newest = max(current.promises.values(), key=lambda p: p.accepted)
         ids = current.promises.keys()
