--- a/hyssopfold/errors.py
+++ b/hyssopfold/errors.py
@@ -176,7 +176,8 @@
     def __init__(self, path: str, detail: str) -> None:
         super().__init__(
             f"cannot write {path}: {detail}",
-            "free space or mend the disk, then start the instance again",
+            "free space or mend the disk; a running instance votes again by"
+            " itself, one that did not start is started again",
         )
 
 
--- /dev/null
+++ b/tests/steps/control/instance_steps.py
@@ -0,0 +1,165 @@
+"""Steps of control/instance.feature."""
+
+import random
+
+from behave import given
+from behave import then
+from behave import when
+import trio
+import trio.testing
+
+from hyssopfold import errors
+from hyssopfold.control import instance as control_instance
+from hyssopfold.core.consensus import messages
+from hyssopfold.core.consensus import node
+
+
+class _Records:
+    """Records in memory, on a disk that can be full."""
+
+    def __init__(self):
+        self.full = False
+        self.register = messages.BLANK_REGISTER
+
+    def _check(self):
+        if self.full:
+            raise errors.StorageWriteError("register", "no space left")
+
+    def save_promise(self, promised):
+        self._check()
+
+    def save_register(self, accepted, register):
+        self._check()
+        self.register = register
+
+    def save_sightings(self, sightings):
+        self._check()
+
+    def save_all(self, durable):
+        self.save_register(durable.accepted, durable.register)
+
+
+async def _run_directly(call, *values):
+    await trio.lowlevel.checkpoint()
+    call(*values)
+
+
+@given("a lone control instance on a disk that can be filled")
+def _(context):
+    endpoint = messages.Endpoint("control-1", "127.0.0.1:1")
+    member = messages.Member(*endpoint, "i1")
+    identity = messages.Identity(member, 1, "n1")
+    held = node.Node(identity, [endpoint], node.BLANK, random.Random(1))
+    context.lone_records = _Records()
+    context.lone = control_instance.Instance(
+        held, context.lone_records, None, run_blocking=_run_directly
+    )
+    context.lone_answers = {}
+    context.lone_plan = []
+
+
+def _run(context, use):
+    """Run the instance in virtual time while `use` runs."""
+
+    async def main():
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(context.lone.run)
+            await trio.sleep(1)
+            await use()
+            nursery.cancel_scope.cancel()
+
+    clock = trio.testing.MockClock(autojump_threshold=0)
+    trio.run(main, clock=clock)
+
+
+async def _edit(context, change_id):
+    expect = context.lone.register.revision
+    answer = await context.lone.edit(change_id, expect, b"value")
+    context.lone_answers[change_id] = answer
+
+
+async def _carry(context, plan):
+    for step, value in plan:
+        match step:
+            case "edit":
+                await _edit(context, value)
+            case "full":
+                context.lone_records.full = value
+            case "wait":
+                await trio.sleep(value)
+
+
+def _plan(context, *steps):
+    context.lone_plan = [*context.lone_plan, *steps]
+
+
+@when('the lone instance takes edit "{change_id}" on a full disk')
+def _(context, change_id):
+    _plan(context, ("full", True), ("edit", change_id))
+
+
+@when('the lone instance takes edit "{change_id}" on a good disk')
+def _(context, change_id):
+    _plan(context, ("full", False), ("edit", change_id))
+
+
+@when("the lone instance's disk has room for {seconds:d} s")
+def _(context, seconds):
+    _plan(context, ("full", False), ("wait", seconds))
+
+
+@when('the lone instance\'s task dies while edit "{change_id}" waits')
+def _(context, change_id):
+    async def main():
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(_edit, context, change_id)
+            await trio.testing.wait_all_tasks_blocked()
+            with trio.move_on_after(0.0):
+                await context.lone.run()
+
+    clock = trio.testing.MockClock(autojump_threshold=0)
+    trio.run(main, clock=clock)
+
+
+def _answer(context, change_id):
+    plan, context.lone_plan = context.lone_plan, []
+    if plan:
+        _run(context, lambda: _carry(context, plan))
+    return context.lone_answers[change_id]
+
+
+@then('the lone instance\'s answer to "{change_id}" is acceptance')
+def _(context, change_id):
+    answer = _answer(context, change_id)
+    assert answer == messages.EditAccepted(1), answer
+
+
+@then('the lone instance\'s answer to "{change_id}" is no acceptance')
+def _(context, change_id):
+    answer = _answer(context, change_id)
+    kinds = (messages.EditNotAccepted, messages.OutcomeUnknown)
+    assert isinstance(answer, kinds), answer
+
+
+@then('the lone instance\'s answer to "{change_id}" is a certain refusal')
+def _(context, change_id):
+    answer = _answer(context, change_id)
+    assert isinstance(answer, messages.EditNotAccepted), answer
+    assert "its disk refuses writes" in answer.reason, answer
+
+
+@then('the lone instance\'s answer to "{change_id}" is unknown')
+def _(context, change_id):
+    assert _answer(context, change_id) == messages.OutcomeUnknown()
+
+
+@then('the lone instance\'s disk holds "{change_id}"')
+def _(context, change_id):
+    held = context.lone_records.register
+    assert held.accepted_change(change_id) is not None
+
+
+@then('the lone instance\'s disk does not hold "{change_id}"')
+def _(context, change_id):
+    held = context.lone_records.register
+    assert held.accepted_change(change_id) is None
