--- a/hyssopfold/http.py
+++ b/hyssopfold/http.py
@@ -10,6 +10,7 @@
 import msgspec
 import trio
 
+from hyssopfold import certificates
 from hyssopfold import errors
 from hyssopfold import serving
 
@@ -125,6 +126,7 @@
     grace_s: float,
     listener: serving.Listener | None = None,
     task_status: trio.TaskStatus[Any] = trio.TASK_STATUS_IGNORED,
+    tls: certificates.Server | None = None,
 ) -> None:
     """Serve `app` on `address` until `stop` is set.
 
@@ -135,12 +137,16 @@
         grace_s: Longest to wait for requests in flight.
         listener: Connections of `app`; made here when left out.
         task_status: Told once the address is bound.
+        tls: Certificate to show, or None for plain HTTP.
 
     Raises:
         PortBusyError: when another process holds the address.
     """
     listener = listener or serving.Listener(app, serving.Limits())
     sockets = await listen(address)
+    open_listeners: list[trio.abc.Listener[Any]] = [*sockets]
+    if tls is not None:
+        open_listeners = [certificates.Listener(one, tls) for one in sockets]
     async with trio.open_nursery() as nursery:
         nursery.start_soon(listener.sweep)
         async with trio.open_nursery() as accepting:
@@ -148,7 +154,7 @@
                 functools.partial(
                     trio.serve_listeners,
                     listener.serve,
-                    sockets,
+                    open_listeners,
                     handler_nursery=nursery,
                 )
             )
