--- a/hyssopfold/core/balancing/election.py
+++ b/hyssopfold/core/balancing/election.py
@@ -180,7 +180,8 @@
     ) -> tuple[list[messages.Effect], Won | None]:
         """Count a vote; return claims to send, and the term once won."""
         self.heard_term(vote.promised)
-        if self.idle or vote.term != self.term:
+        mine = vote.term == self.term and vote.candidate == self._me
+        if self.idle or not mine:
             return [], None
         self._given_term = max(self._given_term, vote.given_term)
         if vote.granted and vote.holds is not None:
--- a/hyssopfold/core/balancing/grantor.py
+++ b/hyssopfold/core/balancing/grantor.py
@@ -113,7 +113,9 @@
             # Its first grant may have arrived: the slot stays counted, and
             # the holder gives it back when it waits no longer.
             return []
-        granted = messages.Granted(self._key, self.term, ask.number, server)
+        granted = messages.Granted(
+            self._key, self.term, ask.holder, ask.number, server
+        )
         return [messages.Send(ask.holder.name, granted)]
 
     def _grant(
@@ -123,7 +125,9 @@
         self._turn += 1
         self._turns[server.server_id] = self._turn
         self._health.used(server.server_id, self._warm_up_s, now)
-        granted = messages.Granted(self._key, self.term, ask.number, server)
+        granted = messages.Granted(
+            self._key, self.term, ask.holder, ask.number, server
+        )
         return [messages.Send(ask.holder.name, granted)]
 
     def _deny(
@@ -132,7 +136,9 @@
         wait = max(MIN_RETRY_AFTER_S, self._queue.wait_s(9, now))
         # Callers that were refused together must not come back together.
         spread = wait * self._rng.uniform(1.0, 2.0)
-        denied = messages.Denied(self._key, ask.number, reason, spread)
+        denied = messages.Denied(
+            self._key, ask.holder, ask.number, reason, spread
+        )
         return messages.Send(ask.holder.name, denied)
 
     def _pick(self, ask: messages.Ask) -> membership.Server | None:
--- a/hyssopfold/core/balancing/holder.py
+++ b/hyssopfold/core/balancing/holder.py
@@ -117,16 +117,19 @@
 
     def leader(self, key: messages.Key, now: float) -> str | None:
         """Return the grantor that was heard of lately."""
-        leader = self._leaders.get(key)
-        if leader is None or now - leader.heard_at > HEARD_S:
-            return None
-        return leader.name
+        beat = self.last_beat(key, now)
+        return beat.grantor.name if beat is not None else None
 
     def last_beat(self, key: messages.Key, now: float) -> messages.Beat | None:
         """Return the last word of the grantor that was heard of lately."""
         leader = self._leaders.get(key)
         if leader is None or now - leader.heard_at > HEARD_S:
             return None
+        if leader.beat.term < self._promised.get(key, 0):
+            # What is held was reported to a newer one. A release that still
+            # went to the old one would free the slot at both, and both
+            # would grant it.
+            return None
         return leader.beat
 
     def term(self, key: messages.Key) -> int:
@@ -180,6 +183,9 @@
         self, sender: str, granted: messages.Granted, now: float
     ) -> list[messages.Effect]:
         """Use a slot, or give it back when no one waits for it."""
+        if granted.holder != self._me:
+            # Meant for an earlier life, whose numbers were the same.
+            return []
         key, number = granted.key, granted.number
         if number in self._holds.get(key, {}):
             return []
@@ -217,6 +223,8 @@
         self, denied: messages.Denied, now: float
     ) -> list[messages.Effect]:
         """Try the next region, or refuse at once."""
+        if denied.holder != self._me:
+            return []
         one = self._open.pop(denied.number, None)
         if one is None:
             return []
@@ -288,6 +296,10 @@
             now,
         )
 
+    def open_numbers(self) -> list[int]:
+        """Return the numbers of the asks that wait for an answer."""
+        return list(self._open)
+
     def in_flight(self) -> dict[str, int]:
         """Return the slots in use here by server."""
         counts: dict[str, int] = {}
--- a/hyssopfold/core/balancing/messages.py
+++ b/hyssopfold/core/balancing/messages.py
@@ -111,6 +111,7 @@
 
     key: Key
     term: int
+    candidate: Member
     voter: Member
     round: int
     granted: bool
@@ -157,10 +158,11 @@
 
 
 class Granted(NamedTuple):
-    """A slot for the ask with this number."""
+    """A slot for the ask with this number of this life of the holder."""
 
     key: Key
     term: int
+    holder: Member
     number: int
     server: membership.Server
 
@@ -169,6 +171,7 @@
     """No slot for the ask with this number; it is forgotten."""
 
     key: Key
+    holder: Member
     number: int
     reason: str
     retry_after_s: float
--- a/hyssopfold/core/balancing/node.py
+++ b/hyssopfold/core/balancing/node.py
@@ -342,7 +342,8 @@
         if won is not None:
             return effects + self._begin(vote.key, won, now)
         granting = self.granting(vote.key)
-        current = vote.granted and vote.term == seat.election.term
+        mine = vote.candidate == self._cfg.me
+        current = mine and vote.granted and vote.term == seat.election.term
         if granting is not None and current and vote.holds is not None:
             granting.ledger.report(vote.voter, vote.holds)
             effects += granting.serve(now)
--- a/hyssopfold/core/balancing/voter.py
+++ b/hyssopfold/core/balancing/voter.py
@@ -83,6 +83,7 @@
         return messages.Vote(
             claim.key,
             claim.term,
+            claim.candidate,
             self._me,
             claim.round,
             granted,
--- a/tests/core/balancing/node.feature
+++ b/tests/core/balancing/node.feature
@@ -68,6 +68,21 @@
     And every entry asks for 1 slots
     Then 3 slots are in use in all
 
+  Scenario: a release after a promise does not go to the old grantor
+    An entry reports its slot to the new grantor and then gives it back. Did
+    the old grantor, not yet replaced in its own eyes, hear of it too, both
+    would grant the slot. The specification found this order of events.
+    Given placement of 3 entries over 1 servers
+    When an entry that uses a slot promises a newer term
+    Then its release is sent to no one until the newer grantor beats
+
+  Scenario: a grant for an earlier life is not used
+    An entry that was started again counts its asks from 1 as before. A grant
+    that was late on its way would fit an ask of the new life.
+    Given placement of 3 entries over 1 servers
+    When a grant for an earlier life reaches an entry that asks
+    Then the ask is still open
+
   Scenario: traffic that was moved in leaves the headroom free
     Given placement of 2 entries over 5 servers
     When an entry asks for 15 slots for traffic moved in
--- a/tests/steps/core/balancing/node_steps.py
+++ b/tests/steps/core/balancing/node_steps.py
@@ -196,6 +196,57 @@
     assert name != context.old
 
 
+def _other_than_grantor(world):
+    (grantor,) = world.grantors()
+    return next(one for one in world.entries if one != grantor)
+
+
+@when("an entry that uses a slot promises a newer term")
+def _(context):
+    world = context.world
+    name = _other_than_grantor(world)
+    context.ticket = world.ask(name)
+    world.run(1)
+    context.entry = world.entries[name]
+    holder = context.entry.node.holder
+    context.term = holder.term(KEY) + 1
+    assert len(holder.promise(KEY, context.term)) == 1
+
+
+@then("its release is sent to no one until the newer grantor beats")
+def _(context):
+    entry, now = context.entry, context.world.now
+    grant = entry.grants[context.ticket]
+    done = messages.Done("answered", 0.05)
+    assert entry.node.handle(node.Release(grant, done), now) == []
+    newer = messages.Member("e9", 99)
+    beat = messages.Beat(KEY, context.term, newer, False)
+    effects = entry.node.handle(node.Received("e9", beat), now)
+    assert [(one.to, one.message.holds) for one in effects] == [("e9", ())]
+
+
+@when("a grant for an earlier life reaches an entry that asks")
+def _(context):
+    world = context.world
+    context.name = _other_than_grantor(world)
+    entry = world.entries[context.name]
+    context.ticket = world.ask(context.name)
+    holder = entry.node.holder
+    (number,) = holder.open_numbers()
+    earlier = messages.Member(entry.me.name, entry.me.incarnation - 1)
+    granted = messages.Granted(
+        KEY, 99, earlier, number, fake_entries.server("s0")
+    )
+    world.submit(context.name, node.Received("e9", granted))
+
+
+@then("the ask is still open")
+def _(context):
+    entry = context.world.entries[context.name]
+    assert context.ticket not in entry.answers
+    assert entry.node.holder.open_numbers()
+
+
 @when("an entry asks for {count:d} slots for traffic moved in")
 def _(context, count):
     for _ in range(count):
@@ -239,93 +290,107 @@
     assert sum(used.values()) > 0, "the others go on"
 
 
+_ENTRIES = ("e0", "e1", "e2", "f0")
+_CONTROL = ("control-0", "control-1", "control-2")
+# Work is more frequent than faults, or nothing would run when they come.
+_STEPS = (
+    *("ask",) * 6,
+    *("give_back",) * 6,
+    "kill",
+    "start",
+    "start",
+    "freeze",
+    "thaw",
+    "thaw",
+    "separate",
+    "separate",
+    "heal",
+    "heal",
+    "restart_server",
+    "kill_control",
+    "start_control",
+    "start_control",
+)
+
+
 class PlacementRun(stateful.RuleBasedStateMachine):
     """Entries and control under every fault; the fake asserts the slots."""
 
-    names = strategies.sampled_from(["e0", "e1", "e2", "f0"])
-    shares = strategies.sampled_from([0.0, 0.0, 0.1, 0.4])
-
     @stateful.initialize(
         seed=strategies.integers(0, 2**32),
         servers=strategies.integers(1, 3),
-        delays=strategies.sampled_from([(0.0005, 0.002), (0.001, 0.4)]),
+        loss=strategies.sampled_from([0.0, 0.05, 0.3]),
+        doubling=strategies.sampled_from([0.0, 0.2]),
+        delays=strategies.sampled_from([(0.0005, 0.002), (0.001, 0.3)]),
     )
-    def begin(self, seed, servers, delays):
+    def begin(self, seed, servers, loss, doubling, delays):
         self.world = fake_entries.FakeEntries(seed, 3, servers, far=1)
         self.world.delay_s = delays
-        self.world.run(3)
-
-    def _is_live(self, name):
-        entry = self.world.entries[name]
-        return name not in self.world.dead and not entry.frozen
-
-    @stateful.rule(name=names, count=strategies.integers(1, 6))
-    def ask(self, name, count):
-        if self._is_live(name):
-            for _ in range(count):
-                self.world.ask(name)
-
-    @stateful.rule(
-        name=names, kind=strategies.sampled_from(["answered", "failed", "shed"])
-    )
-    def give_back(self, name, kind):
-        if self._is_live(name):
-            for ticket in list(self.world.entries[name].grants)[:3]:
-                self.world.release(name, ticket, kind)
-
-    @stateful.rule(seconds=strategies.sampled_from([0.01, 0.1, 0.5, 2.0, 4.0]))
-    def wait(self, seconds):
-        self.world.run(seconds)
-
-    @stateful.rule(loss=shares, doubling=shares)
-    def spoil(self, loss, doubling):
         self.world.loss, self.world.doubling = loss, doubling
-
-    @stateful.rule(name=names)
-    def kill_or_start(self, name):
-        if name in self.world.dead:
-            self.world.start(name, self.world.entries[name].region)
-        else:
-            self.world.kill(name)
-
-    @stateful.rule(name=names)
-    def freeze_or_thaw(self, name):
-        if self.world.entries[name].frozen:
-            self.world.thaw(name)
-        else:
-            self.world.freeze(name)
+        self.world.run(3)
 
     @stateful.rule(
+        step=strategies.sampled_from(_STEPS),
+        name=strategies.sampled_from(_ENTRIES),
+        count=strategies.integers(1, 5),
+        pause=strategies.sampled_from([0.01, 0.1, 0.5, 2.0]),
         ones=strategies.sets(
-            strategies.sampled_from(
-                ["e0", "e1", "e2", "f0", "control-0", "control-1"]
-            ),
-            min_size=1,
-        )
+            strategies.sampled_from(_ENTRIES + _CONTROL), min_size=1
+        ),
     )
-    def separate(self, ones):
+    def step(self, step, name, count, pause, ones):
+        getattr(self, f"_{step}")(name, count, ones)
+        self.world.run(pause)
+
+    def _ask(self, name, count, ones):
+        for live in _live(self.world):
+            for _ in range(count if live == name else 1):
+                self.world.ask(live)
+
+    def _give_back(self, name, count, ones):
+        for live in _live(self.world):
+            for ticket in list(self.world.entries[live].grants)[:count]:
+                self.world.release(live, ticket)
+
+    def _kill(self, name, count, ones):
+        self.world.kill(name)
+
+    def _start(self, name, count, ones):
+        for dead in _ENTRIES:
+            if dead in self.world.dead:
+                self.world.start(dead, self.world.entries[dead].region)
+                return
+
+    def _freeze(self, name, count, ones):
+        self.world.freeze(name)
+
+    def _thaw(self, name, count, ones):
+        for one, entry in self.world.entries.items():
+            if entry.frozen and one not in self.world.dead:
+                self.world.thaw(one)
+                return
+
+    def _separate(self, name, count, ones):
         names = [*self.world.entries, *self.world.control_names]
         self.world.separate(ones, [one for one in names if one not in ones])
 
-    @stateful.rule()
-    def heal(self):
+    def _heal(self, name, count, ones):
         self.world.heal()
 
-    @stateful.rule(number=strategies.integers(0, 2))
-    def restart_control(self, number):
-        name = f"control-{number}"
-        if name in self.world.dead:
-            self.world.start_control(name)
-        else:
-            self.world.kill(name)
-
-    @stateful.rule()
-    def restart_server(self):
+    def _restart_server(self, name, count, ones):
         word = self.world.servers["s0"]
         self.world.servers["s0"] = word._replace(
             incarnation=word.incarnation + 1
         )
 
+    def _kill_control(self, name, count, ones):
+        self.world.kill(_CONTROL[count % len(_CONTROL)])
+
+    def _start_control(self, name, count, ones):
+        for dead in _CONTROL:
+            if dead in self.world.dead:
+                self.world.start_control(dead)
+
     @stateful.invariant()
     def no_slot_is_over_run(self):
         self.world.check()
@@ -334,9 +399,9 @@
 @when("placement is run at random with faults")
 def _(context):
     seed = os.environ.get("HYSSOP_SOAK_SEED")
-    steps = int(os.environ.get("HYSSOP_SOAK_STEPS", "40"))
+    steps = int(os.environ.get("HYSSOP_SOAK_STEPS", "80"))
     settings = hypothesis.settings(
-        max_examples=60 if seed is None else 500,
+        max_examples=40 if seed is None else 500,
         stateful_step_count=steps,
         derandomize=seed is None,
         suppress_health_check=list(hypothesis.HealthCheck),
