--- a/hyssopfold/application.py
+++ b/hyssopfold/application.py
@@ -23,6 +23,8 @@
 from hyssopfold.control import slot_votes
 from hyssopfold.core.balancing import messages as balancing
 from hyssopfold.core.balancing import node
+from hyssopfold.core.balancing import subset
+from hyssopfold.core.consensus import messages as consensus_messages
 from hyssopfold.core.consensus import node as consensus_node
 from hyssopfold.core.distribution import follower
 from hyssopfold.core.distribution import history
@@ -38,6 +40,7 @@
 from hyssopfold.entry import steering
 from hyssopfold.entry import upstream
 from hyssopfold.storage import folder
+from hyssopfold.storage import records
 from hyssopfold.transport import auth
 from hyssopfold.transport import consensus_wire
 from hyssopfold.transport import gossip
@@ -92,21 +95,23 @@
     logs.configure(cfg.name, cfg.log_level, cfg.log_decision_sample)
     rng = random.Random()
     with folder.DataFolder(cfg.data_folder) as data:
+        kept = records.MemberRecords(data, cfg.name, rng.getrandbits)
+        identity, durable = kept.open(cfg.rpc_address)
         register = consensus_node.Node(
-            cfg.name,
-            [member.name for member in cfg.control],
-            control_instance.load_durable(data),
+            identity,
+            [consensus_messages.Endpoint(*member) for member in cfg.control],
+            durable,
             rng,
             cfg.round_timeout_s,
             cfg.edit_timeout_s,
         )
         links = _links(cfg, rng)
-        peers = {
-            member.name: rpc.Client(member.rpc_address, links)
-            for member in cfg.control
-            if member.name != cfg.name
-        }
-        member = control_instance.Instance(register, data, peers)
+        member = control_instance.Instance(
+            register,
+            kept,
+            functools.partial(rpc.Client, links=links),
+            cfg.edit_timeout_s,
+        )
         confirmations = publisher.Confirmations(member.confirm)
         publish = publisher.Publisher(
             history.History(), confirmations.age_s, confirmations.confirm
@@ -180,7 +185,7 @@
 
     def bound(server: messages.Server) -> int:
         entries = len(spread.directory.ready_entries())
-        return max(1, server.connections // max(1, entries))
+        return subset.share(server.connections, server.slots, entries)
 
     connected = connections.Pool(bound)
     servers = upstream.Upstream(connected)
@@ -222,7 +227,7 @@
 
     listener = serving.Listener(app, cfg.limits)
     leave = leaving.Leave(
-        core_stop.Stop(cfg.lookup_ttl_s, gossip.PERIOD_S, cfg.stop_max_s),
+        core_stop.Stop(cfg.lookup_ttl_s, gossip.SPREAD_S, cfg.stop_max_s),
         listener,
         spread,
         place,
--- a/hyssopfold/core/membership/spread.py
+++ b/hyssopfold/core/membership/spread.py
@@ -12,6 +12,8 @@
 from hyssopfold.core.membership import messages
 
 PERIOD_S = 0.5
+# By then all that can be reached know of a change (docs/design/placement.md).
+SPREAD_S = 3.0
 FANOUT = 2
 SPARE_ROUNDS = 4
 ROUNDS_PER_DOUBLING = 2
@@ -113,17 +115,28 @@
         rounds = SPARE_ROUNDS + ROUNDS_PER_DOUBLING * math.log2(size + 1)
         return max(self._lease_s, PERIOD_S * rounds)
 
-    def update_self(self, now: float, **changes: Any) -> None:
-        """Change this instance's word; it is spread when it differs."""
+    def update_self(self, now: float, **changes: Any) -> list[Send | Changed]:
+        """Change this instance's word; it is spread when it differs.
+
+        That it leaves goes to all at once: look-ups must not name it longer.
+        """
         before = self.myself
         word = before._replace(**changes)
         self.myself = word
         # The revision goes along with every datagram, and the load of an
         # entry is no ground for a decision elsewhere: neither is news.
         if word._replace(load=before.load, revision=before.revision) == before:
-            return
+            return []
         self.myself = word._replace(sequence=word.sequence + 1)
         self._note_self(now)
+        if word.state != "leaving":
+            return []
+        datagram = self._datagram()._replace(instances=(self.myself,))
+        return [
+            Send(instance.gossip_address, datagram)
+            for instance in self.known.instances.words()
+            if instance.name != self.myself.name
+        ]
 
     def _note_self(self, now: float) -> None:
         me = self.myself
