Withhold only what a lost grantor may use itself; take over sooner

Now a grantor commits, with the list of members that control keeps, to how many slots of a server it uses itself (a third, 1 of 3), and only those are kept back: 12 of 36 instead of 36. Asks that wait for more than free slots no longer hold others up, a candidate that lost a race stops, and one that has promised another does not win alone.

--- a/hyssopfold/core/balancing/election.py
+++ b/hyssopfold/core/balancing/election.py
@@ -1,5 +1,6 @@
 """Winning and keeping the right to grant the slots of a pool in a region."""
 
+from collections import Counter
 from collections.abc import Collection
 from collections.abc import Mapping
 import enum
@@ -7,7 +8,7 @@
 
 from hyssopfold.core.balancing import messages
 
-RENEW_S = 0.4
+RENEW_S = 0.3
 # How long a candidate waits for members' reports before it goes on.
 GATHER_S = 0.2
 # Rounds without a majority of control until a candidate goes on without.
@@ -24,6 +25,9 @@
     term: int
     reports: Mapping[messages.Member, tuple[messages.Hold, ...]]
     silent: frozenset[messages.Member]
+    # The last grantor, and how many slots of a server it may use itself.
+    last: messages.Member | None = None
+    last_own_limit: int = 0
 
 
 class _Phase(enum.Enum):
@@ -62,6 +66,13 @@
         self.term = 0
         self.members: Members = ()
         self.alone = False
+        # Slots of a server that a grantor may use itself beside others.
+        self.own_quota = 1
+        self.own_limit = 0
+        self._established_own_limit = 0
+        self._proposed_own_limit = 0
+        self._last: messages.Member | None = None
+        self._last_own_limit = 0
         self._me = me
         self._control = frozenset(control)
         self._phase = _Phase.IDLE
@@ -81,6 +92,7 @@
         self._proposal: Members | None = None
         self._rounds_alone = 0
         self._given_term = 0
+        self._alone_term = 0
 
     @property
     def idle(self) -> bool:
@@ -110,6 +122,8 @@
         self._given_term = given_term
         self._phase = _Phase.PREPARE
         self._seen, self._listed, self._version = (0, 0), (), 0
+        self._last, self._last_own_limit = None, 0
+        self._alone_term, self._proposed_own_limit = 0, 0
         self._established, self._confirmed = (), {}
         self._reports, self._proposal, self.alone = {}, None, False
         self._asked = set()
@@ -119,9 +133,25 @@
         """Grant no more under this term."""
         self._phase = _Phase.IDLE
 
-    def propose(self, members: Members) -> None:
-        """Propose another list; it counts once control has accepted it."""
+    @property
+    def own_allowed(self) -> int:
+        """Return how many slots of a server this entry may use itself."""
+        return min(
+            self.own_limit,
+            self._established_own_limit,
+            self._proposed_own_limit,
+        )
+
+    def propose(self, members: Members, own_limit: int) -> None:
+        """Propose another list; it counts once control has accepted it.
+
+        Args:
+            members: Who may hold slots.
+            own_limit: Slots of a server that this entry may use itself; not
+                below what it uses.
+        """
         self._proposal = members
+        self._proposed_own_limit = own_limit
 
     def heard_term(self, term: int) -> bool:
         """Note a term of another; return whether it ended this entry's."""
@@ -165,12 +195,17 @@
         if self.alone and heard:
             # Control is there again: a proper term tells who may hold slots.
             return self.campaign(self.term, self._given_term, now)
-        settled = self.members == self._established
+        settled = (self.members, self.own_limit) == (
+            self._established,
+            self._established_own_limit,
+        )
         if self._proposal is not None and settled and not self.alone:
             changed = set(self._proposal) != set(self.members)
-            self._version += changed
+            changed |= self._proposed_own_limit != self.own_limit
             if changed:
+                self._version += 1
                 self.members = self._proposal
+                self.own_limit = self._proposed_own_limit
         self._proposal = None
         targets = self._control | set(silent) | {self._me.name}
         return self._next_round(targets, now)
@@ -184,6 +219,7 @@
         if self.idle or not mine:
             return [], None
         self._given_term = max(self._given_term, vote.given_term)
+        self._alone_term = max(self._alone_term, vote.alone_term)
         if vote.granted and vote.holds is not None:
             self._reports[vote.voter.name] = vote
         if vote.round != self._round:
@@ -198,6 +234,7 @@
         if not self._by_control() or self.alone:
             return [], None
         self._established = self.members
+        self._established_own_limit = self.own_limit
         if self.leading:
             return [], None
         return [], self._win()
@@ -217,7 +254,13 @@
         known = self._confirmed.get(name) == version
         members = None if known or not version else self.members
         claim = messages.Claim(
-            self.key, self.term, self._me, self._round, version, members
+            self.key,
+            self.term,
+            self._me,
+            self._round,
+            version,
+            members,
+            self.own_limit,
         )
         return messages.Send(name, claim)
 
@@ -231,6 +274,7 @@
         seen = (vote.seen_term, vote.seen_version)
         if seen > self._seen:
             self._seen, self._listed = seen, vote.seen_members
+            self._last, self._last_own_limit = vote.seen_by, vote.seen_own_limit
         if self._phase is _Phase.PREPARE:
             if not self._by_control():
                 return [], None
@@ -260,6 +304,10 @@
         return self._asked - self._reports.keys()
 
     def _accept(self, now: float) -> tuple[list[messages.Effect], Won | None]:
+        if self._me.name not in self._reports:
+            # This entry has promised another candidate meanwhile.
+            self.step_down()
+            return [], None
         lives = {one.name: one for one in self._listed}
         for name in self._asked:
             vote = self._reports.get(name)
@@ -268,13 +316,21 @@
         lives[self._me.name] = self._me
         self.members = tuple(lives[name] for name in sorted(lives))
         self._version = 1
+        self.own_limit = max(self.own_quota, self._own_use())
         if self.alone:
             self._established = self.members
+            self._established_own_limit = self.own_limit
             return [], self._win()
         self._phase = _Phase.ACCEPT
         targets = self._control | {one.name for one in self.members}
         return self._next_round(targets, now), None
 
+    def _own_use(self) -> int:
+        mine = self._reports.get(self._me.name)
+        holds = mine.holds if mine is not None and mine.holds else ()
+        used = Counter(hold.server_id for hold in holds)
+        return max(used.values(), default=0)
+
     def _win(self) -> Won:
         self._phase = _Phase.LEAD
         reports = {
@@ -289,4 +345,9 @@
             # Control is cut off, or has lost the list in a restart of all
             # its instances: members that are not known of may hold slots.
             silent.add(UNKNOWN)
-        return Won(self.term, reports, frozenset(silent))
+        # A grantor without control came after: under it, the last one that
+        # control knows of was a holder, without a limit.
+        last = self._last if self._alone_term <= self._seen[0] else None
+        return Won(
+            self.term, reports, frozenset(silent), last, self._last_own_limit
+        )
--- a/hyssopfold/core/balancing/grantor.py
+++ b/hyssopfold/core/balancing/grantor.py
@@ -45,7 +45,12 @@
         rng: random.Random,
         now: float,
     ) -> None:
-        self.ledger = ledger.Ledger(won.reports, won.silent)
+        self.ledger = ledger.Ledger(
+            won.reports, won.silent, won.last, won.last_own_limit
+        )
+        # What this entry may use itself: see `messages.Claim`.
+        self.me: messages.Member | None = None
+        self.own_limit = 0
         self.term = won.term
         self._key = key
         self._health = known
@@ -97,7 +102,7 @@
             return self._regrant(ask, held)
         if ask in self._queue.items():
             return []
-        if not len(self._queue):
+        if all(self._is_held(one) for one in self._queue.items()):
             server = self._pick(ask)
             if server is not None:
                 return self._grant(ask, server, now)
@@ -149,12 +154,26 @@
             for server_id, server in self._servers.items()
             if self.ledger.used(server_id) < self._limits[server_id]
             and server.failure_domain not in ask.closed_domains
+            and self._may_use(ask.holder, server_id)
         ]
         if not free:
             return None
         fresh = [one for one in free if one.server_id not in ask.avoid]
         return min(fresh or free, key=lambda one: self._rank(one, ask))
 
+    def _is_held(self, ask: messages.Ask) -> bool:
+        """Return whether more than free slots decides, so that others go on.
+
+        So it is with asks moved in, of this entry, or with domains shut.
+        """
+        shut = bool(ask.closed_domains)
+        return ask.moved or shut or ask.holder == self.me
+
+    def _may_use(self, holder: messages.Member, server_id: str) -> bool:
+        if holder != self.me:
+            return True
+        return self.ledger.used_by(holder, server_id) < self.own_limit
+
     def _moved_fits(self) -> bool:
         used = sum(self.ledger.used(server_id) for server_id in self._servers)
         return used + 1 <= self._capacity * (1 - self._headroom)
@@ -207,8 +226,7 @@
         for ask in self._queue.items():
             server = self._pick(ask)
             if server is None:
-                # A moved one may wait for headroom while others go on.
-                if ask.moved:
+                if self._is_held(ask):
                     continue
                 break
             self._queue.remove(ask)
--- a/hyssopfold/core/balancing/holder.py
+++ b/hyssopfold/core/balancing/holder.py
@@ -13,7 +13,7 @@
 WAIT_UNHEARD_S = 0.4
 RESEND_S = 0.1
 # A grantor that was silent for this long is asked no more.
-HEARD_S = 1.5
+HEARD_S = 1.0
 RETRY_AFTER_S = 1.0
 
 
@@ -62,6 +62,7 @@
         self._leaders: dict[messages.Key, _Leader] = {}
         self._promised: dict[messages.Key, int] = {}
         self._given: dict[messages.Key, int] = {}
+        self._alone: dict[messages.Key, int] = {}
         self._open: dict[int, _Open] = {}
         self._holds: dict[messages.Key, dict[int, messages.Hold]] = {}
         self._unsynced: set[messages.Key] = set()
@@ -142,6 +143,10 @@
         """Return the highest term heard of that control had given."""
         return self._given.get(key, 0)
 
+    def alone_term(self, key: messages.Key) -> int:
+        """Return the highest term heard of that had no control behind it."""
+        return self._alone.get(key, 0)
+
     def lost_leader(self, key: messages.Key, name: str) -> None:
         """Note that a grantor resigned."""
         leader = self._leaders.get(key)
@@ -162,8 +167,8 @@
             return []
         leader = _Leader(beat, now)
         self._leaders[key] = leader
-        if not beat.alone:
-            self._given[key] = beat.term
+        terms = self._alone if beat.alone else self._given
+        terms[key] = beat.term
         held = self._holds.get(key, {})
         asks = tuple(
             number for number, one in self._open.items() if one.ask.key == key
--- a/hyssopfold/core/balancing/ledger.py
+++ b/hyssopfold/core/balancing/ledger.py
@@ -30,14 +30,21 @@
     Args:
         reports: Slots that members reported when the term began.
         silent: Members that have not reported.
+        last: The last grantor; alone silent, it uses no more than its limit.
+        last_limit: Slots of each server that the last grantor may use.
     """
 
     def __init__(
         self,
         reports: Mapping[messages.Member, Iterable[messages.Hold]],
         silent: Iterable[messages.Member],
+        last: messages.Member | None = None,
+        last_limit: int = 0,
     ) -> None:
         self.silent = set(silent)
+        self._last = last
+        self._last_limit = last_limit
+        self._by_holder: Counter[tuple[messages.Member, str]] = Counter()
         self._holds: dict[_Name, messages.Hold] = {}
         # By server and its life: what an earlier life ran has ended, and
         # gives no right to a slot of the present one.
@@ -52,6 +59,7 @@
         if name not in self._holds:
             self._holds[name] = hold
             self._used[hold.server_id, hold.server_incarnation] += 1
+            self._by_holder[holder, hold.server_id] += 1
 
     def report(
         self, holder: messages.Member, holds: Iterable[messages.Hold]
@@ -76,10 +84,15 @@
         self._settle()
 
     def _settle(self) -> None:
-        if self.silent:
+        """Withhold no more than those who are still silent may use."""
+        limit = 0
+        if self.silent and self.silent != {self._last}:
             return
+        if self.silent:
+            limit = self._last_limit
         for server_id, held in self._servers.items():
-            self._servers[server_id] = held._replace(withheld=0)
+            withheld = min(held.withheld, limit)
+            self._servers[server_id] = held._replace(withheld=withheld)
 
     def see(self, server: membership.Server) -> None:
         """Note a server; one seen first in a takeover is withheld too."""
@@ -91,6 +104,7 @@
             used = self._used[server.server_id, server.incarnation]
             withheld = max(0, server.slots - used)
         self._servers[server.server_id] = _Server(server.incarnation, withheld)
+        self._settle()
 
     def used(self, server_id: str) -> int:
         """Return the slots of a server that may be in use."""
@@ -99,6 +113,19 @@
             return 0
         return self._used[server_id, held.incarnation] + held.withheld
 
+    def used_by(self, holder: messages.Member, server_id: str) -> int:
+        """Return the slots of a server that one holder uses."""
+        return self._by_holder[holder, server_id]
+
+    def most_used_by(self, holder: messages.Member) -> int:
+        """Return the most slots of any one server that a holder uses."""
+        counts = [
+            count
+            for (name, _), count in self._by_holder.items()
+            if name == holder
+        ]
+        return max(counts, default=0)
+
     def held_in_all(self) -> int:
         """Return the slots that holders are known to use."""
         return len(self._holds)
@@ -131,6 +158,9 @@
         """Take a slot out; return it, or None when it was not counted."""
         hold = self._holds.pop(_Name(holder, number), None)
         if hold is not None:
+            self._by_holder[holder, hold.server_id] -= 1
+            if not self._by_holder[holder, hold.server_id]:
+                del self._by_holder[holder, hold.server_id]
             life = (hold.server_id, hold.server_incarnation)
             self._used[life] -= 1
             if not self._used[life]:
--- a/hyssopfold/core/balancing/messages.py
+++ b/hyssopfold/core/balancing/messages.py
@@ -90,7 +90,9 @@
 
     `version` 0 prepares a new term. From 1 on the claim sets or renews the
     list of `members` that may hold slots; None stands for the list that the
-    voter has already accepted under this term and version.
+    voter has already accepted under this term and version. `own_limit` comes
+    with the list: the candidate itself never uses more slots of a server, so
+    that no more need be kept back when it falls silent.
     """
 
     key: Key
@@ -99,6 +101,7 @@
     round: int
     version: int
     members: tuple[Member, ...] | None
+    own_limit: int
 
 
 class Vote(NamedTuple):
@@ -106,7 +109,8 @@
 
     `holds` lists the slots that the voter uses, when it is an entry that
     promised not to use older grants; None when it did not. `given_term` is
-    the highest term that it heard of and that control had given.
+    the highest term that it heard of and that control had given, `alone_term`
+    the highest of a grantor without control.
     """
 
     key: Key
@@ -119,7 +123,10 @@
     seen_term: int
     seen_version: int
     seen_members: tuple[Member, ...]
+    seen_by: Member | None
+    seen_own_limit: int
     given_term: int
+    alone_term: int
     holds: tuple[Hold, ...] | None
 
 
--- a/hyssopfold/core/balancing/node.py
+++ b/hyssopfold/core/balancing/node.py
@@ -19,11 +19,18 @@
 from hyssopfold.core.membership import directory
 from hyssopfold.core.membership import messages as membership
 
-BEAT_S = 0.5
+BEAT_S = 0.3
+# With many to tell, half as often: what control may send is limited.
+BEAT_MANY_S = 0.5
+MANY = 20
+HALF_TICK_S = 0.05
 # How much later each next candidate claims a term that no one holds.
 STAGGER_S = 0.3
 # A member that neither holds slots nor was heard of so long is taken off.
 ABSENT_S = 60.0
+# A grantor uses at most one in so many slots of a server for its own callers
+# while there are other members. When it falls silent, no more are kept back.
+OWN_SHARE = 3
 
 
 class Acquire(NamedTuple):
@@ -224,9 +231,11 @@
             return effects
         pool = grantor.Pool(self._pools[key.pool], tuple(servers))
         granting.refresh(pool, now)
+        granting.me = self._cfg.me
         granting.forget_silent(now)
         self._free_ended(granting)
         self._propose(key, seat, granting, now)
+        granting.own_limit = seat.election.own_allowed
         return effects + granting.serve(now) + self._beat(key, now)
 
     def _maybe_campaign(
@@ -294,7 +303,12 @@
             and self._is_life(one)
         }
         members = nearby | asked | holding | kept | {self._cfg.me}
-        seat.election.propose(tuple(sorted(members)))
+        row = self._pools[key.pool]
+        quota = max(1, row.slots // OWN_SHARE)
+        wanted = quota if len(members) > 1 else row.slots
+        own_limit = max(wanted, granting.ledger.most_used_by(self._cfg.me))
+        seat.election.own_quota = quota
+        seat.election.propose(tuple(sorted(members)), own_limit)
 
     def _is_life(self, one: messages.Member) -> bool:
         """Return whether no newer life of a member is known."""
@@ -304,11 +318,13 @@
     def _beat(self, key: messages.Key, now: float) -> list[messages.Effect]:
         if now < self._beat_at.get(key, 0.0):
             return []
-        self._beat_at[key] = now + BEAT_S
         held = self._seats[key].election
         beat = messages.Beat(key, held.term, self._cfg.me, held.alone)
         members = {one.name for one in held.members}
         names = sorted(members.union(self._nearby(key.region)))
+        period = BEAT_MANY_S if len(names) > MANY else BEAT_S
+        # Ticks come a little early or late; half of one decides.
+        self._beat_at[key] = now + period - HALF_TICK_S
         return [messages.Send(name, beat) for name in names]
 
     def take_claim(
@@ -319,7 +335,10 @@
         if vote.granted:
             holds = self.holder.promise(claim.key, claim.term)
             given = self.holder.given_term(claim.key)
-            vote = vote._replace(holds=holds, given_term=given)
+            alone = self.holder.alone_term(claim.key)
+            vote = vote._replace(
+                holds=holds, given_term=given, alone_term=alone
+            )
         seat = self._seats.get(claim.key)
         if seat is not None:
             self._heard_term(claim.key, seat, vote.promised)
@@ -358,7 +377,13 @@
             self._heard_term(beat.key, seat, beat.term)
         if beat.term < self.holder.term(beat.key):
             return self._hint(beat.key, sender, now)
-        return self.holder.beat(beat, now)
+        effects = self.holder.beat(beat, now)
+        heard = self.holder.leader(beat.key, now) == beat.grantor.name
+        other = beat.grantor != self._cfg.me
+        if seat is not None and heard and other and not seat.election.leading:
+            # One who claimed at the same time has won.
+            seat.election.step_down()
+        return effects
 
     def _hint(
         self, key: messages.Key, to: str, now: float
--- a/hyssopfold/core/balancing/voter.py
+++ b/hyssopfold/core/balancing/voter.py
@@ -5,7 +5,7 @@
 
 from hyssopfold.core.balancing import messages
 
-LEASE_S = 1.5
+LEASE_S = 1.0
 
 
 class Promise(NamedTuple):
@@ -20,6 +20,8 @@
     seen_term: int
     seen_version: int
     members: tuple[messages.Member, ...]
+    seen_by: messages.Member | None = None
+    own_limit: int = 0
 
 
 _BLANK = Promise(0, None, 0.0, 0, 0, ())
@@ -91,6 +93,9 @@
             held.seen_term,
             held.seen_version,
             held.members,
+            held.seen_by,
+            held.own_limit,
+            0,
             0,
             None,
         )
@@ -132,4 +137,6 @@
         seen_term=claim.term,
         seen_version=claim.version,
         members=claim.members,
+        seen_by=claim.candidate,
+        own_limit=claim.own_limit,
     )
