--- a/hyssopfold/application.py
+++ b/hyssopfold/application.py
@@ -24,7 +24,10 @@
 from hyssopfold.control import slot_votes
 from hyssopfold.core.balancing import messages as balancing
 from hyssopfold.core.balancing import node
+<<<<<<< HEAD
 from hyssopfold.core.balancing import subset
+=======
+>>>>>>> main
 from hyssopfold.core.consensus import messages as consensus_messages
 from hyssopfold.core.consensus import node as consensus_node
 from hyssopfold.core.distribution import follower
--- a/tests/steps/entry/leaving_steps.py
+++ b/tests/steps/entry/leaving_steps.py
@@ -26,6 +26,13 @@
         self.states.append(state)
 
 
+class _FakePlacement:
+    """Stand for the slots that the entry grants to others."""
+
+    def leave(self):
+        """Hand over what this entry grants."""
+
+
 class _Lines(logging.Handler):
     def __init__(self):
         super().__init__()
@@ -39,6 +46,7 @@
 def _(context):
     context.steps = stop.Stop(TTL_S, SPREAD_S, MAX_S)
     context.spread = _FakeSpread()
+    context.placement = _FakePlacement()
     context.lines = _Lines()
     leaving.logger.addHandler(context.lines)
     context.add_cleanup(leaving.logger.removeHandler, context.lines)
@@ -47,7 +55,9 @@
 def _run(context, step):
     async def main():
         path = datapath.DataPath(1)
-        leave = leaving.Leave(context.steps, path.listener, context.spread)
+        leave = leaving.Leave(
+            context.steps, path.listener, context.spread, context.placement
+        )
         async with path.running(), trio.open_nursery() as nursery:
             context.answer = await step(path, leave, nursery)
             while context.steps.phase is not stop.Phase.DONE:
