--- a/hyssopfold/application.py
+++ b/hyssopfold/application.py
@@ -24,10 +24,7 @@
 from hyssopfold.control import slot_votes
 from hyssopfold.core.balancing import messages as balancing
 from hyssopfold.core.balancing import node
-<<<<<<< HEAD
 from hyssopfold.core.balancing import subset
-=======
->>>>>>> main
 from hyssopfold.core.consensus import messages as consensus_messages
 from hyssopfold.core.consensus import node as consensus_node
 from hyssopfold.core.distribution import follower
@@ -233,8 +230,12 @@
         core_stop.Stop(cfg.lookup_ttl_s, gossip.SPREAD_S, cfg.stop_max_s),
         listener,
         spread,
-        place,
     )
+
+    async def hand_over_and_leave() -> None:
+        place.leave()
+        await leave.run()
+
     children: list[Child] = [
         ("configuration", config.run),
         ("gossip", spread.run),
@@ -250,7 +251,9 @@
         }
         serve = functools.partial(rpc.serve, cfg.rpc_address, handlers, links)
         children.append(("rpc", serve))
-    await _run_daemon(cfg, app, children, rng, leave.run, shared.tls, listener)
+    await _run_daemon(
+        cfg, app, children, rng, hand_over_and_leave, shared.tls, listener
+    )
     await servers.aclose()
 
 
