--- a/hyssopfold/application.py
+++ b/hyssopfold/application.py
@@ -230,12 +230,8 @@
         core_stop.Stop(cfg.lookup_ttl_s, gossip.SPREAD_S, cfg.stop_max_s),
         listener,
         spread,
+        place,
     )
-
-    async def hand_over_and_leave() -> None:
-        place.leave()
-        await leave.run()
-
     children: list[Child] = [
         ("configuration", config.run),
         ("gossip", spread.run),
@@ -251,9 +247,7 @@
         }
         serve = functools.partial(rpc.serve, cfg.rpc_address, handlers, links)
         children.append(("rpc", serve))
-    await _run_daemon(
-        cfg, app, children, rng, hand_over_and_leave, shared.tls, listener
-    )
+    await _run_daemon(cfg, app, children, rng, leave.run, shared.tls, listener)
     await servers.aclose()
 
 
