--- a/hyssopfold/application.py
+++ b/hyssopfold/application.py
@@ -25,6 +25,7 @@
 from hyssopfold.core.attempts import claims as core_claims
 from hyssopfold.core.balancing import messages as balancing
 from hyssopfold.core.balancing import node
+from hyssopfold.core.balancing import subset
 from hyssopfold.core.consensus import messages as consensus_messages
 from hyssopfold.core.consensus import node as consensus_node
 from hyssopfold.core.distribution import follower
@@ -189,7 +190,7 @@
 
     def bound(server: messages.Server) -> int:
         entries = len(spread.directory.ready_entries())
-        return max(1, server.connections // max(1, entries))
+        return subset.share(server.connections, server.slots, entries)
 
     connected = connections.Pool(bound)
     servers = upstream.Upstream(connected)
@@ -251,7 +252,7 @@
     leave = leaving.Leave(
         core_stop.Stop(
             cfg.lookup_ttl_s,
-            gossip.PERIOD_S + lookups.MAX_AGE_S,
+            gossip.SPREAD_S + lookups.MAX_AGE_S,
             cfg.stop_max_s,
         ),
         listener,
--- a/hyssopfold/transport/gossip.py
+++ b/hyssopfold/transport/gossip.py
@@ -23,6 +23,7 @@
 logger = logging.getLogger(__name__)
 
 PERIOD_S = spread.PERIOD_S
+SPREAD_S = spread.SPREAD_S
 _RECEIVE_BYTES = 65_536
 _KIND = "Datagram"
 _QUEUE = 4096
@@ -82,7 +83,7 @@
 
     def update_self(self, **changes: Any) -> None:
         """Change what this instance says of itself from now on."""
-        self._core.update_self(trio.current_time(), **changes)
+        self._carry(self._core.update_self(trio.current_time(), **changes))
 
     @property
     def myself(self) -> messages.Instance:
