Do not grant a leaving server's slot to oneself without end

Its stack, taken by a signal, stood in the grantor: it had heard that a server left, had not counted its servers anew yet, granted itself a slot of it, gave it back as unfit and asked itself again, all within one event, for ever. Change: an ask that was given an unfit server avoids it, and passes the region over when it is given twice. Conclusion: one event can ask at most once for each server.

--- a/hyssopfold/core/balancing/holder.py
+++ b/hyssopfold/core/balancing/holder.py
@@ -35,6 +35,20 @@
     resend_at: float
 
 
+def _without(one: _Open, server_id: str) -> _Open:
+    """Return an open ask that does not want this server.
+
+    The grantor has not heard yet that the server leaves, and its free slot
+    would be the first to be granted again: an entry that is its own grantor
+    would go round without an end. A server given twice is the only one there,
+    so the region is passed over.
+    """
+    avoid = one.req.avoid
+    if server_id in avoid:
+        return one._replace(step=one.step + 1)
+    return one._replace(req=one.req._replace(avoid=(*avoid, server_id)))
+
+
 class Holder:
     """Ask grantors for slots and keep count of those in use here.
 
@@ -202,6 +216,7 @@
             return [self._give_back(sender, key, number)]
         if not self._is_fit(granted.server):
             effects = [self._give_back(sender, key, number)]
+            one = _without(one, granted.server.server_id)
             return effects + self._again(one, "server-left", now)
         self._promised[key] = granted.term
         server = granted.server
--- a/tests/core/balancing/node.feature
+++ b/tests/core/balancing/node.feature
@@ -102,6 +102,15 @@
     And that entry asks for 3 slots
     Then server "s0" has no slot in use
 
+  Scenario: the grantor's own server leaves between two of its ticks
+    The entry that grants hears that a server leaves and is asked for a slot
+    before it has counted its servers anew. It granted itself a slot of that
+    server, gave it back as unfit and asked itself again, without end: the
+    whole entry stood still and cut every upload that went through it.
+    Given placement of 1 entries over 1 servers
+    When the grantor hears that server "s0" leaves and asks at once
+    Then the grantor's ask is refused or waits
+
   @soak
   Scenario: no slot is over-run in random runs
     When placement is run at random with faults
--- a/tests/steps/core/balancing/node_steps.py
+++ b/tests/steps/core/balancing/node_steps.py
@@ -277,6 +277,21 @@
     world.entries[context.early].known.servers.update(name, word, world.now)
 
 
+@when('the grantor hears that server "{name}" leaves and asks at once')
+def _(context, name):
+    world = context.world
+    (grantor,) = world.grantors()
+    word = _say_leaving(world, name)
+    world.entries[grantor].known.servers.update(name, word, world.now)
+    world.ask(grantor)
+
+
+@then("the grantor's ask is refused or waits")
+def _(context):
+    context.world.run(2)
+    assert sum(context.world.in_use().values()) == 0, context.world.in_use()
+
+
 @when("that entry asks for {count:d} slots")
 def _(context, count):
     for _ in range(count):
