--- a/tests/entry/configuration.feature
+++ b/tests/entry/configuration.feature
@@ -23,3 +23,8 @@
     Given a configured entry and a publisher that a majority confirms
     When a publisher is asked to wait for ever, for no number and below zero
     Then each publisher's answer came within its longest wait
+
+  Scenario: control is cut off from one of two entries
+    Given two configured entries of which one reaches control through a relay
+    When the relay is cut and a revision is published
+    Then the configured entry behind the relay has it from the other one
--- a/tests/steps/core/distribution/follower_steps.py
+++ b/tests/steps/core/distribution/follower_steps.py
@@ -18,6 +18,8 @@
 
 SEED = 4
 SETTLE_S = 20
+MIN_RUNS = 20
+STEPS_A_RUN = 25
 
 
 @given("a distribution network of {entries:d} entries that loses {loss:d} %")
@@ -403,9 +405,10 @@
 
 @when("distribution runs randomly with its invariants checked")
 def _(context):
+    steps = int(os.environ.get("HYSSOP_SOAK_STEPS", "0"))
     settings = hypothesis.settings(
-        max_examples=int(os.environ.get("HYSSOP_SOAK_EXAMPLES", "20")),
-        stateful_step_count=int(os.environ.get("HYSSOP_SOAK_STEPS", "25")),
+        max_examples=max(MIN_RUNS, steps // STEPS_A_RUN),
+        stateful_step_count=STEPS_A_RUN,
         suppress_health_check=list(hypothesis.HealthCheck),
     )
     seed = os.environ.get("HYSSOP_SOAK_SEED")
--- a/tests/steps/entry/configuration_steps.py
+++ b/tests/steps/entry/configuration_steps.py
@@ -14,8 +14,12 @@
 from hyssopfold import tables
 from hyssopfold.core.distribution import history
 from hyssopfold.entry import configuration
+from hyssopfold.transport import auth
 from hyssopfold.transport import poll_wire
 from hyssopfold.transport import publisher
+from hyssopfold.transport import rpc
+from tests.support import loopback
+from tests.support import relay
 
 
 class FakeClient:
@@ -153,3 +157,63 @@
 @then("each publisher's answer came within its longest wait")
 def _(context):
     assert max(context.waits) <= publisher.MAX_WAIT_S + 1, context.waits
+
+
+LIMIT_S = 30
+
+
+def _entry(name, address):
+    rng = random.Random(1)
+    links = rpc.Links(auth.Keyring((b"a-shared-key-of-ours",)), rng)
+    control = [rpc.Client(address, links)]
+    return links, configuration.Configuration(
+        name, control, rpc.Clients(links), rng
+    )
+
+
+@given("two configured entries of which one reaches control through a relay")
+def _(context):
+    context.pair = Pair(confirmed=True)
+    context.control = loopback.free_address()
+    context.peer = loopback.free_address()
+    context.relay = relay.Relay(context.control)
+
+
+@when("the relay is cut and a revision is published")
+def _(context):
+    async def main():
+        async with rpc.open_loop(), trio.open_nursery() as nursery:
+            links, near = _entry("entry-1", context.control)
+            start = nursery.start
+            control = {poll_wire.POLL: context.pair.served.poll}
+            peer = {poll_wire.POLL: near.publisher.poll}
+            await start(rpc.serve, context.control, control, links)
+            await start(rpc.serve, context.peer, peer, links)
+            await start(context.relay.run)
+            _, far = _entry("entry-2", context.relay.address)
+            nursery.start_soon(context.pair.confirmations.run)
+            nursery.start_soon(near.run)
+            nursery.start_soon(far.run)
+            context.pair.publish(1)
+            with trio.fail_after(LIMIT_S):
+                while far.snapshot.revision < 1:
+                    await trio.sleep(0.01)
+                context.relay.cut()
+                context.pair.publish(2)
+                while near.snapshot.revision < 2:
+                    await trio.sleep(0.01)
+                # As the other entry's datagrams tell, each second.
+                far.hear(context.peer, near.snapshot.revision)
+                while far.snapshot.revision < 2:
+                    await trio.sleep(0.01)
+            context.values = (near.snapshot.tables, far.snapshot.tables)
+            nursery.cancel_scope.cancel()
+
+    trio.run(main)
+
+
+@then("the configured entry behind the relay has it from the other one")
+def _(context):
+    near, far = context.values
+    assert near == far
+    assert [pool.name for pool in far.pools] == ["pool-2"]
--- a/tests/support/relay.py
+++ b/tests/support/relay.py
@@ -16,8 +16,14 @@
         self._target = target
         self._epoch = 0
         self.accepted = 0
+        self.deaf = False
         self.address = ""
 
+    def cut(self):
+        """Swallow all, on new connections too."""
+        self.forget()
+        self.deaf = True
+
     def forget(self):
         """Swallow all that comes on the connections there are."""
         self._epoch += 1
@@ -35,6 +41,8 @@
 
     async def _carry(self, near):
         self.accepted += 1
+        if self.deaf:
+            await trio.sleep_forever()
         host, _, port = self._target.rpartition(":")
         far = await trio.open_tcp_stream(host, int(port))
         async with far, trio.open_nursery() as nursery:
