--- a/hyssopfold/entry/configuration.py
+++ b/hyssopfold/entry/configuration.py
@@ -2,6 +2,7 @@
 
 import functools
 import logging
+import math
 import random
 from typing import Any
 
@@ -82,8 +83,12 @@
         self.publisher = publisher.Publisher(history.History(), self.age_s)
 
     def age_s(self, now: float) -> float:
-        """Return the seconds since a majority confirmed the revision."""
-        return self._follower.age_s(now)
+        """Return the seconds since a majority confirmed the revision.
+
+        Infinite when none ever did.
+        """
+        age = self._follower.age_s(now)
+        return age if age < messages.NEVER_S / 2 else math.inf
 
     def hear(self, source: str, revision: int) -> None:
         """Take note that `source` has `revision` in force.
--- a/tests/steps/entry/configuration_steps.py
+++ b/tests/steps/entry/configuration_steps.py
@@ -121,6 +121,7 @@
 @then("the configured entry has no revision")
 def _(context):
     assert context.pair.entry.snapshot.revision == 0
+    assert math.isinf(context.pair.entry.age_s(1.0))
 
 
 @when("the publisher is not confirmed any more for {seconds:d} s")
