Answer a booting entry weakly in time when no majority confirms

Cause: a strong question waited for the read's own time-out, 8 s, while the asker gave up after 1.5 s; with two of three control instances cut off from each other a booting entry would never have got the words of a majority. Seen failing first with a read that never ends.

--- a/hyssopfold/transport/publisher.py
+++ b/hyssopfold/transport/publisher.py
@@ -15,6 +15,7 @@
 logger = logging.getLogger(__name__)
 
 CONFIRM_PERIOD_S = 1.0
+CONFIRM_WAIT_S = 0.8
 MAX_HELD_QUESTIONS = 2048
 MAX_WAIT_S = 60.0
 
@@ -54,7 +55,10 @@
         began = trio.current_time()
         strong = False
         if req.strong and self._confirm is not None:
-            strong = await self._confirm()
+            # Without a majority the read ends long after the asker gave up;
+            # a weak answer in time lets it start from a majority's words.
+            with trio.move_on_after(CONFIRM_WAIT_S):
+                strong = await self._confirm()
         if self._waiting < MAX_HELD_QUESTIONS:
             await self._hold(req)
         else:
--- a/tests/entry/configuration.feature
+++ b/tests/entry/configuration.feature
@@ -28,3 +28,8 @@
     Given two configured entries of which one reaches control through a relay
     When the relay is cut and a revision is published
     Then the configured entry behind the relay has it from the other one
+
+  Scenario: a control instance that waits for its majority
+    Given a publisher whose reads never end
+    When the publisher is asked for a strong answer
+    Then it gives a weak one before the asker's time-out
--- a/tests/steps/entry/configuration_steps.py
+++ b/tests/steps/entry/configuration_steps.py
@@ -12,6 +12,7 @@
 from hyssopfold import errors
 from hyssopfold import state
 from hyssopfold import tables
+from hyssopfold.core.distribution import follower
 from hyssopfold.core.distribution import history
 from hyssopfold.entry import configuration
 from hyssopfold.transport import auth
@@ -218,3 +219,37 @@
     near, far = context.values
     assert near == far
     assert [pool.name for pool in far.pools] == ["pool-2"]
+
+
+@given("a publisher whose reads never end")
+def _(context):
+    context.pair = Pair(confirmed=True)
+
+    async def read():
+        await trio.sleep_forever()
+
+    context.pair.confirmations._read = read
+
+
+@when("the publisher is asked for a strong answer")
+def _(context):
+    async def main():
+        context.pair.publish(1)
+        req = poll_wire.Poll("entry-1", 0, 0.0, b"", True)
+        context.answer = await context.pair.served.poll(req)
+        context.took = trio.current_time()
+
+    async def timed():
+        with trio.fail_after(60):
+            began = trio.current_time()
+            await main()
+            context.took -= began
+
+    trio.run(timed, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+@then("it gives a weak one before the asker's time-out")
+def _(context):
+    assert not context.answer.strong
+    assert context.answer.update.revision == 1
+    assert context.took < follower.FETCH_TIMEOUT_S, context.took
