--- a/tests/security.feature
+++ b/tests/security.feature
@@ -50,3 +50,8 @@
   Scenario: settings that name unusable files
     When settings name a short key, a missing token file and a certificate
     Then each unusable file is told with its remedy and no key is shown
+
+  Scenario: the whole path with sealed messages and mutual TLS
+    Given a system whose processes share keys and show certificates
+    When the tables of "examples/mrema.yaml" are applied and requests sent
+    Then every request was served with its own whole answer
--- a/tests/steps/security_steps.py
+++ b/tests/steps/security_steps.py
@@ -362,3 +362,23 @@
     assert "tooshort" not in keys, keys
     assert "readable" in token, token
     assert "whose certificate and key fit" in certificate, certificate
+
+
+class SealedSystem(loopback.System):
+    """A small system whose processes know each other."""
+
+    def _common(self, *arguments):
+        fields = super()._common(*arguments)
+        fields["peer_key_file"] = self.folder / "keys"
+        fields["peer_certificate_file"] = KEYS / "one.pem"
+        fields["peer_certificate_key_file"] = KEYS / "one-key.pem"
+        fields["peer_issuers_file"] = KEYS / "ca.pem"
+        return fields
+
+
+@given("a system whose processes share keys and show certificates")
+def _(context):
+    folder = _folder(context)
+    (folder / "keys").write_text("the-key-of-all-our-processes\n")
+    context.system = SealedSystem(folder)
+    context.pools = ("catalogue", "ledger")
