--- a/hyssopfold/core/balancing/holder.py
+++ b/hyssopfold/core/balancing/holder.py
@@ -13,7 +13,7 @@
 WAIT_UNHEARD_S = 0.4
 RESEND_S = 0.1
 # A grantor that was silent for this long is asked no more.
-HEARD_S = 1.5
+HEARD_S = 1.0
 RETRY_AFTER_S = 1.0
 
 
@@ -62,6 +62,7 @@
         self._leaders: dict[messages.Key, _Leader] = {}
         self._promised: dict[messages.Key, int] = {}
         self._given: dict[messages.Key, int] = {}
+        self._alone: dict[messages.Key, int] = {}
         self._open: dict[int, _Open] = {}
         self._holds: dict[messages.Key, dict[int, messages.Hold]] = {}
         self._unsynced: set[messages.Key] = set()
@@ -117,16 +118,19 @@
 
     def leader(self, key: messages.Key, now: float) -> str | None:
         """Return the grantor that was heard of lately."""
-        leader = self._leaders.get(key)
-        if leader is None or now - leader.heard_at > HEARD_S:
-            return None
-        return leader.name
+        beat = self.last_beat(key, now)
+        return beat.grantor.name if beat is not None else None
 
     def last_beat(self, key: messages.Key, now: float) -> messages.Beat | None:
         """Return the last word of the grantor that was heard of lately."""
         leader = self._leaders.get(key)
         if leader is None or now - leader.heard_at > HEARD_S:
             return None
+        if leader.beat.term < self._promised.get(key, 0):
+            # What is held was reported to a newer one. A release that still
+            # went to the old one would free the slot at both, and both
+            # would grant it.
+            return None
         return leader.beat
 
     def term(self, key: messages.Key) -> int:
@@ -139,6 +143,10 @@
         """Return the highest term heard of that control had given."""
         return self._given.get(key, 0)
 
+    def alone_term(self, key: messages.Key) -> int:
+        """Return the highest term heard of that had no control behind it."""
+        return self._alone.get(key, 0)
+
     def lost_leader(self, key: messages.Key, name: str) -> None:
         """Note that a grantor resigned."""
         leader = self._leaders.get(key)
@@ -159,8 +167,8 @@
             return []
         leader = _Leader(beat, now)
         self._leaders[key] = leader
-        if not beat.alone:
-            self._given[key] = beat.term
+        terms = self._alone if beat.alone else self._given
+        terms[key] = beat.term
         held = self._holds.get(key, {})
         asks = tuple(
             number for number, one in self._open.items() if one.ask.key == key
@@ -180,6 +188,9 @@
         self, sender: str, granted: messages.Granted, now: float
     ) -> list[messages.Effect]:
         """Use a slot, or give it back when no one waits for it."""
+        if granted.holder != self._me:
+            # Meant for an earlier life, whose numbers were the same.
+            return []
         key, number = granted.key, granted.number
         if number in self._holds.get(key, {}):
             return []
@@ -217,6 +228,8 @@
         self, denied: messages.Denied, now: float
     ) -> list[messages.Effect]:
         """Try the next region, or refuse at once."""
+        if denied.holder != self._me:
+            return []
         one = self._open.pop(denied.number, None)
         if one is None:
             return []
@@ -288,6 +301,10 @@
             now,
         )
 
+    def open_numbers(self) -> list[int]:
+        """Return the numbers of the asks that wait for an answer."""
+        return list(self._open)
+
     def in_flight(self) -> dict[str, int]:
         """Return the slots in use here by server."""
         counts: dict[str, int] = {}
--- a/hyssopfold/settings.py
+++ b/hyssopfold/settings.py
@@ -298,6 +298,14 @@
         unit="ms",
         help="one-way delay from this entry's region to each other region",
     ),
+    documents.Field(
+        "client_blocks",
+        documents.string(max_length=4096),
+        "",
+        help="file that `hyssopctl blocks build` wrote: the regions of client"
+        " addresses; without it a caller's home is the region of the entry it"
+        " asks",
+    ),
 )
 
 
@@ -365,6 +373,7 @@
     max_connections: int
     max_connections_per_caller: int
     region_delays_ms: Mapping[str, float]
+    client_blocks: str
 
     @property
     def limits(self) -> serving.Limits:
