--- a/hyssopfold/core/membership/beats.py
+++ b/hyssopfold/core/membership/beats.py
@@ -1,6 +1,7 @@
 """Signs of life of instances, counted and packed for a datagram."""
 
 from collections.abc import Iterable
+import random
 import struct
 from typing import NamedTuple
 import zlib
@@ -8,6 +9,7 @@
 from hyssopfold.core.membership import directory
 
 MAX_BEATS = 90
+LATELY_S = 3.0
 MAX_BURIED = 1000
 _PACKED = struct.Struct("<IHI")
 
@@ -67,11 +69,21 @@
             return True
         return self._counts[name].beats > buried.beats
 
-    def pack(self) -> bytes:
-        """Return the signs of life that changed last."""
-        live = self._counts.keys() - self._buried.keys()
-        names = sorted(live, key=lambda name: -self._counts[name].changed_at)
-        return b"".join(self._pack(name) for name in names[:MAX_BEATS])
+    def pack(self, me: str, rng: random.Random, now: float) -> bytes:
+        """Return this instance's sign of life and some that changed lately.
+
+        Chosen by chance when there are many: the same few would else go round
+        and the others fall silent.
+        """
+        lately = [
+            name
+            for name, held in self._counts.items()
+            if now - held.changed_at <= LATELY_S
+            and name != me
+            and name not in self._buried
+        ]
+        chosen = rng.sample(lately, min(len(lately), MAX_BEATS - 1))
+        return b"".join(self._pack(name) for name in (me, *chosen))
 
     def _pack(self, name: str) -> bytes:
         held = self._counts[name]
--- a/hyssopfold/core/membership/directory.py
+++ b/hyssopfold/core/membership/directory.py
@@ -60,6 +60,11 @@
         """Return all words that are held."""
         return [held.word for held in self._held.values()]
 
+    @property
+    def size(self) -> int:
+        """Return how many words are held."""
+        return len(self._held)
+
     def get(self, key: str) -> Word | None:
         """Return the word of `key`."""
         held = self._held.get(key)
--- a/hyssopfold/core/membership/spread.py
+++ b/hyssopfold/core/membership/spread.py
@@ -114,7 +114,7 @@
 
         A sign of life needs more rounds of gossip, the more there are.
         """
-        size = len(list(self.known.instances.words()))
+        size = self.known.instances.size
         rounds = SPARE_ROUNDS + ROUNDS_PER_DOUBLING * math.log2(size + 1)
         return max(self._lease_s, PERIOD_S * rounds)
 
@@ -216,7 +216,7 @@
         return effects
 
     def _tell(self, key: str) -> None:
-        size = len(list(self.known.instances.words()))
+        size = self.known.instances.size
         self._news[key] = 2 + math.ceil(math.log2(size + 1) / 2)
 
     def receive(
@@ -225,20 +225,22 @@
         """Take in what another instance tells."""
         self.highest_revision = max(self.highest_revision, datagram.revision)
         effects: list[Send | Changed] = []
+        fresh: list[str] = []
         for instance in datagram.instances:
             if not self._is_credible(instance, datagram.sender):
                 continue
             if self.known.instances.update(instance.name, instance, now):
                 if datagram.news:
                     self._tell(instance.name)
-                lease_s = self.instance_lease_s()
-                self.known.instances.renew(instance.name, now, lease_s)
+                fresh.append(instance.name)
         for server in datagram.servers:
             effects += self._take_server(server, datagram.news, now)
         self._beats.learn(self.known)
-        for name in self._beats.merge(datagram.beats, now):
+        fresh += self._beats.merge(datagram.beats, now)
+        lease_s = self.instance_lease_s()
+        for name in fresh:
             if name != self.myself.name:
-                self.known.instances.renew(name, now, self.instance_lease_s())
+                self.known.instances.renew(name, now, lease_s)
         self._note_part(datagram)
         return effects + self._reply(datagram, now)
 
@@ -481,7 +483,10 @@
 
     def _gossip(self, now: float) -> list[Send | Changed]:
         datagram = self._with_records(self._due_news())
-        datagram = datagram._replace(beats=self._beats.pack(), news=True)
+        datagram = datagram._replace(
+            beats=self._beats.pack(self.myself.name, self._rng, now),
+            news=True,
+        )
         if self._periods % COMPARE_EVERY == 0:
             datagram = datagram._replace(buckets=self._hashes())
         if not self._whole and now - self._wanted_at >= WANT_EVERY_S:
