--- a/hyssopfold/application.py
+++ b/hyssopfold/application.py
@@ -22,6 +22,7 @@
 from hyssopfold.control import api
 from hyssopfold.control import instance as control_instance
 from hyssopfold.control import slot_votes
+from hyssopfold.core.attempts import claims as core_claims
 from hyssopfold.core.balancing import messages as balancing
 from hyssopfold.core.balancing import node
 from hyssopfold.core.balancing import subset
@@ -31,13 +32,18 @@
 from hyssopfold.core.distribution import history
 from hyssopfold.core.draining import stop as core_stop
 from hyssopfold.core.membership import messages
+from hyssopfold.entry import adoption
 from hyssopfold.entry import app as entry_app
+from hyssopfold.entry import blocks
+from hyssopfold.entry import claims
 from hyssopfold.entry import configuration
 from hyssopfold.entry import connections
 from hyssopfold.entry import leaving
+from hyssopfold.entry import lookups
 from hyssopfold.entry import pacing
 from hyssopfold.entry import placement
 from hyssopfold.entry import proxy
+from hyssopfold.entry import status as entry_status
 from hyssopfold.entry import steering
 from hyssopfold.entry import upstream
 from hyssopfold.storage import folder
@@ -189,24 +195,39 @@
     connected = connections.Pool(bound)
     servers = upstream.Upstream(connected)
     meter = metrics.Metrics(cfg.name)
+    clients = blocks.Blocks(cfg.client_blocks)
     steer = steering.Steering(
-        cfg.region, cfg.region_delays_ms, config, spread.directory
+        cfg.region, cfg.region_delays_ms, config, spread.directory, clients
+    )
+    look_up = lookups.Lookups(
+        cfg.region,
+        cfg.region_delays_ms,
+        cfg.lookup_ttl_s,
+        config,
+        spread,
+        steer,
+    )
+    claimed = claims.Claims(
+        lambda: spread.myself,
+        spread.directory,
+        rpc.Clients(links),
+        core_claims.Table(),
     )
     forward = proxy.Proxy(
         config,
         steer,
         place,
-        pacing.Pacer(),
+        pacing.Pacer(cfg.region, config, spread.directory),
         servers,
         meter,
-        region=cfg.region,
-        known=spread.directory,
+        claimed=claimed,
+        here=proxy.Here(cfg.region, spread.directory),
         rng=rng,
         max_body_bytes=cfg.max_body_bytes,
     )
     app = entry_app.App(
-        dict(cfg.region_delays_ms),
-        cfg.lookup_ttl_s,
+        look_up,
+        entry_status.Status(config, spread, steer, place),
         config,
         spread,
         forward,
@@ -218,6 +239,8 @@
     async def become_ready() -> None:
         while config.snapshot.revision == 0 or not spread.ready:
             await trio.sleep(0.05)
+        steer.step(trio.current_time(), time.time())
+        await adoption.adopt(spread, steer.shares)
         spread.update_self(state="ready")
         while True:
             revision = config.snapshot.revision
@@ -227,23 +250,31 @@
 
     listener = serving.Listener(app, cfg.limits)
     leave = leaving.Leave(
-        core_stop.Stop(cfg.lookup_ttl_s, gossip.SPREAD_S, cfg.stop_max_s),
+        core_stop.Stop(
+            cfg.lookup_ttl_s,
+            gossip.SPREAD_S + lookups.MAX_AGE_S,
+            cfg.stop_max_s,
+        ),
         listener,
         spread,
-        place,
+        place.leave,
+        claimed.hand_over,
     )
     children: list[Child] = [
         ("configuration", config.run),
         ("gossip", spread.run),
         ("steering", steer.run),
         ("placement", place.run),
+        ("client-blocks", clients.run),
         ("state", become_ready),
         ("reloading", shared.reloader.run),
         ("connections", connected.sweep),
+        ("claims", claimed.run),
     ]
     if cfg.rpc_address:
         handlers: dict[rpc.Method, rpc.Handler] = {
-            poll_wire.POLL: config.publisher.poll
+            poll_wire.POLL: config.publisher.poll,
+            **claimed.handlers(),
         }
         serve = functools.partial(rpc.serve, cfg.rpc_address, handlers, links)
         children.append(("rpc", serve))
--- a/hyssopfold/entry/exchange.py
+++ b/hyssopfold/entry/exchange.py
@@ -74,7 +74,8 @@
         self.request_id = uuid.uuid4().hex
         self.method: str = scope["method"]
         self.headers: http.Headers = scope["headers"]
-        self.outcome = "answered"
+        self.outcome = "unknown"
+        self.status = 0
         self._by_name = dict(reversed(self.headers))
         self.dropped = False
         self._kept: list[bytes] = []
@@ -92,6 +93,12 @@
         name, _, port = value.rpartition(":")
         return name if name and port.isdigit() else value
 
+    @property
+    def client(self) -> str:
+        """Return the caller's IP number, or an empty string."""
+        client: str = (self.scope.get("client") or ("", 0))[0]
+        return client
+
     @property
     def has_body(self) -> bool:
         """Return whether a body follows the request's head."""
