--- a/hyssopfold/core/steering/blocks.py
+++ b/hyssopfold/core/steering/blocks.py
@@ -45,12 +45,12 @@
     last: int
 
 
-class Packed(NamedTuple):
-    """A table as bytes: the arrays of IPv4, then those of IPv6."""
+class Header(NamedTuple):
+    """What tells the arrays of a table apart, IPv4 first, then IPv6."""
 
     byteorder: str
     sites: tuple[Site, ...]
-    arrays: tuple[bytes, ...]
+    counts: tuple[int, ...]
 
 
 class _Stretches:
@@ -60,7 +60,7 @@
         self._buckets = array.array("I")
         self._offsets = array.array("I", (0,))
         self._starts = array.array("H")
-        self._sites = bytearray()
+        self._sites = array.array("B")
         self._changed: dict[int, tuple[array.array[int], bytes]] = {}
 
     def find(self, unit: int) -> int:
@@ -138,13 +138,11 @@
 
     def arrays(self) -> tuple["array.array[int]", ...]:
         """Return the arrays that hold all stretches."""
-        sites = array.array("B", self._sites)
-        return (self._buckets, self._offsets, self._starts, sites)
+        return (self._buckets, self._offsets, self._starts, self._sites)
 
     def restore(self, arrays: Sequence["array.array[int]"]) -> None:
         """Take the place of what is held by what `arrays` returned."""
-        self._buckets, self._offsets, self._starts = arrays[:3]
-        self._sites = bytearray(arrays[3])
+        self._buckets, self._offsets, self._starts, self._sites = arrays
 
     def size_bytes(self) -> int:
         """Return the bytes that the arrays take."""
@@ -223,15 +221,19 @@
         """Take over the arrays of one address family."""
         self._families[version].restore(arrays)
 
-    def packed(self) -> Packed:
-        """Return a finished table, never changed since, as flat bytes."""
-        arrays = [
-            one.tobytes()
+    def header(self) -> Header:
+        """Return what `empty_arrays` needs to read this table again."""
+        sites = tuple(site for site in self._sites if site is not None)
+        counts = tuple(len(one) for one in self.arrays())
+        return Header(sys.byteorder, sites, counts)
+
+    def arrays(self) -> list["array.array[int]"]:
+        """Return the arrays of a finished table that was never changed."""
+        return [
+            one
             for version in (4, 6)
             for one in self._families[version].arrays()
         ]
-        sites = tuple(site for site in self._sites if site is not None)
-        return Packed(sys.byteorder, sites, tuple(arrays))
 
     def _number(self, site: str) -> int:
         try:
@@ -251,20 +253,24 @@
             self._next[block.version] = last + 1
 
 
-def unpack(packed: Packed) -> Table:
-    """Return the table that was packed.
+def empty_arrays(header: Header) -> list["array.array[int]"]:
+    """Return arrays to read the bytes of a table into, in their order.
 
     Raises:
-        ValueError: if the bytes are none, or of a machine of another order.
+        ValueError: if the table is of a machine of another byte order.
     """
-    if packed.byteorder != sys.byteorder:
+    if header.byteorder != sys.byteorder:
         raise ValueError(f"a table built on a {sys.byteorder} endian machine")
-    table = Table(packed.sites)
-    arrays = []
-    for kind, data in zip(_KINDS * 2, packed.arrays, strict=True):
-        one = array.array(kind)
-        one.frombytes(data)
-        arrays.append(one)
+    return [array.array(kind) for kind in _KINDS * 2]
+
+
+def restored(header: Header, arrays: Sequence["array.array[int]"]) -> Table:
+    """Return the table whose arrays were read.
+
+    Raises:
+        ValueError: if they do not fit each other.
+    """
+    table = Table(header.sites)
     half = len(_KINDS)
     for version, held in ((4, arrays[:half]), (6, arrays[half:])):
         buckets, offsets, starts, sites = held
--- a/hyssopfold/entry/blocks.py
+++ b/hyssopfold/entry/blocks.py
@@ -3,6 +3,7 @@
 import hashlib
 import logging
 import pathlib
+from typing import BinaryIO
 
 import msgspec
 import trio
@@ -16,6 +17,7 @@
 CHANGES_SUFFIX = ".changes"
 PERIOD_S = 5.0
 _DIGEST_BYTES = 32
+_LENGTH_BYTES = 4
 
 
 def build(source: str, target: str) -> int:
@@ -26,9 +28,11 @@
     """
     with open(source, encoding="utf-8") as lines:
         table = blocks.parse(lines, source)
-    data = msgspec.msgpack.encode(table.packed())
-    digest = hashlib.blake2b(data, digest_size=_DIGEST_BYTES).digest()
-    pathlib.Path(target).write_bytes(digest + data)
+    header = msgspec.msgpack.encode(table.header())
+    parts = [len(header).to_bytes(_LENGTH_BYTES, "big"), header]
+    parts += [one.tobytes() for one in table.arrays()]
+    data = b"".join(parts)
+    pathlib.Path(target).write_bytes(_digest(data).digest() + data)
     return len(data) + _DIGEST_BYTES
 
 
@@ -39,19 +43,35 @@
         InvalidDocumentError: if the file is missing, cut short or no table.
     """
     try:
-        data = memoryview(pathlib.Path(path).read_bytes())
-        digest, body = data[:_DIGEST_BYTES], data[_DIGEST_BYTES:]
-        found = hashlib.blake2b(body, digest_size=_DIGEST_BYTES).digest()
-        if found != digest:
-            raise ValueError("a file whose checksum fits")
-        packed = msgspec.msgpack.decode(body, type=blocks.Packed)
-        return blocks.unpack(packed)
-    except (OSError, ValueError, msgspec.DecodeError) as exc:
+        with open(path, "rb") as file:
+            return _read(file)
+    except (OSError, ValueError, EOFError, msgspec.DecodeError) as exc:
         allowed = "a file written by `hyssopctl blocks build`"
         fault = errors.Fault(path, 1, "client_blocks", str(exc), allowed)
         raise errors.InvalidDocumentError([fault]) from exc
 
 
+def _read(file: BinaryIO) -> blocks.Table:
+    """Read a table straight into its arrays: no second copy is ever held."""
+    expected = file.read(_DIGEST_BYTES)
+    length = file.read(_LENGTH_BYTES)
+    encoded = file.read(int.from_bytes(length, "big"))
+    found = _digest(length)
+    found.update(encoded)
+    header = msgspec.msgpack.decode(encoded, type=blocks.Header)
+    arrays = blocks.empty_arrays(header)
+    for one, count in zip(arrays, header.counts, strict=True):
+        one.fromfile(file, count)
+        found.update(one)
+    if found.digest() != expected or file.read(1):
+        raise ValueError("a file whose checksum fits")
+    return blocks.restored(header, arrays)
+
+
+def _digest(data: bytes) -> "hashlib.blake2b":
+    return hashlib.blake2b(data, digest_size=_DIGEST_BYTES)
+
+
 class Blocks:
     """Keep a table of client blocks and apply the changes appended to it.
 
