--- a/hyssopfold/entry/leaving.py
+++ b/hyssopfold/entry/leaving.py
@@ -7,6 +7,7 @@
 from hyssopfold import logs
 from hyssopfold import serving
 from hyssopfold.core.draining import stop
+from hyssopfold.entry import placement
 from hyssopfold.transport import gossip
 
 logger = logging.getLogger(__name__)
@@ -23,6 +24,7 @@
         steps: Decides when each step is due.
         listener: Connections of callers.
         spread: Tells the other entries.
+        place: Hands over what this entry grants.
     """
 
     def __init__(
@@ -30,16 +32,19 @@
         steps: stop.Stop,
         listener: serving.Listener,
         spread: gossip.Gossip,
+        place: placement.Placement,
     ) -> None:
         self._steps = steps
         self._listener = listener
         self._spread = spread
+        self._placement = place
 
     async def run(self) -> None:
         """Return when nothing is in flight any more, or time is up."""
         began = trio.current_time()
         self._steps.ask(began)
         self._spread.update_self(state="leaving")
+        self._placement.leave()
         self._listener.close_after_answers()
         logger.info(logs.Event("leaving", requests=self._listener.requests))
         while self._steps.phase is not stop.Phase.DONE:
--- a/hyssopfold/transport/gossip.py
+++ b/hyssopfold/transport/gossip.py
@@ -1,8 +1,11 @@
 """The task that owns the UDP socket and the directory of who is there."""
 
 from collections.abc import Callable
+from collections.abc import Iterable
 import errno
+import functools
 import logging
+import random
 from typing import Any
 
 import msgspec
@@ -10,16 +13,20 @@
 
 from hyssopfold import errors
 from hyssopfold import logs
+from hyssopfold.core.balancing import messages as placement
 from hyssopfold.core.membership import directory
 from hyssopfold.core.membership import messages
+from hyssopfold.core.membership import spread
 from hyssopfold.transport import auth
 from hyssopfold.transport import datagram_wire
 
 logger = logging.getLogger(__name__)
 
-PERIOD_S = 1.0
+PERIOD_S = spread.PERIOD_S
 _RECEIVE_BYTES = 65_536
 _KIND = "Datagram"
+_QUEUE = 4096
+_MAX_ADDRESSES = 2000
 
 
 def _ignore(address: str, revision: int) -> None:
@@ -27,13 +34,14 @@
 
 
 class Gossip:
-    """Spread announcements between our processes.
+    """Spread announcements between our processes, and carry placement.
 
     Args:
         myself: This instance, without its changing fields.
         seeds: UDP addresses of some other processes of ours.
         lease_s: Seconds after which a silent member is taken for gone.
         keyring: Seals what is sent and opens what comes.
+        rng: Source of the choice of peers.
     """
 
     def __init__(
@@ -42,31 +50,80 @@
         seeds: tuple[str, ...],
         lease_s: float,
         keyring: auth.Keyring,
+        rng: random.Random,
     ) -> None:
         self._keyring = keyring
         # Told of each sender's revision: the address to ask, the revision.
         self.on_revision: Callable[[str, int], None] = _ignore
         self.directory = directory.Directory(lease_s)
-        self.highest_revision = 0
-        self._myself = myself
-        self._seeds = seeds
-        # Servers that announced themselves here since the last period.
-        self._heard: dict[str, messages.Server] = {}
+        self._spread = functools.partial(
+            spread.Spread, myself, seeds, self.directory, lease_s, rng
+        )
+        self._started: spread.Spread | None = None
+        self._outbox_in, self._outbox = trio.open_memory_channel[
+            tuple[str, bytes]
+        ](_QUEUE)
+        # Messages of placement that came, for the task that handles them.
+        self._parcels_in, self.parcels = trio.open_memory_channel[
+            datagram_wire.Parcel
+        ](_QUEUE)
+        # Kept beyond a lease: one that is silent may still be reached.
+        self._addresses: dict[str, str] = {}
+
+    @property
+    def _core(self) -> spread.Spread:
+        if self._started is None:
+            self._started = self._spread(trio.current_time())
+        return self._started
 
     def announce(self, server: messages.Server) -> None:
         """Take in what a backend server says of itself, to be spread."""
-        now = trio.current_time()
-        if self.directory.servers.update(server.server_id, server, now):
-            self._heard[server.server_id] = server
+        self._carry(self._core.announce(server, trio.current_time()))
 
     def update_self(self, **changes: Any) -> None:
         """Change what this instance says of itself from now on."""
-        self._myself = self._myself._replace(**changes)
+        self._core.update_self(trio.current_time(), **changes)
 
     @property
     def myself(self) -> messages.Instance:
         """Return this instance's own word."""
-        return self._myself
+        return self._core.myself
+
+    @property
+    def highest_revision(self) -> int:
+        """Return the highest revision that any sender has in force."""
+        return self._core.highest_revision
+
+    @property
+    def ready(self) -> bool:
+        """Return whether it is known who is there."""
+        return self._core.ready(trio.current_time())
+
+    def post(self, name: str, message: placement.Message) -> None:
+        """Send a message of placement to an instance; it may be lost."""
+        held = self.directory.instances.get(name)
+        if held is not None and len(self._addresses) < _MAX_ADDRESSES:
+            self._addresses[name] = held.gossip_address
+        address = self._addresses.get(name)
+        if address is not None:
+            sender = self._core.myself.name
+            data = datagram_wire.encode_placement(sender, message)
+            self._queue(address, data)
+
+    def _queue(self, address: str, data: bytes) -> None:
+        try:
+            self._outbox_in.send_nowait((address, data))
+        except trio.WouldBlock:
+            # Lost like on the wire; whoever waits for it asks again.
+            logger.warning(logs.Event("datagram-dropped", to=address))
+
+    def _carry(self, effects: Iterable[spread.Send | spread.Changed]) -> None:
+        for effect in effects:
+            if isinstance(effect, spread.Send):
+                for data in datagram_wire.encode(effect.datagram):
+                    self._queue(effect.address, data)
+            else:
+                logger.info(logs.Event("member-changed", **effect._asdict()))
 
     async def run(self) -> None:
         """Own the socket; send each period and take in what comes.
@@ -74,7 +131,7 @@
         Raises:
             PortBusyError: when another process holds the address.
         """
-        address = self._myself.gossip_address
+        address = self._core.myself.gossip_address
         host, _, port = address.rpartition(":")
         sock = trio.socket.socket(type=trio.socket.SOCK_DGRAM)
         with sock:
@@ -87,6 +144,7 @@
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._receive, sock)
                 nursery.start_soon(self._send, sock)
+                nursery.start_soon(self._tick)
 
     async def _receive(self, sock: trio.socket.SocketType) -> None:
         while True:
@@ -103,52 +161,33 @@
                     logs.Event("bad-datagram", sender=sender, error=exc)
                 )
                 continue
-            self._take_in(datagram)
+            if isinstance(datagram, messages.Datagram):
+                self._take_in(datagram)
+            else:
+                self._deliver(datagram)
+
+    def _deliver(self, parcel: datagram_wire.Parcel) -> None:
+        try:
+            self._parcels_in.send_nowait(parcel)
+        except trio.WouldBlock:
+            logger.warning(logs.Event("parcel-dropped", sender=parcel.sender))
 
     def _take_in(self, datagram: messages.Datagram) -> None:
-        now = trio.current_time()
-        self.directory.merge(datagram, now)
-        self.highest_revision = max(self.highest_revision, datagram.revision)
+        self._carry(self._core.receive(datagram, trio.current_time()))
         sender = self.directory.instances.get(datagram.sender)
         address = sender.rpc_address if sender is not None else ""
         self.on_revision(address, datagram.revision)
 
-    async def _send(self, sock: trio.socket.SocketType) -> None:
+    async def _tick(self) -> None:
         while True:
-            self._expire()
-            await self._send_period(sock)
+            self._carry(self._core.tick(trio.current_time()))
             await trio.sleep(PERIOD_S)
 
-    def _expire(self) -> None:
-        for word in self.directory.expire(trio.current_time()):
-            name = (
-                word.server_id
-                if isinstance(word, messages.Server)
-                else word.name
-            )
-            logger.warning(
-                logs.Event("lease-ended", member=name, region=word.region)
-            )
-
-    async def _send_period(self, sock: trio.socket.SocketType) -> None:
-        me = self._myself._replace(sequence=self._myself.sequence + 1)
-        self._myself = me
-        self.directory.instances.update(me.name, me, trio.current_time())
-        heard = tuple(self._heard.values())
-        self._heard.clear()
-        datagram = messages.Datagram(me.name, me.revision, (me,), heard)
-        known = {
-            instance.gossip_address
-            for instance in self.directory.instances.words()
-        }
-        targets = known.union(self._seeds) - {me.gossip_address}
-        for data in datagram_wire.encode(datagram):
+    async def _send(self, sock: trio.socket.SocketType) -> None:
+        async for address, data in self._outbox:
+            host, _, port = address.rpartition(":")
             sealed = self._keyring.seal(_KIND, data)
-            for target in targets:
-                host, _, port = target.rpartition(":")
-                try:
-                    await sock.sendto(sealed, (host, int(port)))
-                except OSError as exc:
-                    logger.debug(
-                        logs.Event("gossip-failed", to=target, error=exc)
-                    )
+            try:
+                await sock.sendto(sealed, (host, int(port)))
+            except OSError as exc:
+                logger.debug(logs.Event("gossip-failed", to=address, error=exc))
