--- a/bench/capacity/lookup.py
+++ b/bench/capacity/lookup.py
@@ -1,11 +1,21 @@
 """Cost of a look-up, of arranging the entries, and of client blocks."""
 
 import time
+import types
+
+import trio
 
 from bench import client_blocks
 from bench.capacity import slopes
+from hyssopfold import state
+from hyssopfold import tables
+from hyssopfold.core.membership import directory
 from hyssopfold.core.membership import messages
 from hyssopfold.core.steering import lookup
+from hyssopfold.entry import blocks
+from hyssopfold.entry import configuration
+from hyssopfold.entry import lookups
+from hyssopfold.entry import steering
 
 _COMMAND = "python -m bench.capacity --part lookup"
 _ENTRIES = (12, 50, 100, 200, 440)
@@ -32,9 +42,45 @@
     return (time.process_time() - began) / count * 1e6
 
 
+class _Spread:
+    """The directory's part that look-ups use."""
+
+    def __init__(self, entries):
+        self.directory = self
+        self.instances = self
+        self._entries = entries
+
+    def words(self):
+        """Return all instances."""
+        return self._entries
+
+
+async def _answer_us(count):
+    first = tables.parse(
+        "routes: [{name: r, path_prefix: /, pool: p}]\n"
+        "pools: [{name: p, slots: 3}]\n"
+    )
+    config = types.SimpleNamespace(
+        snapshot=configuration.Snapshot(1, state.State(first))
+    )
+    known = directory.Directory(1e9)
+    clients = blocks.Blocks("")
+    steer = steering.Steering("r0", {}, config, known, clients)
+    answers = lookups.Lookups(
+        "r0", {}, 5.0, config, _Spread(_entries(count)), steer
+    )
+    return _us(
+        lambda n: answers.answer(
+            {"query_string": b"host=h&path=/a&client=10.1.2.%d" % (n % 250)}
+        ),
+        _CALLS,
+    )
+
+
 def measure():
     """Return the slopes."""
     ranked, same, anew, memory, parse = [], [], [], [], []
+    answers = [slopes.Point(n, trio.run(_answer_us, n)) for n in _ENTRIES]
     regions = [f"r{n}" for n in range(_REGIONS)]
     for count in _ENTRIES:
         entries = _entries(count)
@@ -58,6 +104,10 @@
         memory.append(slopes.Point(count, result.array_bytes))
         parse.append(slopes.Point(count, result.parse_s))
     return [
+        slopes.fit(
+            "lookup", "CPU of an answer without HTTP, us", "entry", answers,
+            _COMMAND,
+        ),
         slopes.fit("lookup", "CPU of a ranking, us", "entry", ranked, _COMMAND),
         slopes.fit(
             "lookup", "CPU of a check that nothing changed, us", "entry", same,
