--- a/hyssopfold/announcements.py
+++ b/hyssopfold/announcements.py
@@ -1,5 +1,6 @@
 """What a backend server sends to announce itself, over HTTP."""
 
+from typing import Literal
 from typing import TypedDict
 
 import msgspec
@@ -12,6 +13,20 @@
 from hyssopfold.transport import gossip
 
 PATH = "/hyssop/v1/servers/"
+MAX_SLOTS = 100_000
+MAX_CONNECTIONS = 1_000_000
+MAX_LOAD = 1_000_000.0
+# A number beyond this could never be followed by a newer one.
+MAX_NUMBER = 2**53
+_MAX_LETTERS = 63
+_NAMES = ("pool", "region", "failure_domain")
+_LIMITS = {
+    "slots": (1, MAX_SLOTS),
+    "connections": (1, MAX_CONNECTIONS),
+    "incarnation": (0, MAX_NUMBER),
+    "sequence": (0, MAX_NUMBER),
+    "load": (0, MAX_LOAD),
+}
 
 
 class Body(TypedDict):
@@ -23,7 +38,7 @@
     failure_domain: str
     slots: int
     connections: int
-    state: messages.State
+    state: Literal["ready", "leaving"]
     incarnation: int
     sequence: int
     load: float
@@ -42,10 +57,17 @@
     if not documents.is_address(fields["address"]):
         allowed = "an IP number and port, IP:PORT"
         raise _invalid("address", fields["address"], allowed)
-    if not server_id or len(server_id) > 63 or not server_id.isprintable():
-        raise _invalid("ID", server_id[:63], "1 to 63 printable letters")
-    if fields["slots"] < 1 or fields["connections"] < 1:
-        raise _invalid("slots", str(fields["slots"]), "numbers from 1")
+    names = {"ID": server_id}
+    names |= {key: fields[key] for key in _NAMES}  # type: ignore[literal-required]
+    for key, name in names.items():
+        if not 0 < len(name) <= _MAX_LETTERS or not name.isprintable():
+            allowed = f"1 to {_MAX_LETTERS} printable letters"
+            raise _invalid(key, name[:_MAX_LETTERS], allowed)
+    for key, (low, high) in _LIMITS.items():
+        value = fields[key]  # type: ignore[literal-required]
+        # Written so that NaN, which compares to nothing, is refused too.
+        if not low <= value <= high:
+            raise _invalid(key, str(value), f"a number from {low} to {high}")
     return messages.Server(server_id=server_id, **fields)
 
 
--- a/hyssopfold/application.py
+++ b/hyssopfold/application.py
@@ -22,8 +22,10 @@
 from hyssopfold.control import api
 from hyssopfold.control import instance as control_instance
 from hyssopfold.control import slot_votes
+from hyssopfold.core.attempts import claims as core_claims
 from hyssopfold.core.balancing import messages as balancing
 from hyssopfold.core.balancing import node
+from hyssopfold.core.balancing import subset
 from hyssopfold.core.consensus import messages as consensus_messages
 from hyssopfold.core.consensus import node as consensus_node
 from hyssopfold.core.distribution import follower
@@ -33,6 +35,7 @@
 from hyssopfold.entry import adoption
 from hyssopfold.entry import app as entry_app
 from hyssopfold.entry import blocks
+from hyssopfold.entry import claims
 from hyssopfold.entry import configuration
 from hyssopfold.entry import connections
 from hyssopfold.entry import leaving
@@ -187,7 +190,7 @@
 
     def bound(server: messages.Server) -> int:
         entries = len(spread.directory.ready_entries())
-        return max(1, server.connections // max(1, entries))
+        return subset.share(server.connections, server.slots, entries)
 
     connected = connections.Pool(bound)
     servers = upstream.Upstream(connected)
@@ -204,6 +207,12 @@
         spread,
         steer,
     )
+    claimed = claims.Claims(
+        lambda: spread.myself,
+        spread.directory,
+        rpc.Clients(links),
+        core_claims.Table(),
+    )
     forward = proxy.Proxy(
         config,
         steer,
@@ -211,8 +220,8 @@
         pacing.Pacer(cfg.region, config, spread.directory),
         servers,
         meter,
-        region=cfg.region,
-        known=spread.directory,
+        claimed=claimed,
+        here=proxy.Here(cfg.region, spread.directory),
         rng=rng,
         max_body_bytes=cfg.max_body_bytes,
     )
@@ -243,26 +252,29 @@
     leave = leaving.Leave(
         core_stop.Stop(
             cfg.lookup_ttl_s,
-            gossip.PERIOD_S + lookups.MAX_AGE_S,
+            gossip.SPREAD_S + lookups.MAX_AGE_S,
             cfg.stop_max_s,
         ),
         listener,
         spread,
-        place,
+        place.leave,
+        claimed.hand_over,
     )
     children: list[Child] = [
         ("configuration", config.run),
         ("gossip", spread.run),
         ("steering", steer.run),
-        ("client-blocks", clients.run),
         ("placement", place.run),
+        ("client-blocks", clients.run),
         ("state", become_ready),
         ("reloading", shared.reloader.run),
         ("connections", connected.sweep),
+        ("claims", claimed.run),
     ]
     if cfg.rpc_address:
         handlers: dict[rpc.Method, rpc.Handler] = {
-            poll_wire.POLL: config.publisher.poll
+            poll_wire.POLL: config.publisher.poll,
+            **claimed.handlers(),
         }
         serve = functools.partial(rpc.serve, cfg.rpc_address, handlers, links)
         children.append(("rpc", serve))
--- a/tests/steps/entry/leaving_steps.py
+++ b/tests/steps/entry/leaving_steps.py
@@ -56,7 +56,11 @@
     async def main():
         path = datapath.DataPath(1)
         leave = leaving.Leave(
-            context.steps, path.listener, context.spread, context.placement
+            context.steps,
+            path.listener,
+            context.spread,
+            context.placement.leave,
+            path.claims.hand_over,
         )
         async with path.running(), trio.open_nursery() as nursery:
             context.answer = await step(path, leave, nursery)
