--- a/hyssopfold/core/consensus/node.py
+++ b/hyssopfold/core/consensus/node.py
@@ -297,11 +297,15 @@
     def _status(self, to: messages.Member | None, ask: bool) -> messages.Status:
         identity = self.replica.identity
         seen = self.peers.sighting_of(to.id) if to is not None else None
+        # A vote that the disk refused is in memory alone: told, it would make
+        # this folder look like an older copy after the next restart.
+        is_synced = not self._storage_fault
+        accepted = self.replica.accepted if is_synced else messages.NO_BALLOT
         return messages.Status(
             member=identity.member,
             starts=identity.starts,
             nonce=identity.nonce,
-            accepted=self.replica.accepted,
+            accepted=accepted,
             chosen=self.replica.chosen_ballot,
             revision=self.replica.chosen.revision,
             epoch=self.replica.chosen.epoch,
--- a/tests/core/consensus/members.feature
+++ b/tests/core/consensus/members.feature
@@ -131,3 +131,18 @@
     And "control-3" is asked to remove the member "control-1"
     And 20 s pass
     Then at least 20 steps conformed
+
+  Scenario: a member killed while its disk was full is no older copy
+    Given 3 members with seed 11
+    When "control-3" is cut off
+    And "control-1" gets edit "ana" of revision 0
+    And 1 s pass
+    And the disk of "control-3" is full
+    And all cuts end
+    And 10 s pass
+    And "control-3" is killed
+    And the disk of "control-3" is emptied
+    And "control-3" is started
+    And 5 s pass
+    Then "control-3" votes
+    And all agree on revision 1
--- a/tests/steps/core/consensus/node_steps.py
+++ b/tests/steps/core/consensus/node_steps.py
@@ -177,6 +177,11 @@
     context.members.disks[name].full = True
 
 
+@when('the disk of "{name}" is emptied')
+def _(context, name):
+    context.members.disks[name].full = False
+
+
 @when('the disk of "{name}" has room again')
 def _(context, name):
     context.members.mend_storage(name)
--- a/tests/support/conformance.py
+++ b/tests/support/conformance.py
@@ -80,6 +80,9 @@
             self._form(save)
         else:
             assert held == save.register, "one register under one ballot"
+        if slot.accepted == save.accepted:
+            # Saved again after a disk had refused: no vote of its own.
+            return
         assert register_spec.may_accept(slot, save.accepted) or self._is_chosen(
             save.accepted
         ), "accept"
