--- a/hyssopfold/application.py
+++ b/hyssopfold/application.py
@@ -10,37 +10,44 @@
 from typing import Any
 
 import trio
-import trio_asyncio
 
+from hyssopfold import certificates
 from hyssopfold import http
 from hyssopfold import logs
 from hyssopfold import metrics
+from hyssopfold import security
 from hyssopfold import serving
 from hyssopfold import settings
 from hyssopfold import supervisor
 from hyssopfold.control import api
 from hyssopfold.control import instance as control_instance
+from hyssopfold.control import slot_votes
 from hyssopfold.core.attempts import claims as core_claims
-from hyssopfold.core.balancing import chooser
+from hyssopfold.core.balancing import messages as balancing
+from hyssopfold.core.balancing import node
+from hyssopfold.core.balancing import subset
 from hyssopfold.core.consensus import messages as consensus_messages
 from hyssopfold.core.consensus import node as consensus_node
 from hyssopfold.core.distribution import follower
 from hyssopfold.core.distribution import history
 from hyssopfold.core.draining import stop as core_stop
 from hyssopfold.core.membership import messages
+from hyssopfold.entry import adoption
 from hyssopfold.entry import app as entry_app
+from hyssopfold.entry import blocks
 from hyssopfold.entry import claims
 from hyssopfold.entry import configuration
 from hyssopfold.entry import connections
 from hyssopfold.entry import leaving
+from hyssopfold.entry import lookups
 from hyssopfold.entry import pacing
 from hyssopfold.entry import placement
 from hyssopfold.entry import proxy
+from hyssopfold.entry import status as entry_status
 from hyssopfold.entry import steering
 from hyssopfold.entry import upstream
 from hyssopfold.storage import folder
 from hyssopfold.storage import records
-from hyssopfold.transport import auth
 from hyssopfold.transport import consensus_wire
 from hyssopfold.transport import gossip
 from hyssopfold.transport import poll_wire
@@ -77,12 +84,8 @@
     )
 
 
-def _links(
-    cfg: settings.ControlSettings | settings.EntrySettings,
-    rng: random.Random,
-) -> rpc.Links:
-    keyring = auth.load(cfg.peer_key_file, cfg.peer_key_required)
-    return rpc.Links(keyring, rng)
+def _member(word: messages.Instance) -> balancing.Member:
+    return balancing.Member(word.name, word.incarnation)
 
 
 async def run_control(cfg: settings.ControlSettings) -> None:
@@ -92,7 +95,7 @@
     with folder.DataFolder(cfg.data_folder) as data:
         kept = records.MemberRecords(data, cfg.name, rng.getrandbits)
         identity, durable = kept.open(cfg.rpc_address)
-        node = consensus_node.Node(
+        register = consensus_node.Node(
             identity,
             [consensus_messages.Endpoint(*member) for member in cfg.control],
             durable,
@@ -100,9 +103,10 @@
             cfg.round_timeout_s,
             cfg.edit_timeout_s,
         )
-        links = _links(cfg, rng)
+        shared = security.load(cfg, rng)
+        links = shared.links
         member = control_instance.Instance(
-            node,
+            register,
             kept,
             functools.partial(rpc.Client, links=links),
             cfg.edit_timeout_s,
@@ -118,12 +122,16 @@
             cfg.gossip_seeds,
             cfg.lease_s,
             links.keyring,
+            rng,
         )
+        votes = slot_votes.SlotVotes(_member(spread.myself), data, spread)
         member.listeners.append(
             lambda revision, _: spread.update_self(revision=revision)
         )
         meter = metrics.Metrics(cfg.name)
-        operators = api.Api(member, spread, meter)
+        operators = api.Api(
+            member, spread, meter, shared.operators, shared.announcers
+        )
         handlers: dict[rpc.Method, rpc.Handler] = {
             consensus_wire.DELIVER: member.deliver,
             poll_wire.POLL: publish.poll,
@@ -131,20 +139,25 @@
         children: list[Child] = [
             ("member", member.run),
             ("gossip", spread.run),
+            ("slot-votes", votes.run),
             ("confirmations", confirmations.run),
+            ("reloading", shared.reloader.run),
             (
                 "rpc",
                 functools.partial(rpc.serve, cfg.rpc_address, handlers, links),
             ),
         ]
-        await _run_daemon(cfg, operators, children, rng, _stop_at_once)
+        await _run_daemon(
+            cfg, operators, children, rng, _stop_at_once, shared.tls
+        )
 
 
 async def run_entry(cfg: settings.EntrySettings) -> None:
     """Run an entry until it is told to stop and its requests are done."""
     logs.configure(cfg.name, cfg.log_level, cfg.log_decision_sample)
     rng = random.Random()
-    links = _links(cfg, rng)
+    shared = security.load(cfg, rng)
+    links = shared.links
     config = configuration.Configuration(
         cfg.name,
         [rpc.Client(member.rpc_address, links) for member in cfg.control],
@@ -153,20 +166,46 @@
         timing=follower.Timing(hold_s=cfg.poll_s),
     )
     spread = gossip.Gossip(
-        _myself(cfg, "entry"), cfg.gossip_seeds, cfg.lease_s, links.keyring
+        _myself(cfg, "entry"),
+        cfg.gossip_seeds,
+        cfg.lease_s,
+        links.keyring,
+        rng,
     )
     spread.on_revision = config.hear
-    place = placement.Placement(spread.directory, chooser.Chooser(rng))
+    place = placement.Placement(
+        node.Node(
+            node.Config(
+                _member(spread.myself),
+                cfg.region,
+                cfg.failure_domain,
+                tuple(member.name for member in cfg.control),
+            ),
+            spread.directory,
+            rng,
+            trio.current_time(),
+        ),
+        spread,
+    )
 
     def bound(server: messages.Server) -> int:
         entries = len(spread.directory.ready_entries())
-        return max(1, server.connections // max(1, entries))
+        return subset.share(server.connections, server.slots, entries)
 
     connected = connections.Pool(bound)
     servers = upstream.Upstream(connected)
     meter = metrics.Metrics(cfg.name)
+    clients = blocks.Blocks(cfg.client_blocks)
     steer = steering.Steering(
-        cfg.region, cfg.region_delays_ms, config, spread.directory
+        cfg.region, cfg.region_delays_ms, config, spread.directory, clients
+    )
+    look_up = lookups.Lookups(
+        cfg.region,
+        cfg.region_delays_ms,
+        cfg.lookup_ttl_s,
+        config,
+        spread,
+        steer,
     )
     claimed = claims.Claims(
         lambda: spread.myself,
@@ -178,7 +217,7 @@
         config,
         steer,
         place,
-        pacing.Pacer(),
+        pacing.Pacer(cfg.region, config, spread.directory),
         servers,
         meter,
         claimed=claimed,
@@ -187,36 +226,48 @@
         max_body_bytes=cfg.max_body_bytes,
     )
     app = entry_app.App(
-        dict(cfg.region_delays_ms),
-        cfg.lookup_ttl_s,
+        look_up,
+        entry_status.Status(config, spread, steer, place),
         config,
         spread,
         forward,
         place,
         meter,
+        shared.announcers,
     )
 
     async def become_ready() -> None:
-        while config.snapshot.revision == 0:
+        while config.snapshot.revision == 0 or not spread.ready:
             await trio.sleep(0.05)
+        steer.step(trio.current_time(), time.time())
+        await adoption.adopt(spread, steer.shares)
         spread.update_self(state="ready")
         while True:
             revision = config.snapshot.revision
+            place.set_pools(config.snapshot.tables.pools)
             spread.update_self(revision=revision, load=float(forward.in_flight))
             await trio.sleep(0.1)
 
     listener = serving.Listener(app, cfg.limits)
     leave = leaving.Leave(
-        core_stop.Stop(cfg.lookup_ttl_s, gossip.PERIOD_S, cfg.stop_max_s),
+        core_stop.Stop(
+            cfg.lookup_ttl_s,
+            gossip.SPREAD_S + lookups.MAX_AGE_S,
+            cfg.stop_max_s,
+        ),
         listener,
         spread,
+        place.leave,
         claimed.hand_over,
     )
     children: list[Child] = [
         ("configuration", config.run),
         ("gossip", spread.run),
         ("steering", steer.run),
+        ("placement", place.run),
+        ("client-blocks", clients.run),
         ("state", become_ready),
+        ("reloading", shared.reloader.run),
         ("connections", connected.sweep),
         ("claims", claimed.run),
     ]
@@ -227,7 +278,7 @@
         }
         serve = functools.partial(rpc.serve, cfg.rpc_address, handlers, links)
         children.append(("rpc", serve))
-    await _run_daemon(cfg, app, children, rng, leave.run, listener)
+    await _run_daemon(cfg, app, children, rng, leave.run, shared.tls, listener)
     await servers.aclose()
 
 
@@ -241,17 +292,24 @@
     children: list[Child],
     rng: random.Random,
     leave: Callable[[], Awaitable[None]],
+    tls: certificates.Server | None,
     listener: serving.Listener | None = None,
 ) -> None:
     """Supervise the children and the HTTP server until told to stop."""
     stop = trio.Event()
-    async with trio_asyncio.open_loop(), trio.open_nursery() as nursery:
+    async with rpc.open_loop(), trio.open_nursery() as nursery:
         for name, child in children:
             nursery.start_soon(supervisor.supervise, name, child, rng)
         listener = listener or serving.Listener(app, serving.Limits())
         nursery.start_soon(_wait_for_stop, cfg, leave, listener, stop)
         serve = functools.partial(
-            http.serve, app, cfg.http_address, stop, cfg.stop_max_s, listener
+            http.serve,
+            app,
+            cfg.http_address,
+            stop,
+            cfg.stop_max_s,
+            listener,
+            tls=tls,
         )
         logger.info(logs.Event("started", http=cfg.http_address))
         await supervisor.supervise("http", serve, rng)
--- a/hyssopfold/control/api.py
+++ b/hyssopfold/control/api.py
@@ -9,9 +9,11 @@
 import msgspec
 import trio
 
+from hyssopfold import access
 from hyssopfold import announcements
 from hyssopfold import errors
 from hyssopfold import http
+from hyssopfold import instances
 from hyssopfold import logs
 from hyssopfold import metrics
 from hyssopfold import state
@@ -24,6 +26,9 @@
 
 logger = logging.getLogger(__name__)
 
+# What probes and scrapers read without a token.
+_OPEN = ("/hyssop/v1/healthz", "/hyssop/v1/readyz", "/metrics")
+
 
 class EditBody(TypedDict):
     """The JSON body of `PUT /hyssop/v1/tables`."""
@@ -44,6 +49,8 @@
         instance: The member behind this API.
         spread: Where announcements go.
         meter: Metrics of this process.
+        operators: Lets operators through.
+        announcers: Lets backend servers through.
     """
 
     def __init__(
@@ -51,7 +58,11 @@
         instance: control_instance.Instance,
         spread: gossip.Gossip,
         meter: metrics.Metrics,
+        operators: access.Guard,
+        announcers: access.Guard,
     ) -> None:
+        self._operators = operators
+        self._announcers = announcers
         self._instance = instance
         self._spread = spread
         self._meter = meter
@@ -73,7 +84,13 @@
     ) -> http.Answer:
         method, path = scope["method"], scope["path"]
         if method == "PUT" and path.startswith(announcements.PATH):
-            return await announcements.answer(self._spread, path, receive)
+            return await announcements.answer(
+                self._spread, scope, receive, self._announcers
+            )
+        if not path.startswith(_OPEN):
+            refusal = self._operators.refuse(scope)
+            if refusal is not None:
+                return refusal
         if path == "/hyssop/v1/tables" and method == "PUT":
             return await self._put_tables(scope, receive)
         if path == "/hyssop/v1/tables" and method == "GET":
@@ -101,6 +118,8 @@
                 return http.json_answer({"status": "ok"})
             case "/hyssop/v1/readyz":
                 return await self._ready()
+            case instances.PATH:
+                return instances.answer(self._spread)
             case "/metrics":
                 revision = self._instance.register.revision
                 self._meter.revision.set({}, revision)
--- a/hyssopfold/entry/exchange.py
+++ b/hyssopfold/entry/exchange.py
@@ -93,6 +93,12 @@
         name, _, port = value.rpartition(":")
         return name if name and port.isdigit() else value
 
+    @property
+    def client(self) -> str:
+        """Return the caller's IP number, or an empty string."""
+        client: str = (self.scope.get("client") or ("", 0))[0]
+        return client
+
     @property
     def has_body(self) -> bool:
         """Return whether a body follows the request's head."""
--- a/hyssopfold/entry/leaving.py
+++ b/hyssopfold/entry/leaving.py
@@ -25,6 +25,7 @@
         steps: Decides when each step is due.
         listener: Connections of callers.
         spread: Tells the other entries.
+        leave_placement: Gives up granting slots to others, at once.
         hand_over: Gives what is held here for others to them.
     """
 
@@ -33,11 +34,13 @@
         steps: stop.Stop,
         listener: serving.Listener,
         spread: gossip.Gossip,
+        leave_placement: Callable[[], None],
         hand_over: Callable[[], Awaitable[None]],
     ) -> None:
         self._steps = steps
         self._listener = listener
         self._spread = spread
+        self._leave_placement = leave_placement
         self._hand_over = hand_over
 
     async def run(self) -> None:
@@ -45,6 +48,7 @@
         began = trio.current_time()
         self._steps.ask(began)
         self._spread.update_self(state="leaving")
+        self._leave_placement()
         self._listener.close_after_answers()
         logger.info(logs.Event("leaving", requests=self._listener.requests))
         handed_over = False
--- a/hyssopfold/settings.py
+++ b/hyssopfold/settings.py
@@ -9,6 +9,7 @@
 from hyssopfold import errors
 from hyssopfold import serving
 
+MIN_LEASE_S = 2.0
 _LEVELS = ("debug", "info", "warning", "error")
 _SECONDS = documents.number(float, 0.001, 86_400)
 
@@ -98,6 +99,45 @@
         help="file with the keys our processes share, one a line: the first"
         " seals, all open; read again when it changes",
     ),
+    documents.Field(
+        "announce_token_file",
+        documents.string(max_length=4096),
+        "",
+        help="file with the tokens of backend servers, one a line, each good;"
+        " read again when it changes; left out, anyone may announce",
+    ),
+    documents.Field(
+        "tls_certificate_file",
+        documents.string(max_length=4096),
+        "",
+        help="PEM certificate chain for http_address; read again when it"
+        " changes; left out, http_address speaks plain HTTP",
+    ),
+    documents.Field(
+        "tls_key_file",
+        documents.string(max_length=4096),
+        "",
+        help="PEM key of tls_certificate_file",
+    ),
+    documents.Field(
+        "peer_certificate_file",
+        documents.string(max_length=4096),
+        "",
+        help="PEM certificate for rpc connections between our processes, which"
+        " then use mutual TLS; its names must hold the IP numbers",
+    ),
+    documents.Field(
+        "peer_certificate_key_file",
+        documents.string(max_length=4096),
+        "",
+        help="PEM key of peer_certificate_file",
+    ),
+    documents.Field(
+        "peer_issuers_file",
+        documents.string(max_length=4096),
+        "",
+        help="PEM certificates of who may issue peers' certificates",
+    ),
     documents.Field(
         "peer_key_required",
         documents.boolean,
@@ -143,6 +183,13 @@
         "an IP number and port, IP:PORT",
         help="where other processes of ours connect",
     ),
+    documents.Field(
+        "operators_token_file",
+        documents.string(max_length=4096),
+        "",
+        help="file with the operators' tokens, one a line, each good; read"
+        " again when it changes; left out, anyone may edit the tables",
+    ),
     documents.Field(
         "data_folder",
         documents.string(max_length=4096),
@@ -230,10 +277,11 @@
     ),
     documents.Field(
         "poll_s",
-        _SECONDS,
-        2.0,
+        documents.number(float, 0.1, 60),
+        10.0,
         unit="s",
-        help="longest between two questions for a newer revision",
+        help="longest that a control instance holds a question for a newer"
+        " revision",
     ),
     documents.Field(
         "lookup_ttl_s",
@@ -250,6 +298,14 @@
         unit="ms",
         help="one-way delay from this entry's region to each other region",
     ),
+    documents.Field(
+        "client_blocks",
+        documents.string(max_length=4096),
+        "",
+        help="file that `hyssopctl blocks build` wrote: the regions of client"
+        " addresses; without it a caller's home is the region of the entry it"
+        " asks",
+    ),
 )
 
 
@@ -268,8 +324,15 @@
     gossip_seeds: tuple[str, ...]
     lease_s: float
     peer_key_file: str
+    announce_token_file: str
+    tls_certificate_file: str
+    tls_key_file: str
+    peer_certificate_file: str
+    peer_certificate_key_file: str
+    peer_issuers_file: str
     peer_key_required: bool
     rpc_address: str
+    operators_token_file: str
     data_folder: str
     control: tuple[Member, ...]
     round_timeout_s: float
@@ -291,6 +354,12 @@
     gossip_seeds: tuple[str, ...]
     lease_s: float
     peer_key_file: str
+    announce_token_file: str
+    tls_certificate_file: str
+    tls_key_file: str
+    peer_certificate_file: str
+    peer_certificate_key_file: str
+    peer_issuers_file: str
     peer_key_required: bool
     control: tuple[Member, ...]
     rpc_address: str
@@ -304,6 +373,7 @@
     max_connections: int
     max_connections_per_caller: int
     region_delays_ms: Mapping[str, float]
+    client_blocks: str
 
     @property
     def limits(self) -> serving.Limits:
@@ -325,13 +395,14 @@
         InvalidDocumentError: listing every fault with file and line.
     """
     reader, values = _load(path, CONTROL_FIELDS)
-    names = [member.name for member in values["control"]]
-    if values["name"] not in names:
-        reader.fault_at(
-            1, "control", f"a list without {values['name']}", "this one too"
-        )
-    if len(set(names)) != len(names):
-        reader.fault_at(1, "control", "a name twice", "each member once")
+    _check_common(reader, values)
+    addresses = {one.name: one.rpc_address for one in values["control"]}
+    name, mine = values["name"], values["rpc_address"]
+    if name and name not in addresses:
+        _fault(reader, "control", f"a list without {name}", "this one too")
+    elif mine and addresses.get(name, mine) != mine:
+        allowed = f"{addresses[name]}, as under control"
+        _fault(reader, "rpc_address", mine, allowed)
     reader.raise_faults()
     return ControlSettings(**values)
 
@@ -343,13 +414,52 @@
         InvalidDocumentError: listing every fault with file and line.
     """
     reader, values = _load(path, ENTRY_FIELDS)
-    if not values["control"]:
-        reader.fault_at(1, "control", "an empty list", "one member or more")
+    _check_common(reader, values)
+    if "control" in reader.lines and not values["control"]:
+        _fault(reader, "control", "an empty list", "one member or more")
     reader.raise_faults()
     values["region_delays_ms"] = values["region_delays_ms"] or {}
     return EntrySettings(**values)
 
 
+def _fault(
+    reader: documents.Reader, where: str, value: str, allowed: str
+) -> None:
+    reader.fault_at(reader.lines.get(where, 1), where, value, allowed)
+
+
+_TOGETHER = (
+    ("tls_certificate_file", "tls_key_file"),
+    (
+        "peer_certificate_file",
+        "peer_certificate_key_file",
+        "peer_issuers_file",
+    ),
+)
+
+
+def _check_common(reader: documents.Reader, values: dict[str, Any]) -> None:
+    """Note faults between keys, for every daemon."""
+    names = [member.name for member in values["control"]]
+    addresses = [member.rpc_address for member in values["control"]]
+    for kind, held in (("name", names), ("rpc_address", addresses)):
+        for twice in sorted({one for one in held if held.count(one) > 1}):
+            value = f"{kind} {twice} twice"
+            _fault(reader, "control", value, "each member once")
+    if values["http_address"] == values["rpc_address"] != "":
+        allowed = "an address other than http_address"
+        _fault(reader, "rpc_address", values["rpc_address"], allowed)
+    for keys in _TOGETHER:
+        if any(values[key] for key in keys):
+            for key in keys:
+                if not values[key]:
+                    allowed = f"a file, as {' and '.join(keys)} go together"
+                    _fault(reader, key, "(missing)", allowed)
+    if values["lease_s"] < MIN_LEASE_S:
+        allowed = f"{MIN_LEASE_S:g} or more: a word comes each second"
+        _fault(reader, "lease_s", f"{values['lease_s']:g}", allowed)
+
+
 def _load(
     path: str, fields: tuple[documents.Field, ...]
 ) -> tuple[documents.Reader, dict[str, Any]]:
--- /dev/null
+++ b/tests/steps/core/balancing/node_steps.py
@@ -0,0 +1,420 @@
+"""Steps of core/balancing/node.feature."""
+
+import os
+
+from behave import given
+from behave import then
+from behave import when
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies
+
+from hyssopfold.core.balancing import messages
+from hyssopfold.core.balancing import node
+from tests.support import fake_entries
+
+KEY = messages.Key("ledger", "dar")
+
+
+@given("placement of {entries:d} entries over {servers:d} servers")
+def _(context, entries, servers):
+    context.world = fake_entries.FakeEntries(1, entries, servers)
+    context.world.run(4)
+    assert len(context.world.grantors()) == 1
+
+
+def _live(world):
+    return [
+        name
+        for name, entry in world.entries.items()
+        if name not in world.dead and not entry.frozen
+    ]
+
+
+def _ask_all(world, count):
+    for name in _live(world) * count:
+        world.ask(name)
+    world.run(2)
+
+
+@when("every entry asks for {count:d} slots")
+@when("every live entry asks for {count:d} slots")
+def _(context, count):
+    _ask_all(context.world, count)
+
+
+@when("all slots are given back and every live entry asks for {count:d} slots")
+def _(context, count):
+    _give_back(context.world)
+    context.world.run(1)
+    _ask_all(context.world, count)
+
+
+def _give_back(world):
+    for name in _live(world):
+        for ticket in list(world.entries[name].grants):
+            world.release(name, ticket)
+
+
+@when("all slots are given back while no message comes through")
+def _(context):
+    context.world.loss = 1.0
+    _give_back(context.world)
+    context.world.loss = 0.0
+
+
+def _in_use(world):
+    return sum(world.in_use().values())
+
+
+@then("{count:d} slots are in use, and the other asks were refused as not run")
+def _(context, count):
+    world = context.world
+    assert _in_use(world) == count, world.in_use()
+    answers = [
+        answer
+        for entry in world.entries.values()
+        for answer in entry.answers.values()
+    ]
+    refused = [one for one in answers if isinstance(one, messages.Refused)]
+    assert len(refused) == len(answers) - count
+    assert all(one.retry_after_s > 0 for one in refused)
+
+
+@then("{count:d} slots are in use in all")
+def _(context, count):
+    assert _in_use(context.world) == count, context.world.in_use()
+
+
+@when("{seconds:d} s pass in placement")
+def _(context, seconds):
+    context.world.run(seconds)
+
+
+@when("slots were used for {seconds:g} s each, and then all are held")
+def _(context, seconds):
+    world = context.world
+    for _ in range(20):
+        ticket = world.ask("e0")
+        world.run(seconds)
+        world.release("e0", ticket)
+    _ask_all(world, 2)
+
+
+@then("a new ask is refused within {seconds:g} s with a retry-after")
+def _(context, seconds):
+    ticket = context.world.ask("e1")
+    context.world.run(seconds)
+    answer = context.world.entries["e1"].answers[ticket]
+    assert isinstance(answer, messages.Refused), answer
+    assert answer.reason == "pool-full", answer
+    assert answer.retry_after_s > 0
+
+
+@when("the grantor dies")
+def _(context):
+    (context.old,) = context.world.grantors()
+    context.world.kill(context.old)
+
+
+@when("control is cut off and the grantor dies")
+def _(context):
+    world = context.world
+    world.separate(list(world.entries), list(world.control_names))
+    (context.old,) = world.grantors()
+    world.kill(context.old)
+
+
+@when("control is heard again and the dead entry starts again")
+def _(context):
+    context.world.heal()
+    context.world.start(context.old)
+
+
+def _granting(world):
+    (name,) = world.grantors()
+    return world.entries[name].node.granting(KEY)
+
+
+@then("another entry grants, with the dead one's slots withheld")
+def _(context):
+    world = context.world
+    assert world.grantors() != [context.old]
+    used = world.in_use()
+    withheld = sum(min(1, 3 - count) for count in used.values())
+    assert 0 < _granting(world).ledger.withheld() == withheld
+
+
+@when("the dead entry starts again and {seconds:d} s pass in placement")
+def _(context, seconds):
+    context.world.start(context.old)
+    context.world.run(seconds)
+
+
+@then("nothing is withheld")
+def _(context):
+    assert _granting(context.world).ledger.withheld() == 0
+
+
+@when("the grantor is frozen for {seconds:d} s while others take its place")
+def _(context, seconds):
+    world = context.world
+    (context.old,) = world.grantors()
+    world.freeze(context.old)
+    world.run(seconds)
+    assert len(world.grantors()) == 2, "the frozen one cannot know"
+
+
+@when("the old grantor asks and grants again")
+def _(context):
+    world = context.world
+    entry = world.entries[context.old]
+    entry.frozen = False
+    for name in world.entries:
+        world.ask(name)
+    for _ in range(5):
+        world.ask(context.old)
+    world.thaw(context.old)
+    world.run(3)
+
+
+@then("there is one grantor and no slot was over-run")
+def _(context):
+    assert len(context.world.grantors()) == 1
+    context.world.check()
+
+
+@when("the grantor leaves")
+def _(context):
+    (context.old,) = context.world.grantors()
+    context.world.submit(context.old, node.Leave())
+
+
+@then("another entry grants within {seconds:g} s")
+def _(context, seconds):
+    context.world.run(seconds)
+    (name,) = context.world.grantors()
+    assert name != context.old
+
+
+def _other_than_grantor(world):
+    (grantor,) = world.grantors()
+    return next(one for one in world.entries if one != grantor)
+
+
+@when("an entry that uses a slot promises a newer term")
+def _(context):
+    world = context.world
+    name = _other_than_grantor(world)
+    context.ticket = world.ask(name)
+    world.run(1)
+    context.entry = world.entries[name]
+    holder = context.entry.node.holder
+    context.term = holder.term(KEY) + 1
+    assert len(holder.promise(KEY, context.term)) == 1
+
+
+@then("its release is sent to no one until the newer grantor beats")
+def _(context):
+    entry, now = context.entry, context.world.now
+    grant = entry.grants[context.ticket]
+    done = messages.Done("answered", 0.05)
+    assert entry.node.handle(node.Release(grant, done), now) == []
+    newer = messages.Member("e9", 99)
+    beat = messages.Beat(KEY, context.term, newer, False)
+    effects = entry.node.handle(node.Received("e9", beat), now)
+    assert [(one.to, one.message.holds) for one in effects] == [("e9", ())]
+
+
+@when("a grant for an earlier life reaches an entry that asks")
+def _(context):
+    world = context.world
+    context.name = _other_than_grantor(world)
+    entry = world.entries[context.name]
+    context.ticket = world.ask(context.name)
+    holder = entry.node.holder
+    (number,) = holder.open_numbers()
+    earlier = messages.Member(entry.me.name, entry.me.incarnation - 1)
+    granted = messages.Granted(
+        KEY, 99, earlier, number, fake_entries.server("s0")
+    )
+    world.submit(context.name, node.Received("e9", granted))
+
+
+@then("the ask is still open")
+def _(context):
+    entry = context.world.entries[context.name]
+    assert context.ticket not in entry.answers
+    assert entry.node.holder.open_numbers()
+
+
+@when("an entry asks for {count:d} slots for traffic moved in")
+def _(context, count):
+    for _ in range(count):
+        context.world.ask("e0", moved=True)
+    context.world.run(2)
+
+
+def _say_leaving(world, server_id):
+    word = world.servers[server_id]._replace(state="leaving", sequence=10**9)
+    world.servers[server_id] = word
+    return word
+
+
+@when('server "{name}" says that it leaves and {seconds:d} s pass in placement')
+def _(context, name, seconds):
+    _say_leaving(context.world, name)
+    context.world.run(seconds)
+
+
+@when('an entry hears that server "{name}" leaves before the grantor does')
+def _(context, name):
+    world = context.world
+    (grantor,) = world.grantors()
+    context.early = next(one for one in world.entries if one != grantor)
+    word = _say_leaving(world, name)
+    world.lost_words.add((grantor, name))
+    world.entries[context.early].known.servers.update(name, word, world.now)
+
+
+@when("that entry asks for {count:d} slots")
+def _(context, count):
+    for _ in range(count):
+        context.world.ask(context.early)
+    context.world.run(2)
+
+
+@then('server "{name}" has no slot in use')
+def _(context, name):
+    used = context.world.in_use()
+    assert used[name] == 0, used
+    assert sum(used.values()) > 0, "the others go on"
+
+
+_ENTRIES = ("e0", "e1", "e2", "f0")
+_CONTROL = ("control-0", "control-1", "control-2")
+# Work is more frequent than faults, or nothing would run when they come.
+_STEPS = (
+    *("ask",) * 6,
+    *("give_back",) * 6,
+    "kill",
+    "start",
+    "start",
+    "freeze",
+    "thaw",
+    "thaw",
+    "separate",
+    "separate",
+    "heal",
+    "heal",
+    "restart_server",
+    "kill_control",
+    "start_control",
+    "start_control",
+)
+
+
+class PlacementRun(stateful.RuleBasedStateMachine):
+    """Entries and control under every fault; the fake asserts the slots."""
+
+    @stateful.initialize(
+        seed=strategies.integers(0, 2**32),
+        servers=strategies.integers(1, 3),
+        loss=strategies.sampled_from([0.0, 0.05, 0.3]),
+        doubling=strategies.sampled_from([0.0, 0.2]),
+        delays=strategies.sampled_from([(0.0005, 0.002), (0.001, 0.3)]),
+    )
+    def begin(self, seed, servers, loss, doubling, delays):
+        self.world = fake_entries.FakeEntries(seed, 3, servers, far=1)
+        self.world.delay_s = delays
+        self.world.loss, self.world.doubling = loss, doubling
+        self.world.run(3)
+
+    @stateful.rule(
+        step=strategies.sampled_from(_STEPS),
+        name=strategies.sampled_from(_ENTRIES),
+        count=strategies.integers(1, 5),
+        pause=strategies.sampled_from([0.01, 0.1, 0.5, 2.0]),
+        ones=strategies.sets(
+            strategies.sampled_from(_ENTRIES + _CONTROL), min_size=1
+        ),
+    )
+    def step(self, step, name, count, pause, ones):
+        getattr(self, f"_{step}")(name, count, ones)
+        self.world.run(pause)
+
+    def _ask(self, name, count, ones):
+        for live in _live(self.world):
+            for _ in range(count if live == name else 1):
+                self.world.ask(live)
+
+    def _give_back(self, name, count, ones):
+        for live in _live(self.world):
+            for ticket in list(self.world.entries[live].grants)[:count]:
+                self.world.release(live, ticket)
+
+    def _kill(self, name, count, ones):
+        self.world.kill(name)
+
+    def _start(self, name, count, ones):
+        for dead in _ENTRIES:
+            if dead in self.world.dead:
+                self.world.start(dead, self.world.entries[dead].region)
+                return
+
+    def _freeze(self, name, count, ones):
+        self.world.freeze(name)
+
+    def _thaw(self, name, count, ones):
+        for one, entry in self.world.entries.items():
+            if entry.frozen and one not in self.world.dead:
+                self.world.thaw(one)
+                return
+
+    def _separate(self, name, count, ones):
+        names = [*self.world.entries, *self.world.control_names]
+        self.world.separate(ones, [one for one in names if one not in ones])
+
+    def _heal(self, name, count, ones):
+        self.world.heal()
+
+    def _restart_server(self, name, count, ones):
+        word = self.world.servers["s0"]
+        self.world.servers["s0"] = word._replace(
+            incarnation=word.incarnation + 1
+        )
+
+    def _kill_control(self, name, count, ones):
+        self.world.kill(_CONTROL[count % len(_CONTROL)])
+
+    def _start_control(self, name, count, ones):
+        for dead in _CONTROL:
+            if dead in self.world.dead:
+                self.world.start_control(dead)
+
+    @stateful.invariant()
+    def no_slot_is_over_run(self):
+        self.world.check()
+
+
+@when("placement is run at random with faults")
+def _(context):
+    seed = os.environ.get("HYSSOP_SOAK_SEED")
+    steps = int(os.environ.get("HYSSOP_SOAK_STEPS", "80"))
+    settings = hypothesis.settings(
+        max_examples=40 if seed is None else 500,
+        stateful_step_count=steps,
+        derandomize=seed is None,
+        suppress_health_check=list(hypothesis.HealthCheck),
+        deadline=None,
+        database=None,
+    )
+    machine = PlacementRun
+    if seed is not None:
+        machine = hypothesis.seed(int(seed))(machine)
+    stateful.run_state_machine_as_test(machine, settings=settings)
+
+
+@then("no slot was over-run in any run")
+def _(context):
+    """The run itself asserts it after every event."""
