Never grant another attempt the server that was tried

The grantor took servers tried for a preference and granted one when no other had a free slot; the attempt's machine takes them for excluded. Ruled out: leaving the assertion out; a second try at a server that just failed is what it guards against. Change: servers tried are excluded; such an ask does not hold up those behind it, as with asks moved in. The guard against granting a leaving server to oneself for ever is simpler for it.

--- a/hyssopfold/core/balancing/grantor.py
+++ b/hyssopfold/core/balancing/grantor.py
@@ -153,20 +153,21 @@
             server
             for server_id, server in self._servers.items()
             if self.ledger.used(server_id) < self._limits[server_id]
+            and server_id not in ask.avoid
             and server.failure_domain not in ask.closed_domains
             and self._may_use(ask.holder, server_id)
         ]
         if not free:
             return None
-        fresh = [one for one in free if one.server_id not in ask.avoid]
-        return min(fresh or free, key=lambda one: self._rank(one, ask))
+        return min(free, key=lambda one: self._rank(one, ask))
 
     def _is_held(self, ask: messages.Ask) -> bool:
         """Return whether more than free slots decides, so that others go on.
 
-        So it is with asks moved in, of this entry, or with domains shut.
+        So it is with asks moved in, of this entry, with domains shut or with
+        servers that were tried.
         """
-        shut = bool(ask.closed_domains)
+        shut = bool(ask.closed_domains or ask.avoid)
         return ask.moved or shut or ask.holder == self.me
 
     def _may_use(self, holder: messages.Member, server_id: str) -> bool:
--- a/hyssopfold/core/balancing/holder.py
+++ b/hyssopfold/core/balancing/holder.py
@@ -40,13 +40,10 @@
 
     The grantor has not heard yet that the server leaves, and its free slot
     would be the first to be granted again: an entry that is its own grantor
-    would go round without an end. A server given twice is the only one there,
-    so the region is passed over.
+    would go round without an end.
     """
-    avoid = one.req.avoid
-    if server_id in avoid:
-        return one._replace(step=one.step + 1)
-    return one._replace(req=one.req._replace(avoid=(*avoid, server_id)))
+    avoid = (*one.req.avoid, server_id)
+    return one._replace(req=one.req._replace(avoid=avoid))
 
 
 class Holder:
--- a/hyssopfold/core/balancing/messages.py
+++ b/hyssopfold/core/balancing/messages.py
@@ -21,7 +21,7 @@
 class Request(NamedTuple):
     """A request that wants a slot.
 
-    `regions` come best first; `avoid` are servers already tried; `deadline` is
+    `regions` come best first; `avoid` are servers already tried, which are not granted; `deadline` is
     monotonic time in seconds; a lower `priority` number goes first.
     """
 
--- a/tests/core/balancing/node.feature
+++ b/tests/core/balancing/node.feature
@@ -102,6 +102,14 @@
     And that entry asks for 3 slots
     Then server "s0" has no slot in use
 
+  Scenario: another attempt never gets the server that was tried
+    A server dies under a read; the only free slot left is its own. The read
+    was granted that server again, which the request's own invariant forbids:
+    its caller got a bare 500. It waits for another server or is refused.
+    Given placement of 2 entries over 1 servers
+    When an entry asks for a slot of any server but "s0"
+    Then that other attempt is refused, and others still get "s0"
+
   Scenario: the grantor's own server leaves between two of its ticks
     The entry that grants hears that a server leaves and is asked for a slot
     before it has counted its servers anew. It granted itself a slot of that
--- a/tests/steps/core/balancing/node_steps.py
+++ b/tests/steps/core/balancing/node_steps.py
@@ -277,6 +277,22 @@
     world.entries[context.early].known.servers.update(name, word, world.now)
 
 
+@when('an entry asks for a slot of any server but "{name}"')
+def _(context, name):
+    context.attempt = context.world.ask("e1", avoid=(name,))
+    context.other = context.world.ask("e0")
+    context.world.run(3)
+
+
+@then('that other attempt is refused, and others still get "{name}"')
+def _(context, name):
+    entries = context.world.entries
+    answer = entries["e1"].answers[context.attempt]
+    assert isinstance(answer, messages.Refused), answer
+    grant = entries["e0"].grants[context.other]
+    assert grant.server.server_id == name, grant
+
+
 @when('the grantor hears that server "{name}" leaves and asks at once')
 def _(context, name):
     world = context.world
--- a/tests/support/fake_entries.py
+++ b/tests/support/fake_entries.py
@@ -120,13 +120,14 @@
             self._push(self.now, name, sender, message)
         entry.held_back = []
 
-    def ask(self, name, moved=False, priority=5, deadline_s=5.0):
+    def ask(self, name, moved=False, priority=5, deadline_s=5.0, avoid=()):
         """Let an entry ask for a slot; return the ticket."""
         ticket = next(self._tickets)
         regions = (messages.Region("dar", moved),)
         req = messages.Request(
-            str(ticket), "ledger", regions, priority, self.now + deadline_s, ()
-        )
+            str(ticket), "ledger", regions, priority, self.now + deadline_s,
+            avoid,
+        )  # fmt: skip
         self.submit(name, node.Acquire(ticket, req))
         return ticket
 
