Work out the capacity page from the measured slopes

Cause: the users asked for what each role costs at the size to grow to. A slope of requests and look-ups by HTTP. SIGUSR1 prints where a daemon stands; the failure run's entries can ask each other.

--- a/bench/capacity/__main__.py
+++ b/bench/capacity/__main__.py
@@ -10,7 +10,7 @@
 from bench.capacity import page
 from bench.capacity import store
 
-_OURS = ("__main__", "page", "sizes", "slopes", "store")
+_OURS = ("__main__", "page", "roles", "sizes", "slopes", "store")
 
 
 def parts() -> list[str]:
--- /dev/null
+++ b/bench/capacity/datapath.py
@@ -0,0 +1,61 @@
+"""Processor time of an entry for callers' requests and look-ups, by HTTP."""
+
+import trio
+
+from bench.capacity import slopes
+from bench.datapath import fleet
+from bench.load import runner
+from bench.load import scenario as scenarios
+
+_COMMAND = "python -m bench.capacity --part datapath"
+_RATES = (25.0, 50.0, 100.0)
+_SECONDS = 5.0
+_LOOKUP = "/hyssop/v1/lookup?host=shop.example&path=/read/&client=10.0.0.{n}"
+_KINDS = (
+    scenarios.Kind("reads", "GET", "/read/{n}", 0, 1.0, False),
+    scenarios.Kind("look-ups", "GET", _LOOKUP, 0, 1.0, False),
+)
+
+
+def _core_share(
+    running: fleet.Fleet, kind: scenarios.Kind, rate: float
+) -> float:
+    scenario = scenarios.Scenario(
+        name=kind.name,
+        seed=1,
+        host=fleet.HOST,
+        entries=(running.entry,),
+        look_up=False,
+        arrivals=scenarios.OPEN,
+        rate=rate,
+        callers=64,
+        seconds=_SECONDS,
+        warm_up_s=0.0,
+        timeout_s=10.0,
+        mix=(kind,),
+    )
+    load = runner.Run(scenario)
+    before = running.cpu_s("entry")
+    seconds = trio.run(load.run)
+    return (running.cpu_s("entry") - before) / seconds * 100
+
+
+def measure() -> list[slopes.Slope]:
+    """Return what requests and look-ups cost an entry, connections kept."""
+    found = []
+    with fleet.Fleet() as running:
+        for kind in _KINDS:
+            points = [
+                slopes.Point(rate, _core_share(running, kind, rate))
+                for rate in _RATES
+            ]
+            found.append(
+                slopes.fit(
+                    "datapath",
+                    f"{kind.name}, % of a core",
+                    "request a second",
+                    points,
+                    _COMMAND,
+                )
+            )
+    return found
--- a/bench/capacity/page.py
+++ b/bench/capacity/page.py
@@ -3,6 +3,8 @@
 import pathlib
 import re
 
+from bench.capacity import roles
+from bench.capacity import sizes
 from bench.capacity import store
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
@@ -39,7 +41,22 @@
     return "\n".join(lines)
 
 
-_TABLES = {"slopes": slopes_table, "figures": figures_table}
+def today_table(measured: store.Measured) -> str:
+    """Return the costs at today's size."""
+    return roles.table(measured, sizes.TODAY)
+
+
+def grown_table(measured: store.Measured) -> str:
+    """Return the costs at the size to grow to."""
+    return roles.table(measured, sizes.GROWN)
+
+
+_TABLES = {
+    "slopes": slopes_table,
+    "figures": figures_table,
+    "today": today_table,
+    "grown": grown_table,
+}
 
 
 def render(measured: store.Measured, text: str) -> str:
--- a/bench/chaos/layout.py
+++ b/bench/chaos/layout.py
@@ -18,7 +18,7 @@
 BASE_PORT = 21_000
 _HTTP = {CONTROL: 0, ENTRY: 100, SERVER: 200}
 _GOSSIP = {CONTROL: 300, ENTRY: 400}
-_RPC = 500
+_RPC = {CONTROL: 500, ENTRY: 550}
 _RELAY = 600
 
 
@@ -58,8 +58,8 @@
 
 
 def rpc_address(name: str) -> str:
-    """Return where a control instance answers calls."""
-    return _address(_RPC, name)
+    """Return where a control instance or an entry answers calls."""
+    return _address(_RPC[role_of(name)], name)
 
 
 def relay_address(name: str) -> str:
@@ -104,8 +104,8 @@
             for other in names(CONTROL)
         ],
     }
+    fields["rpc_address"] = rpc_address(name)
     if role == CONTROL:
-        fields["rpc_address"] = rpc_address(name)
         fields["data_folder"] = str(folder / name)
     else:
         fields["region_delays_ms"] = {
--- a/hyssopfold/cmd/daemon.py
+++ b/hyssopfold/cmd/daemon.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
+import faulthandler
+import signal
 import sys
 from typing import Any
 
@@ -33,6 +35,8 @@
     if check:
         click.echo(f"{path}: settings are good")
         return
+    # Where a process stands that answers no more: `kill -USR1` prints it.
+    faulthandler.register(signal.SIGUSR1)
     try:
         trio.run(main, cfg)
     except BaseExceptionGroup as group:
