--- a/hyssopfold/core/balancing/grantor.py
+++ b/hyssopfold/core/balancing/grantor.py
@@ -6,7 +6,7 @@
 
 from hyssopfold import tables
 from hyssopfold.core.admission import queue
-from hyssopfold.core.balancing import chooser
+from hyssopfold.core.balancing import drains
 from hyssopfold.core.balancing import election
 from hyssopfold.core.balancing import health
 from hyssopfold.core.balancing import ledger
@@ -74,7 +74,7 @@
                 slots=min(server.slots, row.slots)
             )
             for server in pool.servers
-            if not chooser.is_drained(row, server)
+            if not drains.is_drained(row, server)
         }
         for server in self._servers.values():
             self._health.see(server, now)
