--- a/Makefile
+++ b/Makefile
@@ -23,7 +23,7 @@
 
 # The random runs of the features, long: make soak SEED=7 STEPS=2000
 soak: $(VENV)/dev
-	HYSSOP_SOAK_SEED=$(or $(SEED),1) HYSSOP_SOAK_STEPS=$(or $(STEPS),500) \
+	PYTHONHASHSEED=0 HYSSOP_SOAK_SEED=$(or $(SEED),1) HYSSOP_SOAK_STEPS=$(or $(STEPS),500) \
 		$(BIN)/python -m behave --format progress3 --tags soak tests
 
 # Real processes under faults: make chaos SEED=7 SECONDS=60
