Let an entry that stood still take over the shares of a running one

Its trace: an entry frozen while a region was lost and came back never saw the loss, and sent all of its callers home at once when it went on, to cold servers. Change: a node whose last step is more than 3 s ago adopts the shares of a running node before it goes on.

--- a/bench/shift_world.py
+++ b/bench/shift_world.py
@@ -153,6 +153,14 @@
             for report in self.rng.choice(peers).shares.reports():
                 node.shares.adopt(report.pool, report.parts)
 
+    def _catch_up(self, node, running):
+        """Let an entry that stood still take over a running one's shares."""
+        fresh = [one for one in running if not one.shares.is_stale(self.now)]
+        if not fresh or not node.shares.is_stale(self.now):
+            return
+        for report in self.rng.choice(fresh).shares.reports():
+            node.shares.adopt(report.pool, report.parts)
+
     def capacity(self, region, closed=()):
         """Return the slots that a region can use now."""
         if region in self.lost:
@@ -180,6 +188,8 @@
         self._deliveries = late
         ready = frozenset(set(self.sites) - self.lost)
         running = [node for node in self.nodes if node.up and not node.frozen]
+        for node in running:
+            self._catch_up(node, running)
         for node in running:
             utc_s = self.utc(node.clock_s)
             node.shares.step(self.now, utc_s, {self.pool.name: ready})
--- a/hyssopfold/application.py
+++ b/hyssopfold/application.py
@@ -199,6 +199,7 @@
     steer = steering.Steering(
         cfg.region, cfg.region_delays_ms, config, spread.directory, clients
     )
+    catch_up = functools.partial(adoption.adopt, spread)
     look_up = lookups.Lookups(
         cfg.region,
         cfg.region_delays_ms,
@@ -240,7 +241,7 @@
         while config.snapshot.revision == 0 or not spread.ready:
             await trio.sleep(0.05)
         steer.step(trio.current_time(), time.time())
-        await adoption.adopt(spread, steer.shares)
+        await catch_up(steer.shares)
         spread.update_self(state="ready")
         while True:
             revision = config.snapshot.revision
@@ -263,7 +264,7 @@
     children: list[Child] = [
         ("configuration", config.run),
         ("gossip", spread.run),
-        ("steering", steer.run),
+        ("steering", functools.partial(steer.run, catch_up)),
         ("placement", place.run),
         ("client-blocks", clients.run),
         ("state", become_ready),
--- a/hyssopfold/core/steering/shares.py
+++ b/hyssopfold/core/steering/shares.py
@@ -12,6 +12,8 @@
 from hyssopfold.core.steering import regions
 
 MAX_STEP_S = 1.0
+# Longer than a busy process misses its steps, shorter than any lease.
+STALE_S = 3.0
 GRACE_S = 15.0
 WINDOW_S = 1.0
 MAX_WINDOW_S = 10.0
@@ -367,6 +369,17 @@
 
     def __init__(self) -> None:
         self._pools: dict[str, _Pool] = {}
+        self._stepped_at: float | None = None
+
+    def is_stale(self, now: float) -> bool:
+        """Return whether this node stood still for long.
+
+        A process that was frozen while a region was lost and came back never
+        saw it, and would send all of its callers home at once, to cold
+        servers. It adopts the shares of a running node first.
+        """
+        last = self._stepped_at
+        return last is not None and now - last > STALE_S
 
     def install(self, held: state.State, now: float, utc_s: float) -> None:
         """Follow the tables and plans of a newer revision."""
@@ -401,6 +414,7 @@
             utc_s: UTC in seconds since 1970.
             ready: Regions that have ready servers, by pool.
         """
+        self._stepped_at = now
         changes = [
             pool.step(now, utc_s, ready.get(name, frozenset()))
             for name, pool in self._pools.items()
--- a/hyssopfold/entry/steering.py
+++ b/hyssopfold/entry/steering.py
@@ -1,6 +1,8 @@
 """The task that steps an entry's shares, and the look into them per request."""
 
 from collections import defaultdict
+from collections.abc import Awaitable
+from collections.abc import Callable
 from collections.abc import Mapping
 import logging
 import time
@@ -49,9 +51,17 @@
         self._revision = 0
         self._places: dict[str, regions.Place] = {}
 
-    async def run(self) -> None:
-        """Step the shares for as long as the entry runs."""
+    async def run(
+        self, catch_up: Callable[[shares.Shares], Awaitable[None]]
+    ) -> None:
+        """Step the shares for as long as the entry runs.
+
+        Args:
+            catch_up: Takes over the shares of a running entry.
+        """
         while True:
+            if self.shares.is_stale(trio.current_time()):
+                await catch_up(self.shares)
             self.step(trio.current_time(), time.time())
             await trio.sleep(PERIOD_S)
 
