Hold the cap at an entry that restarts as a region is lost

Its trace: an entry restarted and took over shares from before a loss, so it never saw the region; for its first 15 s it took regions as they come, as a fresh system must, and sent its callers home at once when the region came back. Ruled out: the freeze in the trace (2 s, shorter than what counts as standing still); a restart after the loss, whose adopted shares are closed already: two scenarios of that kind passed without the change and were dropped. Change: an entry that has taken over shares is in a running system: a region that comes is one that comes back, and is returned to by shift.

--- a/hyssopfold/core/steering/shares.py
+++ b/hyssopfold/core/steering/shares.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 from collections.abc import Mapping
+import math
 from typing import Literal
 from typing import NamedTuple
 
@@ -124,6 +125,9 @@
         if mixture and abs(total - 1.0) < 1e-3:
             self.mixture = plans.mix(mixture, mixture, 0.0)
             self._parts = None
+            # The system runs already: from now on a region that comes is
+            # one that comes back, and is returned to by shift.
+            self._grace_until = -math.inf
 
     def step(
         self, now: float, utc_s: float, ready: frozenset[str]
@@ -207,7 +211,7 @@
             # Nothing was served anywhere: there is no traffic to shift.
             self.mixture = {self.target: 1.0}
             self.lost = frozenset()
-        elif come and now >= self._grace_until:
+        elif come and self.seen and now >= self._grace_until:
             self.mixture = _closed(self.mixture, come)
         self.seen |= come
         lost = frozenset(self.seen - ready)
--- a/tests/core/steering/shares.feature
+++ b/tests/core/steering/shares.feature
@@ -97,6 +97,14 @@
     And that shares entry runs again for 1 minutes
     Then what callers saw moved under the cap since then
 
+  Scenario: a lost region comes back just after an entry restarted
+    A fresh system takes regions as they come, for its first seconds. An entry
+    that restarts in a running system did so as well, and sent its callers home
+    at once to a region that came back in that time.
+    When a shares entry of dar restarts as dar is lost, and dar comes back
+    And the shares run on for 1 minutes
+    Then what callers saw moved under the cap since then
+
   Scenario: the servers that a shift goes to fall silent
     Nothing is known of arusha any more: what went there is not sent on in
     hope, and comes back under the cap when its servers are heard of again.
--- a/tests/steps/core/steering/shares_steps.py
+++ b/tests/steps/core/steering/shares_steps.py
@@ -191,6 +191,17 @@
     world.forget()
 
 
+@when("a shares entry of dar restarts as dar is lost, and dar comes back")
+def _(context):
+    world = context.world
+    # It takes over shares from before the loss, and never saw the region.
+    world.restart(next(one for one in world.nodes if one.region == "dar"))
+    world.lose("dar")
+    world.run(2)
+    world.restore("dar")
+    world.forget()
+
+
 @when("that shares entry runs again for {minutes:d} minutes")
 def _(context, minutes):
     context.node.frozen = False
