--- a/hyssopfold/announcements.py
+++ b/hyssopfold/announcements.py
@@ -1,6 +1,7 @@
 """What a backend server sends to announce itself, over HTTP."""
 
 from typing import Literal
+from typing import NotRequired
 from typing import TypedDict
 
 import msgspec
@@ -16,6 +17,8 @@
 MAX_SLOTS = 100_000
 MAX_CONNECTIONS = 1_000_000
 MAX_LOAD = 1_000_000.0
+# No server takes longer than a day to warm up.
+MAX_COLD_S = 86_400.0
 # A number beyond this could never be followed by a newer one.
 MAX_NUMBER = 2**53
 _MAX_LETTERS = 63
@@ -26,6 +29,7 @@
     "incarnation": (0, MAX_NUMBER),
     "sequence": (0, MAX_NUMBER),
     "load": (0, MAX_LOAD),
+    "cold_left_s": (0, MAX_COLD_S),
 }
 
 
@@ -42,6 +46,7 @@
     incarnation: int
     sequence: int
     load: float
+    cold_left_s: NotRequired[float]
 
 
 def parse(server_id: str, body: bytes) -> messages.Server:
@@ -54,21 +59,31 @@
         fields = msgspec.json.decode(body, type=Body)
     except msgspec.DecodeError as exc:
         raise _invalid("body", str(exc), "the announcement's fields") from exc
-    if not documents.is_address(fields["address"]):
+    return check(messages.Server(server_id=server_id, **fields))
+
+
+def check(server: messages.Server) -> messages.Server:
+    """Return an announcement that holds what it may.
+
+    Raises:
+        InvalidDocumentError: when it does not.
+    """
+    fields = server._asdict()
+    if not documents.is_address(server.address):
         allowed = "an IP number and port, IP:PORT"
-        raise _invalid("address", fields["address"], allowed)
-    names = {"ID": server_id}
-    names |= {key: fields[key] for key in _NAMES}  # type: ignore[literal-required]
+        raise _invalid("address", server.address, allowed)
+    names = {"ID": server.server_id}
+    names |= {key: fields[key] for key in _NAMES}
     for key, name in names.items():
         if not 0 < len(name) <= _MAX_LETTERS or not name.isprintable():
             allowed = f"1 to {_MAX_LETTERS} printable letters"
             raise _invalid(key, name[:_MAX_LETTERS], allowed)
     for key, (low, high) in _LIMITS.items():
-        value = fields[key]  # type: ignore[literal-required]
+        value = fields[key]
         # Written so that NaN, which compares to nothing, is refused too.
         if not low <= value <= high:
             raise _invalid(key, str(value), f"a number from {low} to {high}")
-    return messages.Server(server_id=server_id, **fields)
+    return server
 
 
 def _invalid(
--- a/hyssopfold/application.py
+++ b/hyssopfold/application.py
@@ -11,18 +11,23 @@
 
 import trio
 
-from hyssopfold import certificates
+from hyssopfold import faces as faces_module
 from hyssopfold import http
 from hyssopfold import logs
 from hyssopfold import metrics
+from hyssopfold import reloading
 from hyssopfold import security
 from hyssopfold import serving
 from hyssopfold import settings
+from hyssopfold import settings_source
 from hyssopfold import supervisor
 from hyssopfold.control import api
+from hyssopfold.control import hearing
 from hyssopfold.control import instance as control_instance
+from hyssopfold.control import orders
 from hyssopfold.control import slot_votes
 from hyssopfold.core.attempts import claims as core_claims
+from hyssopfold.core.balancing import local
 from hyssopfold.core.balancing import messages as balancing
 from hyssopfold.core.balancing import node
 from hyssopfold.core.balancing import subset
@@ -39,6 +44,7 @@
 from hyssopfold.entry import configuration
 from hyssopfold.entry import connections
 from hyssopfold.entry import leaving
+from hyssopfold.entry import local_placement
 from hyssopfold.entry import lookups
 from hyssopfold.entry import pacing
 from hyssopfold.entry import placement
@@ -88,25 +94,54 @@
     return balancing.Member(word.name, word.incarnation)
 
 
-async def run_control(cfg: settings.ControlSettings) -> None:
+def _listed(cfg: settings.ControlSettings) -> list[consensus_messages.Endpoint]:
+    """Return the control instances to form with, or to find others through.
+
+    Where they find each other, an instance is named by its address: that is
+    all that others know of it, and one that comes back there blank takes the
+    place of the one that was.
+    """
+    if cfg.control:
+        return [consensus_messages.Endpoint(*one) for one in cfg.control]
+    return [
+        consensus_messages.Endpoint(address, address)
+        for address in cfg.control_seeds
+    ]
+
+
+def _register(
+    cfg: settings.ControlSettings,
+    kept: records.MemberRecords,
+    rng: random.Random,
+) -> consensus_node.Node:
+    identity, durable = kept.open(cfg.rpc_address)
+    return consensus_node.Node(
+        identity,
+        _listed(cfg),
+        durable,
+        rng,
+        cfg.round_timeout_s,
+        cfg.edit_timeout_s,
+        cfg.first_start,
+        0 if cfg.control else cfg.voters,
+    )
+
+
+async def run_control(
+    cfg: settings.ControlSettings,
+    faces: faces_module.ControlFaces = faces_module.OUR_CONTROL_FACES,
+    source: settings_source.Source | None = None,
+) -> None:
     """Run a control instance until it is told to stop."""
     logs.configure(cfg.name, cfg.log_level, cfg.log_decision_sample)
     rng = random.Random()
     with folder.DataFolder(cfg.data_folder) as data:
-        kept = records.MemberRecords(data, cfg.name, rng.getrandbits)
-        identity, durable = kept.open(cfg.rpc_address)
-        register = consensus_node.Node(
-            identity,
-            [consensus_messages.Endpoint(*member) for member in cfg.control],
-            durable,
-            rng,
-            cfg.round_timeout_s,
-            cfg.edit_timeout_s,
-        )
+        voter = cfg.name if cfg.control else cfg.rpc_address
+        kept = records.MemberRecords(data, voter, rng.getrandbits)
         shared = security.load(cfg, rng)
         links = shared.links
         member = control_instance.Instance(
-            register,
+            _register(cfg, kept, rng),
             kept,
             functools.partial(rpc.Client, links=links),
             cfg.edit_timeout_s,
@@ -132,6 +167,14 @@
         operators = api.Api(
             member, spread, meter, shared.operators, shared.announcers
         )
+        parts = faces_module.ControlParts(
+            operators,
+            member,
+            orders.Orders(member),
+            hearing.Hearing(member, spread, confirmations),
+            spread,
+        )
+        _follow_settings(cfg, source, shared.reloader, spread.set_seeds)
         handlers: dict[rpc.Method, rpc.Handler] = {
             consensus_wire.DELIVER: member.deliver,
             poll_wire.POLL: publish.poll,
@@ -148,139 +191,283 @@
             ),
         ]
         await _run_daemon(
-            cfg, operators, children, rng, _stop_at_once, shared.tls
+            cfg,
+            {cfg.http_address: faces.operators(parts)},
+            children,
+            rng,
+            _stop_at_once,
+            shared,
         )
 
 
-async def run_entry(cfg: settings.EntrySettings) -> None:
-    """Run an entry until it is told to stop and its requests are done."""
-    logs.configure(cfg.name, cfg.log_level, cfg.log_decision_sample)
-    rng = random.Random()
-    shared = security.load(cfg, rng)
-    links = shared.links
-    config = configuration.Configuration(
-        cfg.name,
-        [rpc.Client(member.rpc_address, links) for member in cfg.control],
-        rpc.Clients(links),
-        rng,
-        timing=follower.Timing(hold_s=cfg.poll_s),
-    )
-    spread = gossip.Gossip(
-        _myself(cfg, "entry"),
-        cfg.gossip_seeds,
-        cfg.lease_s,
-        links.keyring,
-        rng,
-    )
-    spread.on_revision = config.hear
-    place = placement.Placement(
-        node.Node(
-            node.Config(
-                _member(spread.myself),
-                cfg.region,
-                cfg.failure_domain,
-                tuple(member.name for member in cfg.control),
+def _follow_settings(
+    cfg: settings.ControlSettings | settings.EntrySettings,
+    source: settings_source.Source | None,
+    reloader: reloading.Reloader,
+    set_seeds: Callable[[tuple[str, ...]], None],
+) -> None:
+    """Put what may change while running in force when the file changes."""
+    if source is None:
+        return
+    uses: dict[str, Callable[[Any], None]] = {
+        "gossip_seeds": set_seeds,
+        "log_level": logs.set_level,
+    }
+    live = settings_source.Live(cfg, source, uses)
+    reloader.watch((source.path,), live.reload)
+
+
+class _Entry:
+    """The parts of an entry, wired.
+
+    Args:
+        cfg: Its settings.
+        faces: How it is spoken to.
+    """
+
+    def __init__(
+        self,
+        cfg: settings.EntrySettings,
+        faces: faces_module.EntryFaces,
+    ) -> None:
+        self.cfg = cfg
+        self.rng = random.Random()
+        self.shared = security.load(cfg, self.rng)
+        self.spread = gossip.Gossip(
+            _myself(cfg, "entry"),
+            cfg.gossip_seeds,
+            cfg.lease_s,
+            self.shared.links.keyring,
+            self.rng,
+        )
+        self.known = self.spread.directory
+        self.config = self._configuration()
+        self.spread.on_revision = self.config.hear
+        self.place = self._placement()
+        self.connected = connections.Pool(self._bound, cfg.proven_connection_s)
+        self.servers = upstream.Upstream(self.connected)
+        self.meter = metrics.Metrics(cfg.name)
+        self.clients = blocks.Blocks(cfg.client_blocks)
+        self.steer = steering.Steering(
+            cfg.region,
+            cfg.region_delays_ms,
+            self.config,
+            self.known,
+            self.clients,
+        )
+        self.catch_up = functools.partial(adoption.adopt, self.spread)
+        self.claimed = claims.Claims(
+            lambda: self.spread.myself,
+            self.known,
+            rpc.Clients(self.shared.links),
+            core_claims.Table(),
+        )
+        self.parts = self._outside(faces)
+
+    def _configuration(self) -> configuration.Configuration:
+        cfg, links = self.cfg, self.shared.links
+        addresses = [one.rpc_address for one in cfg.control]
+        return configuration.Configuration(
+            cfg.name,
+            [
+                rpc.Client(address, links)
+                for address in addresses or cfg.control_seeds
+            ],
+            rpc.Clients(links),
+            self.rng,
+            timing=follower.Timing(hold_s=cfg.poll_s),
+            knows_all=bool(addresses),
+        )
+
+    def _placement(
+        self,
+    ) -> placement.Placement | local_placement.LocalPlacement:
+        cfg = self.cfg
+        if cfg.placement == "local":
+            chooser = local.Chooser(cfg.name)
+            return local_placement.LocalPlacement(chooser, self.known)
+        return placement.Placement(
+            node.Node(
+                node.Config(
+                    _member(self.spread.myself),
+                    cfg.region,
+                    cfg.failure_domain,
+                    tuple(member.name for member in cfg.control),
+                ),
+                self.known,
+                self.rng,
+                trio.current_time(),
             ),
-            spread.directory,
-            rng,
-            trio.current_time(),
-        ),
-        spread,
-    )
+            self.spread,
+        )
 
-    def bound(server: messages.Server) -> int:
-        entries = len(spread.directory.ready_entries())
-        return subset.share(server.connections, server.slots, entries)
+    def _bound(self, server: messages.Server) -> int:
+        entries = len(self.known.ready_entries())
+        pool = self.config.snapshot.tables.pool(server.pool)
+        most = server.connections
+        if pool is not None:
+            most = min(most, pool.connections)
+        return subset.share(most, server.slots, entries)
 
-    connected = connections.Pool(bound)
-    servers = upstream.Upstream(connected)
-    meter = metrics.Metrics(cfg.name)
-    clients = blocks.Blocks(cfg.client_blocks)
-    steer = steering.Steering(
-        cfg.region, cfg.region_delays_ms, config, spread.directory, clients
-    )
-    catch_up = functools.partial(adoption.adopt, spread)
-    look_up = lookups.Lookups(
-        cfg.region,
-        cfg.region_delays_ms,
-        cfg.lookup_ttl_s,
-        config,
-        spread,
-        steer,
-    )
-    claimed = claims.Claims(
-        lambda: spread.myself,
-        spread.directory,
-        rpc.Clients(links),
-        core_claims.Table(),
-    )
-    forward = proxy.Proxy(
-        config,
-        steer,
-        place,
-        pacing.Pacer(cfg.region, config, spread.directory),
-        servers,
-        meter,
-        claimed=claimed,
-        here=proxy.Here(cfg.region, spread.directory),
-        rng=rng,
-        max_body_bytes=cfg.max_body_bytes,
-    )
-    app = entry_app.App(
-        look_up,
-        entry_status.Status(config, spread, steer, place),
-        config,
-        spread,
-        forward,
-        place,
-        meter,
-        shared.announcers,
-    )
+    def _outside(
+        self, faces: faces_module.EntryFaces
+    ) -> faces_module.EntryParts:
+        cfg = self.cfg
+        look_up = lookups.Lookups(
+            cfg.region,
+            cfg.region_delays_ms,
+            cfg.lookup_ttl_s,
+            self.config,
+            self.spread,
+            self.steer,
+        )
+        forward = proxy.Proxy(
+            self.config,
+            self.steer,
+            self.place,
+            pacing.Pacer(cfg.region, self.config, self.known),
+            self.servers,
+            self.meter,
+            claimed=self.claimed,
+            here=proxy.Here(cfg.region, self.known),
+            rng=self.rng,
+            callers=proxy.Callers(
+                cfg.max_body_bytes,
+                faces.headers,
+                cfg.retry_share,
+                cfg.shared_retry_reserve,
+            ),
+        )
+        app = entry_app.App(
+            look_up,
+            entry_status.Status(
+                self.config, self.spread, self.steer, self.place
+            ),
+            self.config,
+            self.spread,
+            forward,
+            self.place,
+            self.meter,
+            self.shared.announcers,
+        )
+        return faces_module.EntryParts(app, forward, look_up)
 
-    async def become_ready() -> None:
+    async def keep_state(self) -> None:
+        """Become ready, then follow the tables and who is there."""
+        config, spread = self.config, self.spread
         while config.snapshot.revision == 0 or not spread.ready:
+            self._find_control()
             await trio.sleep(0.05)
-        steer.step(trio.current_time(), time.time())
-        await catch_up(steer.shares)
-        spread.update_self(state="ready")
+        self.steer.step(trio.current_time(), time.time())
+        await self.catch_up(self.steer.shares)
+        if spread.myself.state == "starting":
+            spread.update_self(state="ready")
         while True:
+            self._find_control()
             revision = config.snapshot.revision
-            place.set_pools(config.snapshot.tables.pools)
-            spread.update_self(revision=revision, load=float(forward.in_flight))
+            self.place.set_pools(config.snapshot.tables.pools)
+            load = float(self.parts.forward.in_flight)
+            spread.update_self(revision=revision, load=load)
             await trio.sleep(0.1)
 
-    listener = serving.Listener(app, cfg.limits)
-    leave = leaving.Leave(
-        core_stop.Stop(
-            cfg.lookup_ttl_s,
-            gossip.SPREAD_S + lookups.MAX_AGE_S,
-            cfg.stop_max_s,
-        ),
+    def _find_control(self) -> None:
+        """Follow which control instances there are, unless they are listed."""
+        if self.cfg.control:
+            return
+        found = [
+            one.rpc_address
+            for one in self.known.instances.words()
+            if one.role == "control" and one.rpc_address
+        ]
+        self.config.set_control(found)
+
+    def children(self) -> list[Child]:
+        """Return the tasks of the entry."""
+        children: list[Child] = [
+            ("configuration", self.config.run),
+            ("gossip", self.spread.run),
+            ("steering", functools.partial(self.steer.run, self.catch_up)),
+            ("placement", self.place.run),
+            ("client-blocks", self.clients.run),
+            ("state", self.keep_state),
+            ("reloading", self.shared.reloader.run),
+            ("connections", self.connected.sweep),
+            ("claims", self.claimed.run),
+        ]
+        if self.cfg.rpc_address:
+            handlers: dict[rpc.Method, rpc.Handler] = {
+                poll_wire.POLL: self.config.publisher.poll,
+                **self.claimed.handlers(),
+            }
+            serve = functools.partial(
+                rpc.serve, self.cfg.rpc_address, handlers, self.shared.links
+            )
+            children.append(("rpc", serve))
+        return children
+
+    def leave(self, listener: serving.Listener) -> leaving.Leave:
+        """Return the steps of a planned stop."""
+        return leaving.Leave(
+            core_stop.Stop(
+                self.cfg.lookup_ttl_s,
+                gossip.SPREAD_S + lookups.MAX_AGE_S,
+                self.cfg.stop_max_s,
+                self.cfg.stop_serve_s,
+            ),
+            listener,
+            self.spread,
+            self.place.leave,
+            self.claimed.hand_over,
+        )
+
+
+async def run_entry(
+    cfg: settings.EntrySettings,
+    faces: faces_module.EntryFaces = faces_module.OUR_ENTRY_FACES,
+    source: settings_source.Source | None = None,
+) -> None:
+    """Run an entry until it is told to stop and its requests are done."""
+    logs.configure(cfg.name, cfg.log_level, cfg.log_decision_sample)
+    entry = _Entry(cfg, faces)
+    _follow_settings(cfg, source, entry.shared.reloader, entry.spread.set_seeds)
+    apps = {cfg.http_address: faces.callers(entry.parts)}
+    if cfg.lookup_address:
+        apps[cfg.lookup_address] = faces.lookups(entry.parts)
+    if cfg.probe_address:
+        apps[cfg.probe_address] = faces.probes(entry.parts)
+    listener = serving.Listener(apps[cfg.http_address], cfg.limits)
+    leave = entry.leave(listener)
+    await _run_daemon(
+        cfg,
+        apps,
+        entry.children(),
+        entry.rng,
+        leave.run,
+        entry.shared,
         listener,
-        spread,
-        place.leave,
-        claimed.hand_over,
     )
-    children: list[Child] = [
-        ("configuration", config.run),
-        ("gossip", spread.run),
-        ("steering", functools.partial(steer.run, catch_up)),
-        ("placement", place.run),
-        ("client-blocks", clients.run),
-        ("state", become_ready),
-        ("reloading", shared.reloader.run),
-        ("connections", connected.sweep),
-        ("claims", claimed.run),
-    ]
-    if cfg.rpc_address:
-        handlers: dict[rpc.Method, rpc.Handler] = {
-            poll_wire.POLL: config.publisher.poll,
-            **claimed.handlers(),
-        }
-        serve = functools.partial(rpc.serve, cfg.rpc_address, handlers, links)
-        children.append(("rpc", serve))
-    await _run_daemon(cfg, app, children, rng, leave.run, shared.tls, listener)
-    await servers.aclose()
+    await entry.servers.aclose()
+
+
+class _Stop:
+    """A planned stop: its end, and the time that is left for it.
+
+    Args:
+        max_s: Longest it may take, from when it is asked for.
+    """
+
+    def __init__(self, max_s: float) -> None:
+        self.event = trio.Event()
+        self._max_s = max_s
+        self._asked_at = trio.current_time()
+
+    def ask(self) -> None:
+        """Count the time from now on."""
+        self._asked_at = trio.current_time()
+
+    def left_s(self) -> float:
+        """Return the seconds that are left."""
+        return max(0.0, self._asked_at + self._max_s - trio.current_time())
 
 
 async def _stop_at_once() -> None:
@@ -289,28 +476,49 @@
 
 async def _run_daemon(
     cfg: settings.ControlSettings | settings.EntrySettings,
-    app: http.App,
+    apps: dict[str, http.App],
     children: list[Child],
     rng: random.Random,
     leave: Callable[[], Awaitable[None]],
-    tls: certificates.Server | None,
+    shared: security.Security,
     listener: serving.Listener | None = None,
 ) -> None:
-    """Supervise the children and the HTTP server until told to stop."""
-    stop = trio.Event()
+    """Supervise the children and the HTTP servers until told to stop.
+
+    Args:
+        cfg: Settings of the process.
+        apps: What is served, by address; that on `http_address` last to end.
+        children: Tasks to supervise.
+        rng: Source of the jitter between restarts.
+        leave: Returns when new requests are no longer to be taken.
+        shared: Who may talk to the process.
+        listener: Connections on `http_address`; made here when left out.
+    """
+    stop = _Stop(cfg.stop_max_s)
+    app = apps[cfg.http_address]
     async with rpc.open_loop(), trio.open_nursery() as nursery:
         for name, child in children:
             nursery.start_soon(supervisor.supervise, name, child, rng)
         listener = listener or serving.Listener(app, serving.Limits())
-        nursery.start_soon(_wait_for_stop, cfg, leave, listener, stop)
+        nursery.start_soon(
+            _wait_for_stop, cfg, leave, listener, stop, shared.reloader.look
+        )
+        for address, other in apps.items():
+            if address != cfg.http_address:
+                beside = functools.partial(
+                    http.serve, other, address, trio.Event(), 0.0
+                )
+                nursery.start_soon(
+                    supervisor.supervise, f"http {address}", beside, rng
+                )
         serve = functools.partial(
             http.serve,
             app,
             cfg.http_address,
-            stop,
-            cfg.stop_max_s,
+            stop.event,
+            stop.left_s,
             listener,
-            tls=tls,
+            tls=shared.tls,
         )
         logger.info(logs.Event("started", http=cfg.http_address))
         await supervisor.supervise("http", serve, rng)
@@ -322,23 +530,30 @@
     cfg: settings.ControlSettings | settings.EntrySettings,
     leave: Callable[[], Awaitable[None]],
     listener: serving.Listener,
-    stop: trio.Event,
+    stop: _Stop,
+    reload: Callable[[], None],
 ) -> None:
     async def leave_and_stop() -> None:
+        stop.ask()
         await leave()
-        stop.set()
+        stop.event.set()
 
-    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+    numbers = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+    with trio.open_signal_receiver(*numbers) as signals:
         async with trio.open_nursery() as nursery:
             asked = False
             async for number in signals:
                 name = signal.Signals(number).name
+                if number == signal.SIGHUP:
+                    logger.info(logs.Event("reload-asked", signal=name))
+                    reload()
+                    continue
                 if not asked:
                     logger.info(logs.Event("stop-asked", signal=name))
                     nursery.start_soon(leave_and_stop)
                 elif cfg.stop_second_signal == "cut":
                     leaving.cut(listener, f"second {name}")
-                    stop.set()
+                    stop.event.set()
                 else:
                     logger.info(logs.Event("second-signal-ignored"))
                 asked = True
--- a/hyssopfold/control/api.py
+++ b/hyssopfold/control/api.py
@@ -247,7 +247,9 @@
             # answer: what it would plan is of no account.
             return state.State(parsed)
         held = state.decode(register.value)
-        return plans.after_edit(held, parsed, time.time())
+        planned = plans.after_edit(held, parsed, time.time())
+        # The document of an earlier version does not make these tables.
+        return planned._replace(rows=())
 
 
 def _digest(document: str) -> str:
--- /dev/null
+++ b/hyssopfold/control/hearing.py
@@ -0,0 +1,66 @@
+"""What backend servers tell a control instance, and when it is acknowledged.
+
+A server that leaves stops soon after the acknowledgement. An instance that is
+cut off could hear it and tell no one: entries would go on sending to it. So
+what a majority of the control instances can't be told is not acknowledged,
+and the server asks another instance.
+"""
+
+import trio
+
+from hyssopfold.control import instance as control_instance
+from hyssopfold.core.membership import messages
+from hyssopfold.transport import gossip
+from hyssopfold.transport import publisher
+
+# Servers wait a second for an answer; a majority in other regions answers
+# within two round trips, some 0.2 s.
+CONFIRM_S = 0.8
+# How old the last word of a majority may be for a server's usual word: the
+# instances ask for it each second.
+MAX_AGE_S = 3.0
+
+
+class Hearing:
+    """Take in announcements where they can be passed on.
+
+    Args:
+        instance: The member of the register that this process runs.
+        spread: Spreads announcements.
+        confirmed: Tells when a majority was last heard of.
+    """
+
+    def __init__(
+        self,
+        instance: control_instance.Instance,
+        spread: gossip.Gossip,
+        confirmed: publisher.Confirmations,
+    ) -> None:
+        self._instance = instance
+        self._spread = spread
+        self._confirmed = confirmed
+
+    async def announce(self, server: messages.Server) -> bool:
+        """Take in a server's word; return whether to acknowledge it."""
+        self._spread.announce(server)
+        if server.state == "leaving":
+            return await self._confirm()
+        if not self._instance.register.members:
+            # No cluster is formed yet: nothing can have been missed.
+            return True
+        return self._confirmed.age_s(trio.current_time()) <= MAX_AGE_S
+
+    async def dismiss(self, server_id: str) -> bool:
+        """Take a server out; return whether to acknowledge it."""
+        held = self._spread.directory.servers.get(server_id)
+        if held is not None and held.state == "ready":
+            word = held._replace(
+                state="leaving", sequence=held.sequence + 1, monitor=""
+            )
+            self._spread.announce(word)
+        return await self._confirm()
+
+    async def _confirm(self) -> bool:
+        with trio.move_on_after(CONFIRM_S):
+            return await self._instance.confirm()
+        return False
--- a/hyssopfold/core/attempts/attempt.py
+++ b/hyssopfold/core/attempts/attempt.py
@@ -7,7 +7,8 @@
 from hyssopfold.core.attempts import budget as budget_module
 from hyssopfold.core.attempts import messages
 
-MAX_ATTEMPTS = 3
+# Answers by which a server says that it failed, not that the request is bad.
+_SERVER_FAILURES = (500, 502, 503)
 RETRY_AFTER_S = 1.0
 # On a connection that has been used before, silence may be the connection's
 # own: a first attempt there leaves this share of the time for another one.
@@ -57,6 +58,8 @@
         self.last_sent = _SENT.NOT_SENT
         self._deadline = math.inf
         self._last_reason = ""
+        # A retry was taken from the budget already.
+        self._spent = False
 
     @property
     def outcome(self) -> messages.Outcome:
@@ -106,7 +109,7 @@
         repeat = self.request.repeatable and not self.request.has_body
         fresh = not repeat or number > 1
         deadline = self._deadline
-        if not fresh:
+        if not fresh and self.request.expects_silence:
             deadline = now + (deadline - now) * REUSED_SHARE
         return (messages.Send(number, fresh, deadline),)
 
@@ -127,6 +130,8 @@
         """Let the upload go on for as long as it makes progress."""
         self.expect(Phase.SENDING)
         self._uploading = True
+        if self.request.is_absolute:
+            return ()
         return (messages.AnswerBy(math.inf),)
 
     def body_dropped(self) -> Effects:
@@ -141,6 +146,8 @@
         if not self._uploading:
             return ()
         self._uploading = False
+        if self.request.is_absolute:
+            return (messages.AnswerBy(self._deadline),)
         self._deadline = max(self._deadline, now + self.request.limit_s)
         return (messages.AnswerBy(self._deadline),)
 
@@ -149,20 +156,31 @@
         self.expect(Phase.SENDING)
         self.last_sent = _SENT.MAYBE_SENT
         mine = event.echoed == self.request.request_id
-        if event.echoed is not None and not mine:
-            return self._failed("an answer to a different request", now)
-        if event.status == 503 and event.not_run and mine:
+        if event.misdirected or (event.not_run and mine):
             self.last_sent = _SENT.REFUSED_NOT_RUN
-            return self._failed("shed by the server", now)
-        if event.status < 200:
-            return self._failed(f"unasked status {event.status}", now)
-        if not event.framed:
-            # Without a length or chunks, a server that dies midway ends its
-            # answer just as a server that is done does.
-            return self._failed("answer whose end can't be told", now)
+            why = "another server has the address"
+            if not event.misdirected:
+                why = "shed by the server"
+            return self._failed(why, now)
+        fault = _fault(event, mine)
+        if fault:
+            return self._failed(fault, now)
+        if self._is_worth_another(event.status, now):
+            self._spent = True
+            return self._failed(f"status {event.status}", now)
         self.phase = Phase.RELAYING
         return (messages.Relay(),)
 
+    def _is_worth_another(self, status: int, now: float) -> bool:
+        """Return whether a failed answer is better asked for elsewhere.
+
+        A server whose health check passes may fail a part of its requests;
+        another one serves them. What may not be repeated is told as it is.
+        """
+        if status not in _SERVER_FAILURES or not self.request.repeatable:
+            return False
+        return self._may_retry(now)
+
     def answer_ended(self) -> Effects:
         """End: the caller has its whole answer."""
         self.expect(Phase.RELAYING)
@@ -189,7 +207,8 @@
         self._last_reason = reason
         self.phase = Phase.ACQUIRING
         close = messages.CloseConnection()
-        if self._may_retry(now):
+        if self._spent or self._may_retry(now):
+            self._spent = False
             again = messages.Acquire(self.tried, self._deadline)
             return (close, again)
         error = "attempt-failed"
@@ -200,7 +219,7 @@
     def _may_retry(self, now: float) -> bool:
         safe = self.request.repeatable or not self.maybe_ran
         in_time = now < self._deadline
-        tries_left = len(self.tried) < MAX_ATTEMPTS
+        tries_left = len(self.tried) < self.request.max_attempts
         possible = safe and in_time and tries_left and not self._body_dropped
         return possible and self._budget.spend()
 
@@ -216,6 +235,19 @@
         return (messages.Finish(outcome),)
 
 
+def _fault(event: messages.AnswerBegan, mine: bool) -> str:
+    """Return why an answer must not be passed on, or ""."""
+    if event.echoed is not None and not mine:
+        return "an answer to a different request"
+    if event.status < 200:
+        return f"unasked status {event.status}"
+    if not event.framed:
+        # Without a length or chunks, a server that dies midway ends its
+        # answer just as a server that is done does.
+        return "answer whose end can't be told"
+    return "" if event.is_signed else "an answer that no server signed"
+
+
 @functools.singledispatch
 def _on(event: object, attempts: Attempts, now: float) -> Effects:
     raise TypeError(f"no event of attempts: {event!r}")
--- a/hyssopfold/core/attempts/budget.py
+++ b/hyssopfold/core/attempts/budget.py
@@ -12,17 +12,17 @@
 
     Args:
         ratio: Retries for each request.
-        reserve: Retries that may be saved up.
+        reserve: Retries that may be saved up; may be changed at any time.
     """
 
     def __init__(self, ratio: float = RATIO, reserve: float = RESERVE) -> None:
         self._ratio = ratio
-        self._reserve = reserve
+        self.reserve = reserve
         self.left = reserve
 
     def earn(self) -> None:
         """Count a request."""
-        self.left = min(self._reserve, self.left + self._ratio)
+        self.left = min(self.reserve, self.left + self._ratio)
 
     def spend(self) -> bool:
         """Take one retry; return whether there was one left."""
--- a/hyssopfold/core/attempts/messages.py
+++ b/hyssopfold/core/attempts/messages.py
@@ -3,6 +3,9 @@
 import enum
 from typing import NamedTuple
 
+# A request that three servers failed is unlikely to fare better at a fourth.
+MAX_ATTEMPTS = 3
+
 
 class Sent(enum.Enum):
     """How far a request may have got towards a backend server."""
@@ -24,13 +27,20 @@
 
     `limit_s` is the longest time until the answer begins, counted from the
     request's head and again from its last byte, so that a long upload is not
-    cut by it. `repeatable` says that it may run twice without harm.
+    cut by it, unless `is_absolute`: then the caller itself counts from the
+    head and does not wait longer. `repeatable` says that it may run twice
+    without harm, `max_attempts` to how many servers it may be sent.
+    `expects_silence` says that a connection which was used before may be dead
+    without a sign, so that a first attempt there must leave time for another.
     """
 
     request_id: str
     repeatable: bool
     has_body: bool
     limit_s: float
+    is_absolute: bool = False
+    max_attempts: int = MAX_ATTEMPTS
+    expects_silence: bool = True
 
 
 class Started(NamedTuple):
@@ -71,13 +81,17 @@
 
     `echoed` is the request id that it carries, if any; `not_run` whether it
     claims that the request did not run; `framed` whether its end can be told
-    from its being cut.
+    from its being cut; `misdirected` whether another server than the one
+    meant gave it; `is_signed` whether it carries what each answer made by a
+    server does.
     """
 
     status: int
     echoed: str | None
     not_run: bool
     framed: bool
+    misdirected: bool = False
+    is_signed: bool = True
 
 
 class AnswerEnded(NamedTuple):
--- /dev/null
+++ b/hyssopfold/core/balancing/allowance.py
@@ -0,0 +1,75 @@
+"""How many requests entries together may send to a cold server.
+
+A cold server crashes under a rate that a warm one bears, and no entry sees
+what the others send. So a few entries, drawn by rendezvous hashing, hold the
+whole allowance of a server between them, each as a token bucket. In any
+second they send at most the rate plus one request each; an entry that does
+not know of another one draws itself too often, never by more than it is cut
+off from.
+"""
+
+from collections.abc import Collection
+from typing import NamedTuple
+
+from hyssopfold.core.balancing import affinity
+
+# Entries that may send to one cold server: two bear the loss of one, and add
+# no more than two requests to a second's allowance.
+HOLDERS = 2
+# What is left of the bound for requests on their way, in clocks' and links'
+# jitter, when a burst of one second falls into another.
+MARGIN = 0.8
+
+
+class _Bucket(NamedTuple):
+    tokens: float
+    at: float
+
+
+class Allowance:
+    """This entry's part of what cold servers bear.
+
+    Args:
+        name: Name of this entry.
+    """
+
+    def __init__(self, name: str) -> None:
+        self._name = name
+        self._buckets: dict[str, _Bucket] = {}
+
+    def may_send(
+        self, server_id: str, rate: float, entries: Collection[str], now: float
+    ) -> bool:
+        """Return whether a request may go to a cold server now.
+
+        Args:
+            server_id: The server.
+            rate: Requests a second that it bears, from all entries.
+            entries: Names of the entries that serve callers.
+            now: Monotonic time in seconds.
+        """
+        holders = affinity.ranked(server_id, {*entries, self._name})[:HOLDERS]
+        if self._name not in holders:
+            return False
+        held = self._filled(server_id, rate * MARGIN / len(holders), now)
+        self._buckets[server_id] = held
+        return held.tokens >= 1
+
+    def take(self, server_id: str) -> None:
+        """Count a request that goes to a cold server."""
+        held = self._buckets.get(server_id)
+        if held is not None:
+            self._buckets[server_id] = held._replace(tokens=held.tokens - 1)
+
+    def _filled(self, server_id: str, rate: float, now: float) -> _Bucket:
+        held = self._buckets.get(server_id)
+        if held is None:
+            # A fresh process does not know what it sent before it restarted.
+            return _Bucket(0.0, now)
+        tokens = min(1.0, held.tokens + (now - held.at) * rate)
+        return _Bucket(tokens, now)
+
+    def forget(self, known: Collection[str]) -> None:
+        """Drop the servers that are not `known`."""
+        for server_id in self._buckets.keys() - set(known):
+            del self._buckets[server_id]
--- /dev/null
+++ b/hyssopfold/core/balancing/local.py
@@ -0,0 +1,240 @@
+"""Which server an entry chooses by itself, without asking anyone.
+
+Bounded-load consistent hashing: requests for an object go to the servers that
+rank first for it and so have handled it lately, unless those are loaded
+beyond a bound; then to the next. A short wait at a warm server beats a cold
+one. What this entry knows of a server's load is what the server told in its
+last answer, and what this entry itself has sent since.
+"""
+
+from collections.abc import Collection
+from collections.abc import Mapping
+from collections.abc import Sequence
+import math
+from typing import NamedTuple
+
+from hyssopfold.core.balancing import affinity
+from hyssopfold.core.balancing import allowance
+from hyssopfold.core.balancing import messages
+from hyssopfold.core.membership import messages as membership
+
+# Loads, as multiples of a server's slots, up to which an object's servers are
+# taken in turn: first any of the first few with a free slot, then the first
+# whose wait is short, then anyone who still takes requests.
+FREE = 1.0
+SHORT_WAIT = 2.0
+FULL = 4.0
+# Servers that share an object while they have room; more would each have to
+# warm up for it.
+SHARED_BY = 2
+# A report of load is worth nothing once what ran then is done.
+REPORT_S = 2.0
+# Failures to connect, or failed answers in a row, after which a server gets
+# nothing for a while; doubled each time, up to the most.
+FAILURES = 3
+FIRST_REST_S = 1.0
+MAX_REST_S = 8.0
+# A server that refused for want of room gets nothing for so long: about the
+# time in which one of its requests ends.
+SHED_REST_S = 0.1
+# When all are loaded, callers should come back once some requests are done.
+RETRY_AFTER_S = 0.25
+
+
+class _Seen(NamedTuple):
+    """What this entry knows of a server beside its announcement."""
+
+    incarnation: int
+    in_flight: int = 0
+    reported: float = 0.0
+    reported_at: float = -math.inf
+    in_flight_then: int = 0
+    failures: int = 0
+    rests: int = 0
+    resting_until: float = -math.inf
+    cold_until: float = -math.inf
+
+
+class View(NamedTuple):
+    """What an entry knows when it chooses: the pool, its servers, the time.
+
+    `cold` are servers that say they are cold, `cold_rate` and `warm_up_s` the
+    pool's, `entries` the names of those that serve callers.
+    """
+
+    servers: Sequence[membership.Server]
+    cold: Collection[str]
+    cold_rate: float
+    warm_up_s: float
+    entries: Collection[str]
+    now: float
+
+
+class Chooser:
+    """Choose servers for the requests of one entry.
+
+    Args:
+        name: Name of the entry.
+    """
+
+    def __init__(self, name: str) -> None:
+        self._seen: dict[str, _Seen] = {}
+        self._rankings: dict[str, affinity.Ranking] = {}
+        self._allowance = allowance.Allowance(name)
+
+    def choose(
+        self, req: messages.Request, view: View
+    ) -> messages.Grant | messages.Refused:
+        """Return the server for a request, counted as sent, or why none."""
+        usable = self._usable(req, view)
+        if not usable:
+            return messages.Refused("no-server", RETRY_AFTER_S)
+        chosen = self._pick(req, usable, view)
+        if chosen is None:
+            return messages.Refused("no-slot", RETRY_AFTER_S)
+        server, reason = chosen
+        seen = self._seen[server.server_id]
+        if self._is_cold(seen, server.server_id, view):
+            self._allowance.take(server.server_id)
+        self._seen[server.server_id] = seen._replace(
+            in_flight=seen.in_flight + 1
+        )
+        return messages.Grant(server, reason)
+
+    def _usable(
+        self, req: messages.Request, view: View
+    ) -> dict[str, membership.Server]:
+        """Return the servers that the request may go to, by id."""
+        closed = {one.name: set(one.closed_domains) for one in req.regions}
+        usable = {}
+        for server in view.servers:
+            self._meet(server)
+            domains = closed.get(server.region)
+            if domains is None or server.failure_domain in domains:
+                continue
+            if server.server_id not in req.avoid:
+                usable[server.server_id] = server
+        return usable
+
+    def _meet(self, server: membership.Server) -> None:
+        seen = self._seen.get(server.server_id)
+        if seen is None:
+            self._seen[server.server_id] = _Seen(server.incarnation)
+        elif seen.incarnation < server.incarnation:
+            self._seen[server.server_id] = _Seen(
+                server.incarnation, in_flight=seen.in_flight
+            )
+
+    def _pick(
+        self,
+        req: messages.Request,
+        usable: Mapping[str, membership.Server],
+        view: View,
+    ) -> tuple[membership.Server, str] | None:
+        loads = {
+            name: self._load(server, view.now)
+            for name, server in usable.items()
+            if self._is_open(name, view)
+        }
+        if not loads:
+            return None
+        if req.object_key:
+            order = self._order(req, view)
+            near = [name for name in order if name in loads][:SHARED_BY]
+            for name in near:
+                if loads[name] < FREE:
+                    return usable[name], "affinity"
+            for name in near:
+                if loads[name] < SHORT_WAIT:
+                    return usable[name], "affinity-wait"
+        least = min(loads, key=lambda name: (loads[name], name))
+        if loads[least] >= FULL:
+            return None
+        return usable[least], "least-loaded"
+
+    def _order(self, req: messages.Request, view: View) -> tuple[str, ...]:
+        """Return the pool's servers, those that know the object best first."""
+        ranking = self._rankings.setdefault(req.pool, affinity.Ranking())
+        ids = frozenset(server.server_id for server in view.servers)
+        return ranking.rank(req.object_key, ids)
+
+    def _is_open(self, server_id: str, view: View) -> bool:
+        """Return whether a server takes requests as far as is known here."""
+        seen = self._seen[server_id]
+        if seen.resting_until > view.now:
+            return False
+        if not self._is_cold(seen, server_id, view):
+            return True
+        return self._allowance.may_send(
+            server_id, view.cold_rate, view.entries, view.now
+        )
+
+    def _is_cold(self, seen: _Seen, server_id: str, view: View) -> bool:
+        if not view.cold_rate:
+            return False
+        return server_id in view.cold or seen.cold_until > view.now
+
+    def _load(self, server: membership.Server, now: float) -> float:
+        """Return a server's requests as a multiple of its slots."""
+        seen = self._seen[server.server_id]
+        known = float(seen.in_flight)
+        if now - seen.reported_at <= REPORT_S:
+            since = seen.in_flight - seen.in_flight_then
+            known = max(known, seen.reported + since)
+        return known / max(1, server.slots)
+
+    def done(
+        self, server_id: str, done: messages.Done, warm_up_s: float, now: float
+    ) -> None:
+        """Take in how a request ended."""
+        seen = self._seen.get(server_id)
+        if seen is None:
+            return
+        seen = seen._replace(in_flight=max(0, seen.in_flight - 1))
+        if done.load is not None:
+            seen = seen._replace(
+                reported=float(done.load.running + done.load.waiting),
+                reported_at=now,
+                in_flight_then=seen.in_flight,
+            )
+        if done.kind != "cancelled":
+            seen = _judged(seen, done, warm_up_s, now)
+        self._seen[server_id] = seen
+
+    def in_flight(self) -> dict[str, int]:
+        """Return the requests under way by server."""
+        return {
+            server_id: seen.in_flight
+            for server_id, seen in self._seen.items()
+            if seen.in_flight
+        }
+
+    def forget(self, known: Collection[str]) -> None:
+        """Drop the servers that are gone and have nothing under way."""
+        self._allowance.forget(known)
+        for server_id in self._seen.keys() - set(known):
+            if not self._seen[server_id].in_flight:
+                del self._seen[server_id]
+
+
+def _judged(
+    seen: _Seen, done: messages.Done, warm_up_s: float, now: float
+) -> _Seen:
+    if done.kind == "shed":
+        return seen._replace(resting_until=now + SHED_REST_S)
+    if done.good:
+        return seen._replace(failures=0, rests=max(0, seen.rests - 1))
+    failures = seen.failures + 1
+    if done.reached and failures < FAILURES:
+        return seen._replace(failures=failures)
+    rest_s = min(MAX_REST_S, FIRST_REST_S * 2.0**seen.rests)
+    until = now + rest_s
+    # One that takes no connection has ended; it comes back cold, and its own
+    # word of that may come later than its first request.
+    cold_until = until + warm_up_s if not done.reached else seen.cold_until
+    return seen._replace(
+        failures=0,
+        rests=seen.rests + 1,
+        resting_until=until,
+        cold_until=cold_until,
+    )
--- a/hyssopfold/core/balancing/messages.py
+++ b/hyssopfold/core/balancing/messages.py
@@ -23,6 +23,8 @@
 
     `regions` come best first; `avoid` are servers already tried, which are not granted; `deadline` is
     monotonic time in seconds; a lower `priority` number goes first.
+    `object_key` names the object that it concerns, where that should decide
+    the server, and `goal_s` the time within which an answer is worth most.
     """
 
     request_id: str
@@ -31,6 +33,8 @@
     priority: int
     deadline: float
     avoid: tuple[str, ...]
+    object_key: str = ""
+    goal_s: float = 0.0
 
 
 class Grant(NamedTuple):
@@ -52,15 +56,28 @@
     retry_after_s: float
 
 
+class Load(NamedTuple):
+    """What a server told of its load: requests running, waiting, its slots."""
+
+    running: int
+    waiting: int
+    slots: int
+
+
 class Done(NamedTuple):
     """How a grant ended, for the health of its server.
 
     `kind` is `answered`, `failed` (connect or protocol error, time-out),
-    `shed` (the server refused) or `cancelled` (the caller left).
+    `shed` (the server refused) or `cancelled` (the caller left). `reached`
+    tells whether the server took a connection, `good` whether what it
+    answered is no failure of its own, `load` what it told beside.
     """
 
     kind: str
     seconds: float
+    reached: bool = True
+    good: bool = True
+    load: Load | None = None
 
 
 class Key(NamedTuple):
--- a/hyssopfold/core/consensus/node.py
+++ b/hyssopfold/core/consensus/node.py
@@ -35,6 +35,9 @@
         rng: Source of jitter and of the cluster's id.
         round_timeout_s: Time for one round to reach a majority.
         operation_timeout_s: Time until an operation is given up.
+        first_start: Whether a cluster may be formed where all are blank.
+        wanted_members: How many instances vote; newcomers are admitted until
+            there are so many. 0 leaves that to operators.
     """
 
     def __init__(
@@ -45,10 +48,13 @@
         rng: random.Random,
         round_timeout_s: float = 1.0,
         operation_timeout_s: float = 8.0,
+        first_start: bool = True,
+        wanted_members: int = 0,
     ) -> None:
+        self._wanted_members = wanted_members
         self.name = identity.member.name
         self.replica = replica_module.Replica(identity, durable)
-        self.peers = peers_module.Peers(self.replica, listed)
+        self.peers = peers_module.Peers(self.replica, listed, first_start)
         self._rng = rng
         self._now = 0.0
         self.proposer = proposer_module.Proposer(
@@ -255,12 +261,23 @@
             self._on_chosen(status.member.id, status.chosen, now, effects)
         if self.fault or not self.replica.is_voter:
             return
-        replace = self.peers.replacement(status)
-        if replace is None or not self.proposer.is_idle:
+        self._tend_members(status, now, effects)
+
+    def _tend_members(
+        self, status: messages.Status, now: float, effects: Effects
+    ) -> None:
+        """Admit who may take a vote, and dismiss who was replaced."""
+        if not self.proposer.is_idle:
             return
-        # Any voter may admit it; by lot, so that they do not all propose.
-        if self._rng.random() < 1.0 / len(self.replica.register.members):
-            self.submit(replace, now, effects)
+        change: messages.Operation | None = self.peers.replacement(status)
+        wanted = self._wanted_members
+        if change is None and wanted:
+            admission = self.peers.admission(status, wanted, now)
+            change = admission or self.peers.dismissal(wanted, now)
+        # Any voter may do it; by lot, so that they do not all propose.
+        members = len(self.replica.register.members)
+        if change is not None and self._rng.random() < 1.0 / members:
+            self.submit(change, now, effects)
 
     def _on_chosen(
         self,
--- a/hyssopfold/core/consensus/peers.py
+++ b/hyssopfold/core/consensus/peers.py
@@ -8,6 +8,11 @@
 from hyssopfold.core.consensus import replica as replica_module
 
 SILENT_S = 5.0
+# Seconds without a word, of which one is due every two. One missed is enough
+# to let a newcomer vote beside a member that may be lost, which costs nothing
+# if it is not; three are asked for before a member's vote is taken for good.
+ABSENT_S = 2.5
+LOST_S = 6.0
 MAX_SIGHTINGS = 32
 
 CONFIRMING = "it waits until others have confirmed its data folder"
@@ -35,16 +40,21 @@
     Args:
         replica: What this member holds and knows.
         listed: Control instances in the settings, this one included.
+        first_start: Whether a cluster may be formed where all are blank.
     """
 
     def __init__(
         self,
         replica: replica_module.Replica,
         listed: Sequence[messages.Endpoint],
+        first_start: bool = True,
     ) -> None:
         self._replica = replica
+        self.first_start = first_start
         self._listed = tuple(sorted(listed))
         self._heard: dict[str, _Heard] = {}
+        # Since when a member that was never heard of is waited for.
+        self._since: dict[str, float] = {}
         identity = replica.identity
         self._sightings = {s.member_id: s for s in identity.sightings}
         self._confirmed_by: set[str] = set()
@@ -191,6 +201,10 @@
         names = self.listed_names
         if not self._replica.is_blank or not names or names[0] != me:
             return False
+        if not self.first_start:
+            # All disks here are blank because they were lost or replaced:
+            # a cluster with accepted state may run where none of them sees.
+            return False
         blank = {
             status.member.name
             for status in self.statuses(now)
@@ -248,6 +262,56 @@
             return None
         return messages.ReplaceMember(0, old.id, new)
 
+    def admission(
+        self, status: messages.Status, wanted: int, now: float
+    ) -> messages.AddMember | None:
+        """Return how to let a caught-up newcomer vote, if one is wanted.
+
+        A lost member's place is taken at once, by a newcomer under another
+        name; the lost one goes once the newcomer votes (see `dismissal`).
+
+        Args:
+            status: The newcomer's word.
+            wanted: How many members there should be.
+            now: Monotonic time in seconds.
+        """
+        register = self._replica.register
+        new = status.member
+        if register.member(new.name) is not None or status.fault:
+            return None
+        lost = len(self._silent(ABSENT_S, now))
+        if len(register.members) - lost >= wanted:
+            return None
+        if new.id in register.retired or not self._has_caught_up(status):
+            return None
+        return messages.AddMember(0, new.name)
+
+    def dismissal(
+        self, wanted: int, now: float
+    ) -> messages.RemoveMember | None:
+        """Return how to take the vote of a lost member beyond `wanted`."""
+        silent = self._silent(LOST_S, now)
+        if not silent or len(self._replica.register.members) <= wanted:
+            return None
+        return messages.RemoveMember(0, silent[0])
+
+    def _silent(self, silent_s: float, now: float) -> list[str]:
+        """Return the names of members not heard of for so many seconds."""
+        me = self._replica.identity.member.name
+        return [
+            member.name
+            for member in self._replica.register.members
+            if member.name != me
+            and now - self._heard_at(member, now) > silent_s
+        ]
+
+    def _heard_at(self, member: messages.Member, now: float) -> float:
+        """Return when a member was heard of, at the start if never."""
+        heard = self._heard.get(member.name)
+        if heard is not None and heard.status.member.id == member.id:
+            return heard.at
+        return self._since.setdefault(member.id, now)
+
 
 class View:
     """What is known of the other instances at one moment.
--- a/hyssopfold/core/distribution/follower.py
+++ b/hyssopfold/core/distribution/follower.py
@@ -62,6 +62,8 @@
         ways: Ways by which revisions are learned.
         timing: Seconds between questions.
         unreadable: Returns why this program cannot read a value, or "".
+        knows_all: Whether `control` lists all control instances, so that a
+            majority of them can be told. Else only a confirmed answer counts.
     """
 
     def __init__(
@@ -71,8 +73,10 @@
         ways: messages.Ways = ALL_WAYS,
         timing: Timing = USUAL_TIMING,
         unreadable: Callable[[bytes], str] = always_readable,
+        knows_all: bool = True,
     ) -> None:
         self._control = rng.sample(list(control), len(control))
+        self._knows_all = knows_all
         self._rng = rng
         self._ways = ways
         self._timing = timing
@@ -95,6 +99,11 @@
         self._next_pull = -messages.NEVER_S
         self._turn = 0
 
+    def set_control(self, control: Sequence[str]) -> None:
+        """Ask these control instances from now on; none changes nothing."""
+        if control and set(control) != set(self._control):
+            self._control = self._rng.sample(list(control), len(control))
+
     def handle(
         self, event: messages.Event, now: float
     ) -> list[messages.Effect]:
@@ -191,6 +200,8 @@
         if call.source not in self._control:
             return
         update = event.update
+        if not event.strong and not self._knows_all:
+            return
         if not event.strong:
             self._vouched[call.source] = (update, known_at)
             if len(self._vouched) <= len(self._control) // 2:
--- a/hyssopfold/core/draining/stop.py
+++ b/hyssopfold/core/draining/stop.py
@@ -32,12 +32,22 @@
         lookup_ttl_s: Seconds that callers may cache a look-up.
         spread_s: Seconds until other entries stop naming this one.
         max_s: Longest a stop may take in all.
+        serve_s: Seconds for which new requests are taken, when a stop must
+            not wait for the look-ups: callers that come later are turned away
+            unread, and go to another entry.
     """
 
     def __init__(
-        self, lookup_ttl_s: float, spread_s: float, max_s: float
+        self,
+        lookup_ttl_s: float,
+        spread_s: float,
+        max_s: float,
+        serve_s: float | None = None,
     ) -> None:
         self._wait_s = lookup_ttl_s + spread_s
+        self.turns_away = serve_s is not None
+        if serve_s is not None:
+            self._wait_s = min(serve_s, self._wait_s)
         self._max_s = max_s
         self._asked_at = 0.0
         self.phase = Phase.SERVING
--- a/hyssopfold/core/membership/directory.py
+++ b/hyssopfold/core/membership/directory.py
@@ -8,6 +8,9 @@
 from hyssopfold.core.membership import messages
 
 MAX_RECORDS = 20_000
+# Two words of one cold spell tell its end no further apart than they were on
+# their way; later by more, the server has become cold again.
+_SAME_S = 0.75
 
 Word = TypeVar("Word", messages.Server, messages.Instance)
 
@@ -101,6 +104,7 @@
 
     def __init__(self, lease_s: float) -> None:
         self.servers: Leases[messages.Server] = Leases(lease_s)
+        self._cold_until: dict[str, float] = {}
         self.instances: Leases[messages.Instance] = Leases(lease_s)
 
     def merge(
@@ -115,9 +119,24 @@
             if self.servers.update(server.server_id, server, now)
         )
 
+    def note_cold(self, server: messages.Server, now: float) -> bool:
+        """Take in how long a server stays cold; return whether it is news."""
+        until = now + server.cold_left_s if server.cold_left_s > 0 else 0.0
+        news = until > self._cold_until.get(server.server_id, 0.0) + _SAME_S
+        if news or not until:
+            self._cold_until[server.server_id] = until
+        return news
+
+    def is_cold(self, server_id: str, now: float) -> bool:
+        """Return whether a server says that it is cold."""
+        return self._cold_until.get(server_id, 0.0) > now
+
     def expire(self, now: float) -> list[messages.Server | messages.Instance]:
         """Drop and return all whose lease has ended."""
-        return [*self.servers.expire(now), *self.instances.expire(now)]
+        ended = self.servers.expire(now)
+        for server in ended:
+            self._cold_until.pop(server.server_id, None)
+        return [*ended, *self.instances.expire(now)]
 
     def ready_servers(self, pool: str) -> list[messages.Server]:
         """Return the servers of `pool` that may get new work."""
--- a/hyssopfold/core/membership/messages.py
+++ b/hyssopfold/core/membership/messages.py
@@ -14,7 +14,8 @@
     `load` is the number of requests it says it runs; `sequence` grows with
     each announcement of an `incarnation`. `monitor` is the instance of ours
     that hears the announcements and vouches for them to the others; it says
-    `gone` when they stop.
+    `gone` when they stop. `cold_left_s` is how much longer the server stays
+    cold, in seconds from when it said so.
     """
 
     server_id: str
@@ -29,6 +30,7 @@
     sequence: int
     load: float
     monitor: str = ""
+    cold_left_s: float = 0.0
 
 
 class Instance(NamedTuple):
--- a/hyssopfold/core/membership/spread.py
+++ b/hyssopfold/core/membership/spread.py
@@ -100,6 +100,10 @@
         self._urgent_left: dict[str, int] = {}
         self._note_self(now)
 
+    def set_seeds(self, seeds: Iterable[str]) -> None:
+        """Look for others at these addresses from now on."""
+        self._seeds = tuple(seeds)
+
     @property
     def synced(self) -> bool:
         """Return whether another instance told all that it knows."""
@@ -156,7 +160,8 @@
         self._heard[server.server_id] = server
         self._heard_at[server.server_id] = now
         held = self.known.servers.get(server.server_id)
-        if held is not None and self._vouched(held, server):
+        cold_again = self.known.note_cold(server, now)
+        if held is not None and not cold_again and self._vouched(held, server):
             if held.monitor == self.myself.name:
                 self._renew(server.server_id, now, self._lease_s)
             return []
@@ -181,14 +186,18 @@
         if held.state == "leaving" and held.incarnation == server.incarnation:
             return True
         same = held._replace(
-            sequence=server.sequence, load=server.load, monitor=""
+            sequence=server.sequence,
+            load=server.load,
+            monitor="",
+            cold_left_s=server.cold_left_s,
         )
         return same == server
 
     def _urgent(self, server: messages.Server) -> list[Send | Changed]:
-        """Tell the entries of a server's region at once, not at the period.
+        """Tell all instances at once, not at the period.
 
-        They grant its slots: one that leaves must get no new work.
+        One that leaves must get no new work, and in local placement entries
+        of any region send to it.
         """
         word = self.known.servers.get(server.server_id)
         if word is None:
@@ -199,8 +208,7 @@
         return [
             Send(instance.gossip_address, datagram)
             for instance in self.known.instances.words()
-            if instance.region == server.region
-            and instance.name != self.myself.name
+            if instance.name != self.myself.name
         ]
 
     def _urgent_again(self) -> list[Send | Changed]:
@@ -256,6 +264,7 @@
                 server = server._replace(monitor="")
         if not self.known.servers.update(server.server_id, server, now):
             return []
+        self.known.note_cold(server, now)
         if server.state == "gone":
             self._renew(server.server_id, now, GONE_S)
         if is_news:
--- /dev/null
+++ b/hyssopfold/core/orders/__init__.py
@@ -0,0 +1,1 @@
+"""Orders of operators and what they make of the replicated state."""
--- a/hyssopfold/core/steering/lookup.py
+++ b/hyssopfold/core/steering/lookup.py
@@ -72,6 +72,18 @@
         }
         return True
 
+    def of_region(self, regions: Sequence[str]) -> list[messages.Instance]:
+        """Return all entries of the first region that has any.
+
+        Args:
+            regions: Regions by preference.
+        """
+        for name in regions:
+            if name in self._rings:
+                entries = self._rings[name].entries
+                return list(dict.fromkeys(entries))
+        return []
+
     def rank(
         self, client: str, regions: Sequence[str]
     ) -> list[messages.Instance]:
--- a/hyssopfold/core/steering/plans.py
+++ b/hyssopfold/core/steering/plans.py
@@ -40,7 +40,7 @@
         shift = _shift_of(old, new, pool, utc_s)
         if shift is not None:
             shifts.append(shift)
-    return state.State(new, tuple(shifts))
+    return old._replace(tables=new, shifts=tuple(shifts))
 
 
 def _shift_of(
--- a/hyssopfold/core/steering/regions.py
+++ b/hyssopfold/core/steering/regions.py
@@ -160,3 +160,24 @@
         if name in closed and name not in target.closed_regions
     ]
     return tuple(regions)
+
+
+def allowed(
+    found: tuple[messages.Region, ...],
+    only: Collection[str],
+    evacuated: tuple[str, ...],
+) -> tuple[messages.Region, ...]:
+    """Return the regions left to a request by its route and by evacuations.
+
+    Args:
+        found: Regions that may serve it as far as shares decide.
+        only: Regions that its route allows; none means any.
+        evacuated: Failure domains whose servers get no more work.
+    """
+    if not only and not evacuated:
+        return found
+    return tuple(
+        one._replace(closed_domains=one.closed_domains + evacuated)
+        for one in found
+        if not only or one.name in only
+    )
--- a/hyssopfold/core/steering/shares.py
+++ b/hyssopfold/core/steering/shares.py
@@ -430,6 +430,7 @@
         route: tables_module.Route,
         place: regions.Place,
         key: str,
+        pool_name: str = "",
     ) -> regions.Decision:
         """Return where a request may go, best first.
 
@@ -437,8 +438,9 @@
             route: The request's route.
             place: From where it is steered.
             key: The request's id, which draws its place in the shares.
+            pool_name: The pool that serves it, when not the route's own.
         """
-        pool = self._pools.get(route.pool)
+        pool = self._pools.get(pool_name or route.pool)
         if pool is None:
             names = regions.natural((), place, ())
             empty = state.Layout()
--- a/hyssopfold/entry/app.py
+++ b/hyssopfold/entry/app.py
@@ -9,9 +9,9 @@
 from hyssopfold import announcements
 from hyssopfold import http
 from hyssopfold import metrics
+from hyssopfold.entry import carrier
 from hyssopfold.entry import configuration
 from hyssopfold.entry import lookups
-from hyssopfold.entry import placement
 from hyssopfold.entry import proxy
 from hyssopfold.entry import status as entry_status
 from hyssopfold.transport import gossip
@@ -41,7 +41,7 @@
         config: configuration.Configuration,
         spread: gossip.Gossip,
         forward: proxy.Proxy,
-        place: placement.Placement,
+        place: carrier.Placement,
         meter: metrics.Metrics,
         announcers: access.Guard,
     ) -> None:
--- /dev/null
+++ b/hyssopfold/entry/carrier.py
@@ -0,0 +1,478 @@
+"""Carry out what the attempts of one request decide."""
+
+from collections.abc import AsyncIterator
+from collections.abc import Awaitable
+from collections.abc import Callable
+import logging
+import math
+from typing import NamedTuple
+from typing import Protocol
+
+import httpcore
+import trio
+
+from hyssopfold import http
+from hyssopfold import logs
+from hyssopfold import serving
+from hyssopfold import tables
+from hyssopfold.core.attempts import attempt
+from hyssopfold.core.attempts import budget
+from hyssopfold.core.attempts import messages as events
+from hyssopfold.core.balancing import messages
+from hyssopfold.core.membership import directory
+from hyssopfold.core.membership import messages as membership
+from hyssopfold.core.steering import regions
+from hyssopfold.entry import exchange as exchange_module
+from hyssopfold.entry import pacing
+from hyssopfold.entry import steering
+from hyssopfold.entry import upstream
+
+logger = logging.getLogger(__name__)
+
+# Bodies longer than this, or of unknown length, wait for room on a link
+# behind short ones.
+BULK_BYTES = 256 * 1024
+SHORT_ANSWER_BYTES = 64 * 1024
+_BODILESS = (204, 304)
+_SERVER_FAILURE = 500
+
+
+class Placement(Protocol):
+    """Slots of the servers."""
+
+    async def acquire(
+        self, req: messages.Request, pool: tables.Pool
+    ) -> messages.Grant | messages.Refused:
+        """Return a slot, or why there is none."""
+
+    def release(self, grant: messages.Grant, done: messages.Done) -> None:
+        """Give a slot back, with how the attempt ended."""
+
+    def in_flight(self) -> dict[str, int]:
+        """Return the requests under way by server."""
+
+
+class Parts(NamedTuple):
+    """What carrying a request takes, the same for all requests.
+
+    `expects_silence` tells that kept connections may be dead without a sign.
+    """
+
+    region: str
+    known: directory.Directory
+    steering: steering.Steering
+    placement: Placement
+    pacer: pacing.Pacer
+    upstream: upstream.Upstream
+    budget_of: Callable[[str], budget.Budget]
+    refuse: Callable[[exchange_module.Exchange, http.Refusal], Awaitable[None]]
+    expects_silence: bool = True
+
+
+class Carrier:
+    """One request on its way to a server and back.
+
+    Args:
+        parts: What all requests share.
+        exchange: The request.
+        route: Its route.
+        pool: The pool that serves it.
+    """
+
+    def __init__(
+        self,
+        parts: Parts,
+        exchange: exchange_module.Exchange,
+        route: tables.Route,
+        pool: tables.Pool,
+    ) -> None:
+        self._parts = parts
+        self._exchange = exchange
+        self._dialect = exchange.dialect
+        self._route = route
+        self._pool = pool
+        limit_s, is_absolute = _limit(exchange, route)
+        self._request = events.Request(
+            exchange.request_id,
+            route.is_repeatable(exchange.method),
+            exchange.has_body,
+            limit_s,
+            is_absolute,
+            route.attempts,
+            parts.expects_silence,
+        )
+        self._machine = attempt.Attempts(
+            self._request, parts.budget_of(pool.name)
+        )
+        self._decision = parts.steering.decide(
+            route, exchange.request_id, exchange.client, pool.name
+        )
+        self._grant: messages.Grant | None = None
+        self._granted_at = 0.0
+        self._answer_by = trio.CancelScope()
+        self._told_dropped = False
+        self._short: bytes | None = None
+        self._begun: list[bytes] = []
+        self._answering: upstream.Answering | None = None
+        self._stream: AsyncIterator[bytes] | None = None
+
+    @property
+    def fate(self) -> str:
+        """Return what is certain of the request, for its claim."""
+        if self._exchange.outcome == "answered":
+            return "answered"
+        return self._machine.outcome.value
+
+    async def run(self) -> None:
+        """Carry the request from its head to its end."""
+        try:
+            await self._loop()
+        except exchange_module.CallerGoneError:
+            await self._caller_gone()
+        except trio.Cancelled:
+            with trio.CancelScope(shield=True):
+                await self._caller_gone()
+            raise
+
+    async def _loop(self) -> None:
+        effects = self._tell(events.Started())
+        while effects:
+            event: events.Event | None = None
+            for effect in effects:
+                event = await self._carry(effect) or event
+            effects = self._tell(event) if event is not None else ()
+
+    def _tell(self, event: events.Event) -> attempt.Effects:
+        return self._machine.handle(event, trio.current_time())
+
+    async def _carry(self, effect: events.Effect) -> events.Event | None:
+        match effect:
+            case events.Acquire():
+                return await self._acquire(effect)
+            case events.Send():
+                return await self._send(effect)
+            case events.Relay():
+                return await self._relay()
+            case events.CloseConnection():
+                await self._end_attempt("failed")
+            case events.Refuse():
+                await self._refuse(effect)
+            case events.CutCaller():
+                self._exchange.outcome = "cut"
+                raise serving.CutAnswerError(effect.reason)
+            case events.Finish():
+                self._exchange.outcome = effect.outcome
+        return None
+
+    async def _acquire(self, effect: events.Acquire) -> events.Event:
+        parts, pool = self._parts, self._pool
+        refused = messages.Refused("deadline-passed", attempt.RETRY_AFTER_S)
+        answer: messages.Grant | messages.Refused = refused
+        with trio.move_on_at(effect.deadline):
+            for avoid in self._avoid(effect.tried):
+                req = self._wanted(effect, avoid)
+                answer = await parts.placement.acquire(req, pool)
+                if isinstance(answer, messages.Grant):
+                    break
+        if isinstance(answer, messages.Refused):
+            return events.NoSlot(answer.reason, answer.retry_after_s)
+        if not effect.tried:
+            parts.steering.note(pool.name, self._decision, answer.server)
+        self._grant = answer
+        self._granted_at = trio.current_time()
+        self._log_grant(answer, effect)
+        return events.Granted(answer.server.server_id)
+
+    def _avoid(self, tried: tuple[str, ...]) -> list[tuple[str, ...]]:
+        """Return what to avoid: failure domains tried, else servers tried."""
+        if not tried:
+            return [()]
+        ready = self._parts.known.ready_servers(self._pool.name)
+        domains = {
+            one.failure_domain for one in ready if one.server_id in tried
+        }
+        near = {one.server_id for one in ready if one.failure_domain in domains}
+        if len(near) == len(ready):
+            return [tried]
+        return [(*tried, *sorted(near - set(tried))), tried]
+
+    def _wanted(
+        self, effect: events.Acquire, avoid: tuple[str, ...]
+    ) -> messages.Request:
+        key = self._exchange.object_key if self._route.sticky else ""
+        return messages.Request(
+            self._exchange.request_id,
+            self._pool.name,
+            regions.allowed(
+                self._decision.regions,
+                self._route.allowed_regions,
+                self._exchange.snapshot.held.evacuated,
+            ),
+            self._route.priority,
+            effect.deadline,
+            avoid,
+            f"{self._route.name} {key}" if key else "",
+            self._route.latency_goal_ms / 1000,
+        )
+
+    async def _send(self, effect: events.Send) -> events.Event:
+        assert self._grant is not None
+        server, exchange = self._grant.server, self._exchange
+        left_s = effect.deadline - trio.current_time()
+        outgoing = upstream.Outgoing(
+            exchange.method,
+            exchange.target(),
+            exchange.request_headers(left_s, server.server_id),
+            self._body(server) if exchange.has_body else None,
+        )
+        self._answer_by = trio.CancelScope(deadline=effect.deadline)
+        try:
+            with self._answer_by:
+                self._answering = await self._parts.upstream.send(
+                    server, outgoing, effect.fresh, self._note_bytes_sent
+                )
+                await self._read_short()
+        except upstream.LostError as exc:
+            return events.Lost(str(exc))
+        except exchange_module.BodyTooLargeError:
+            return events.Lost("body too large")
+        if self._answering is None or self._answer_by.cancelled_caught:
+            return events.Lost("no answer in time")
+        return _began(exchange, self._answering.answer)
+
+    async def _read_short(self) -> None:
+        """Read a short answer whole before its head is passed on.
+
+        One that is cut can then be asked for again at another server, in
+        place of being passed on as cut; and it leaves in one piece.
+        """
+        assert self._answering is not None
+        answer = self._answering.answer
+        if not self._request.is_absolute:
+            # It has begun: from here on only a stall ends it.
+            self._answer_by.deadline = math.inf
+        self._short = None
+        self._begun = []
+        self._stream = upstream.parts(answer)
+        length = _length(answer)
+        if length is not None and length > SHORT_ANSWER_BYTES:
+            return
+        size = 0
+        async for part in self._stream:
+            self._begun.append(part)
+            size += len(part)
+            if size > SHORT_ANSWER_BYTES:
+                return
+        self._short = b"".join(self._begun)
+
+    def _note_bytes_sent(self) -> None:
+        self._tell(events.BytesSent())
+
+    async def _body(self, server: membership.Server) -> AsyncIterator[bytes]:
+        self._note(events.BodyBegan())
+        async for part in self._exchange.body():
+            if self._exchange.dropped and not self._told_dropped:
+                self._told_dropped = True
+                self._tell(events.BodyDropped())
+            await self._pace(server, part, self._exchange.length)
+            yield part
+        self._note(events.BodySent())
+
+    def _note(self, event: events.Event) -> None:
+        for effect in self._tell(event):
+            if isinstance(effect, events.AnswerBy):
+                self._answer_by.deadline = effect.deadline
+
+    async def _pace(
+        self, server: membership.Server, part: bytes, length: int | None
+    ) -> None:
+        if server.region != self._parts.region:
+            bulk = length is None or length > BULK_BYTES
+            await self._parts.pacer.take(server.region, len(part), bulk)
+
+    async def _relay(self) -> events.Event:
+        assert self._grant is not None
+        assert self._answering is not None
+        assert self._stream is not None
+        server, answer = self._grant.server, self._answering.answer
+        send = self._exchange.send
+        start = {
+            "type": "http.response.start",
+            "status": answer.status,
+            "headers": self._answer_headers(answer),
+        }
+        self._exchange.status = answer.status
+        length = _length(answer)
+        if self._short is not None:
+            await self._pace(server, self._short, length)
+            await self._end_attempt("answered")
+            await send(start)
+            await send({"type": "http.response.body", "body": self._short})
+            return events.AnswerEnded()
+        await send(start)
+        await send({"type": "http.response.body", "more_body": True})
+        try:
+            for part in self._begun:
+                await self._pass_on(server, part, length)
+            async for part in self._stream:
+                await self._pass_on(server, part, length)
+        except upstream.LostError as exc:
+            return events.Lost(str(exc))
+        # The slot and the connection are free before the caller can send its
+        # next request.
+        await self._end_attempt("answered")
+        await send({"type": "http.response.body", "body": b""})
+        return events.AnswerEnded()
+
+    def _answer_headers(self, answer: httpcore.Response) -> http.Headers:
+        names = self._dialect
+        headers = exchange_module.end_to_end(answer.headers, names)
+        if answer.status in _BODILESS:
+            headers = [one for one in headers if one[0] != b"content-length"]
+        own = self._exchange.answer_headers()
+        replaced = {name for name, _ in own}
+        return [one for one in headers if one[0] not in replaced] + own
+
+    async def _pass_on(
+        self, server: membership.Server, part: bytes, length: int | None
+    ) -> None:
+        await self._pace(server, part, length)
+        message = {
+            "type": "http.response.body",
+            "body": part,
+            "more_body": True,
+        }
+        await self._exchange.send(message)
+
+    async def _end_attempt(self, kind: str) -> None:
+        """Give slot and connection back; close the latter unless answered."""
+        grant, self._grant = self._grant, None
+        if grant is None:
+            return
+        if kind == "failed":
+            kind = self._shed_or_failed()
+        answering, self._answering = self._answering, None
+        done = self._done(kind, answering)
+        self._parts.placement.release(grant, done)
+        if answering is None:
+            return
+        if kind == "answered":
+            await self._parts.upstream.finish(answering)
+        else:
+            await self._parts.upstream.drop(answering)
+
+    def _done(
+        self, kind: str, answering: upstream.Answering | None
+    ) -> messages.Done:
+        took = trio.current_time() - self._granted_at
+        if answering is None:
+            reached = self._machine.last_sent is not events.Sent.NOT_SENT
+            return messages.Done(kind, took, reached, False)
+        answer = answering.answer
+        headers = {key.lower(): value for key, value in answer.headers}
+        good = kind == "answered" and answer.status < _SERVER_FAILURE
+        load = self._dialect.load_of(headers)
+        return messages.Done(kind, took, True, good, load)
+
+    def _shed_or_failed(self) -> str:
+        shed = self._machine.last_sent is events.Sent.REFUSED_NOT_RUN
+        return "shed" if shed else "failed"
+
+    async def _caller_gone(self) -> None:
+        if self._machine.phase is not attempt.Phase.DONE:
+            self._tell(events.CallerGone())
+        self._exchange.outcome = "caller-gone"
+        await self._end_attempt("cancelled")
+
+    async def _refuse(self, effect: events.Refuse) -> None:
+        outcome = effect.outcome.value
+        if effect.reason == "body too large":
+            refusal = exchange_module.too_large(
+                outcome, exchange_module.MAX_BODY_BYTES
+            )
+        else:
+            refusal = _refusal(effect, self._pool.name)
+        await self._parts.refuse(self._exchange, refusal)
+
+    def _log_grant(self, grant: messages.Grant, effect: events.Acquire) -> None:
+        if not logger.isEnabledFor(logging.INFO):
+            return
+        now = trio.current_time()
+        exchange, server = self._exchange, grant.server
+        logger.info(
+            logs.Event(
+                "routing-decision",
+                request=exchange.request_id,
+                route=self._route.name,
+                pool=self._pool.name,
+                server=server.server_id,
+                region=server.region,
+                reason=grant.reason,
+                load=server.load,
+                attempt=len(effect.tried) + 1,
+                left_s=round(effect.deadline - now, 4),
+                revision=exchange.snapshot.revision,
+            )
+        )
+
+
+def _limit(
+    exchange: exchange_module.Exchange, route: tables.Route
+) -> tuple[float, bool]:
+    """Return the time limit, and whether the caller itself counts it."""
+    limit = route.deadline_ms / 1000
+    given = exchange.header(exchange.dialect.deadline_ms)
+    if given is not None and given.isdigit() and len(given) < 12:
+        return min(limit, int(given) / 1000), exchange.dialect.status_is_promise
+    return limit, False
+
+
+def _began(
+    exchange: exchange_module.Exchange, answer: httpcore.Response
+) -> events.AnswerBegan:
+    names = exchange.dialect
+    headers = {key.lower(): value for key, value in answer.headers}
+    echoed = headers.get(names.request_id)
+    not_run = names.says_not_run(answer.status, headers)
+    bodiless = answer.status in _BODILESS or exchange.method == "HEAD"
+    chunked = b"chunked" in headers.get(b"transfer-encoding", b"").lower()
+    framed = bodiless or chunked or b"content-length" in headers
+    signed = not names.stamp or names.stamp in headers
+    if names.needs_echo and echoed is None:
+        # Refusals come without it; nothing else does.
+        signed = False
+        echoed = exchange.request_id.encode("latin-1") if not_run else None
+    return events.AnswerBegan(
+        answer.status,
+        echoed.decode("latin-1") if echoed is not None else None,
+        not_run,
+        framed or names.unframed_answers,
+        names.is_misdirected(answer.status),
+        signed,
+    )
+
+
+def _length(answer: httpcore.Response) -> int | None:
+    for key, value in answer.headers:
+        if key.lower() == b"content-length":
+            return int(value)
+    return None
+
+
+def _refusal(effect: events.Refuse, pool: str) -> http.Refusal:
+    wait_s = effect.retry_after_s
+    status = 504 if effect.error == "deadline-passed" else 502
+    if effect.outcome is events.Outcome.UNKNOWN:
+        remedy = "look whether it took effect before sending it again"
+    elif effect.error in ("attempt-failed", "deadline-passed"):
+        remedy = "send the request again"
+    else:
+        status = 503
+        remedy = f"ask again later: no server of pool {pool} has a free slot"
+    return http.Refusal(
+        status,
+        effect.error,
+        effect.outcome.value,
+        f"{remedy} ({effect.reason})",
+        wait_s,
+    )
--- a/hyssopfold/entry/configuration.py
+++ b/hyssopfold/entry/configuration.py
@@ -59,6 +59,7 @@
         rng: Source of the order in which instances are asked.
         ways: Ways by which revisions are learned.
         timing: Seconds between questions.
+        knows_all: Whether `control` are all control instances there are.
     """
 
     def __init__(
@@ -69,12 +70,13 @@
         rng: random.Random,
         ways: messages.Ways = follower.ALL_WAYS,
         timing: follower.Timing = follower.USUAL_TIMING,
+        knows_all: bool = True,
     ) -> None:
         self._name = name
         self._control = {client.address: client for client in control}
         self._peers = peers
         self._follower = follower.Follower(
-            list(self._control), rng, ways, timing, unreadable
+            list(self._control), rng, ways, timing, unreadable, knows_all
         )
         self._inbox, self._events = trio.open_memory_channel[messages.Event](
             _QUEUE
@@ -90,6 +92,10 @@
         age = self._follower.age_s(now)
         return age if age < messages.NEVER_S / 2 else math.inf
 
+    def set_control(self, addresses: list[str]) -> None:
+        """Ask the control instances at these addresses from now on."""
+        self._follower.set_control(addresses)
+
     def hear(self, source: str, revision: int) -> None:
         """Take note that `source` has `revision` in force.
 
--- a/hyssopfold/entry/connections.py
+++ b/hyssopfold/entry/connections.py
@@ -19,6 +19,9 @@
 KEEPALIVE_IDLE_S = 5
 KEEPALIVE_PERIOD_S = 1
 KEEPALIVE_PROBES = 3
+# A server closes a connection that rested for the time it names, by its own
+# clock; resting less here leaves room for the way of the next request.
+KEEP_ALIVE_SHARE = 0.7
 # How often a blocked upload looks whether the server has answered already.
 EARLY_ANSWER_CHECK_S = 0.25
 _OPTIONS = (
@@ -117,10 +120,19 @@
         self.stream = stream
         self.opened = now
         self.used = now
+        # How long it may rest before the server may close it.
+        self.idle_s = IDLE_S
         host, port = address.rsplit(":", 1)
         origin = httpcore.Origin(b"http", host.encode(), int(port))
         self.http = httpcore.AsyncHTTP11Connection(origin, stream)
 
+    def note_keep_alive(self, value: bytes) -> None:
+        """Take in how long the server keeps the connection, if it says so."""
+        for part in value.split(b","):
+            name, _, number = part.strip().partition(b"=")
+            if name.lower() == b"timeout" and number.isdigit():
+                self.idle_s = min(IDLE_S, int(number) * KEEP_ALIVE_SHARE)
+
     def is_clean(self) -> bool:
         """Return whether it is open, between requests, with nothing on it.
 
@@ -142,10 +154,15 @@
 
     Args:
         bound: Gives the connections that this entry may hold to a server.
+        proven_s: Seconds for which a connection that brought a whole answer
+            counts as new: it was alive so short a time ago.
     """
 
-    def __init__(self, bound: Callable[[messages.Server], int]) -> None:
+    def __init__(
+        self, bound: Callable[[messages.Server], int], proven_s: float = 0.0
+    ) -> None:
         self._bound = bound
+        self._proven_s = proven_s
         self._idle: dict[str, list[Connection]] = defaultdict(list)
         self._count: dict[str, int] = defaultdict(int)
 
@@ -158,16 +175,17 @@
 
         Args:
             server: Where to.
-            fresh: Whether it must be a new one.
+            fresh: Whether it must be a new one, or one just proven alive.
 
         Raises:
             NotOpenedError: when none can be had.
         """
         address = server.address
         idle = self._idle[address]
-        while idle and not fresh:
+        now = trio.current_time()
+        while idle and (not fresh or self._is_proven(idle[-1], now)):
             conn = idle.pop()
-            if self._is_good(conn, trio.current_time()):
+            if self._is_good(conn, now):
                 return conn
             await self._close(conn)
         if self._count[address] >= self._bound(server):
@@ -208,8 +226,11 @@
             while idle:
                 await self._close(idle.pop())
 
+    def _is_proven(self, conn: Connection, now: float) -> bool:
+        return now - conn.used < self._proven_s
+
     def _is_good(self, conn: Connection, now: float) -> bool:
-        rested = now - conn.used > IDLE_S
+        rested = now - conn.used > conn.idle_s
         old = now - conn.opened > MAX_AGE_S
         return not rested and not old and conn.is_clean()
 
--- a/hyssopfold/entry/exchange.py
+++ b/hyssopfold/entry/exchange.py
@@ -5,6 +5,7 @@
 
 from hyssopfold import http
 from hyssopfold.entry import configuration
+from hyssopfold.entry import dialect as dialect_module
 
 MAX_BODY_BYTES = 16 * 1024**3
 # A payment or an order is shorter; keeping it lets it be sent again.
@@ -34,7 +35,7 @@
         b"x-real-ip",
     )
 )
-_OURS = b"hyssop-"
+_MAX_ID_LETTERS = 128
 
 
 class CallerGoneError(Exception):
@@ -55,6 +56,7 @@
         snapshot: Tables in force, for all of the request.
         now: When it came.
         max_body_bytes: Largest body taken.
+        dialect: Headers in use.
     """
 
     def __init__(
@@ -65,23 +67,38 @@
         snapshot: configuration.Snapshot,
         now: float,
         max_body_bytes: int = MAX_BODY_BYTES,
+        dialect: dialect_module.Dialect = dialect_module.OURS,
     ) -> None:
+        self.dialect = dialect
         self.scope = scope
         self.receive = receive
         self.send = send
         self.snapshot = snapshot
         self.began = now
-        self.request_id = uuid.uuid4().hex
         self.method: str = scope["method"]
         self.headers: http.Headers = scope["headers"]
         self.outcome = "unknown"
         self.status = 0
         self._by_name = dict(reversed(self.headers))
+        self.request_id = self._take_id() or uuid.uuid4().hex
         self.dropped = False
         self._kept: list[bytes] = []
         self._whole = False
         self._max_body_bytes = max_body_bytes
 
+    def _take_id(self) -> str:
+        """Return the caller's own id of the request, if it counts here."""
+        if not self.dialect.keeps_request_id:
+            return ""
+        given = self.header(self.dialect.request_id) or b""
+        text = given.decode("latin-1")
+        return text if len(text) <= _MAX_ID_LETTERS else ""
+
+    @property
+    def object_key(self) -> str:
+        """Return the object that the request concerns, if it names one."""
+        return self.dialect.object_of(self.headers)
+
     def header(self, name: bytes) -> bytes | None:
         """Return the first header called `name`."""
         return self._by_name.get(name)
@@ -187,19 +204,38 @@
         query: bytes = self.scope["query_string"]
         return path + b"?" + query if query else path
 
-    def request_headers(self, left_s: float) -> http.Headers:
-        """Return the head for a backend server; `left_s` is the time left."""
+    def request_headers(self, left_s: float, server_id: str) -> http.Headers:
+        """Return the head for a backend server.
+
+        Args:
+            left_s: Seconds that are left until the answer must be there.
+            server_id: Who is meant to serve it.
+        """
+        names = self.dialect
+        ours = {names.request_id, names.deadline_ms, names.server_id}
         headers = [
             (key, value)
-            for key, value in end_to_end(self.headers)
-            if key.replace(b"_", b"-") not in _FORWARDING
+            for key, value in end_to_end(self.headers, names)
+            if key not in ours
         ]
-        client = (self.scope.get("client") or ("unknown", 0))[0]
         if self.header(b"transfer-encoding") is not None:
             headers.append((b"transfer-encoding", b"chunked"))
-        left_ms = str(max(0, round(left_s * 1000))).encode()
-        headers.append((b"hyssop-request-id", self.request_id.encode()))
-        headers.append((b"hyssop-deadline-ms", left_ms))
+        left_ms = str(max(0, int(left_s * 1000))).encode()
+        headers.append((names.request_id, self.request_id.encode("latin-1")))
+        headers.append((names.deadline_ms, left_ms))
+        if names.server_id:
+            headers.append((names.server_id, server_id.encode("latin-1")))
+        if names.adds_forwarded:
+            headers = self._with_forwarding(headers)
+        return headers
+
+    def _with_forwarding(self, headers: http.Headers) -> http.Headers:
+        headers = [
+            (key, value)
+            for key, value in headers
+            if key.replace(b"_", b"-") not in _FORWARDING
+        ]
+        client = (self.scope.get("client") or ("unknown", 0))[0]
         headers.append((b"x-forwarded-for", str(client).encode()))
         headers.append((b"x-forwarded-host", self.header(b"host") or b""))
         headers.append((b"x-forwarded-proto", b"http"))
@@ -207,18 +243,25 @@
 
     def answer_headers(self) -> http.Headers:
         """Return what every answer of an entry carries."""
-        return [
-            (b"hyssop-request-id", self.request_id.encode()),
-            (b"hyssop-revision", str(self.snapshot.revision).encode()),
-        ]
-
-
-def end_to_end(headers: http.Headers) -> http.Headers:
+        names = self.dialect
+        request_id = self.request_id.encode("latin-1")
+        found = [(names.request_id, request_id)]
+        if names.revision:
+            revision = str(self.snapshot.revision).encode()
+            found.append((names.revision, revision))
+        return found
+
+
+def end_to_end(
+    headers: http.Headers,
+    dialect: dialect_module.Dialect = dialect_module.OURS,
+) -> http.Headers:
     """Return `headers` without those of one hop and without our own.
 
     What `connection` names is of one hop too; ours are dropped in any
     spelling that a server could take for them.
     """
+    private = dialect.private_prefix
     lowered = [(key.lower(), value) for key, value in headers]
     named = {
         token.strip().lower()
@@ -231,7 +274,7 @@
         for key, value in lowered
         if key not in _HOP_BY_HOP
         and key not in named
-        and not key.replace(b"_", b"-").startswith(_OURS)
+        and not (private and key.replace(b"_", b"-").startswith(private))
     ]
 
 
--- a/hyssopfold/entry/leaving.py
+++ b/hyssopfold/entry/leaving.py
@@ -44,7 +44,10 @@
         self._hand_over = hand_over
 
     async def run(self) -> None:
-        """Return when nothing is in flight any more, or time is up."""
+        """Return when nothing is in flight any more, or time is up.
+
+        A stop that turns callers away returns once no more are to be taken.
+        """
         began = trio.current_time()
         self._steps.ask(began)
         self._spread.update_self(state="leaving")
@@ -59,6 +62,9 @@
                 # No other entry asks this one any more.
                 handed_over = True
                 await self._hand_over()
+                if self._steps.turns_away:
+                    # The addresses are closed next, the rest is finished.
+                    break
         took = trio.current_time() - began
         logger.info(logs.Event("left", after_s=took, cut=self._steps.cut))
 
--- a/hyssopfold/entry/lookups.py
+++ b/hyssopfold/entry/lookups.py
@@ -2,12 +2,14 @@
 
 from collections.abc import Mapping
 import logging
+from typing import NamedTuple
 import urllib.parse
 
 import trio
 
 from hyssopfold import http
 from hyssopfold import logs
+from hyssopfold.core.membership import messages
 from hyssopfold.core.steering import lookup
 from hyssopfold.core.steering import regions
 from hyssopfold.entry import configuration
@@ -19,9 +21,18 @@
 # How old the arrangement of the entries may be, in seconds; an entry that
 # stops may be named for so long after its word has come.
 MAX_AGE_S = 0.25
+# Callers take no more addresses than this.
+MAX_NAMED = 64
 _REQUEST_KEY = "lookup "
 
 
+class Near(NamedTuple):
+    """Entries of the nearest region that has any, and how long that holds."""
+
+    entries: list[messages.Instance]
+    ttl_s: float
+
+
 class Lookups:
     """Name entries to callers.
 
@@ -106,6 +117,17 @@
             }
         )
 
+    def near(self, region: str) -> Near:
+        """Return all entries of a region, or of the next that has any.
+
+        A caller spreads its connections over all of them, so one that is lost
+        costs it one connection and not its only entry.
+        """
+        self._arrange()
+        entries = self._roster.of_region(self._preferred((region,)))
+        ttl_s = lookup.ttl_s(self._usual_ttl_s, self._roster.is_changing)
+        return Near(entries[:MAX_NAMED], ttl_s)
+
     def _arrange(self) -> None:
         now = trio.current_time()
         if now - self._arranged_at < MAX_AGE_S:
--- a/hyssopfold/entry/steering.py
+++ b/hyssopfold/entry/steering.py
@@ -115,7 +115,11 @@
         return self.shares.is_moving(pool)
 
     def decide(
-        self, route: tables.Route, request_id: str, client: str
+        self,
+        route: tables.Route,
+        request_id: str,
+        client: str,
+        pool: str = "",
     ) -> regions.Decision:
         """Return where a request may go, best first.
 
@@ -127,16 +131,18 @@
             route: The request's route.
             request_id: Its id, which draws its place in the shares.
             client: The caller's address.
+            pool: The pool that serves it, when not the route's own.
         """
         if self._config.snapshot.revision != self._revision:
             self._install(trio.current_time(), time.time())
-        place = self._places.get(route.pool)
+        pool = pool or route.pool
+        place = self._places.get(pool)
         if place is None:
-            place = self._look_around(route.pool)
+            place = self._look_around(pool)
         home = self.home_of(client)
         if home is not None and home != place.home:
             place = place._replace(home=home)
-        return self.shares.decide(route, place, request_id)
+        return self.shares.decide(route, place, request_id, pool)
 
     def note(
         self, pool: str, decision: regions.Decision, server: messages.Server
--- a/hyssopfold/entry/upstream.py
+++ b/hyssopfold/entry/upstream.py
@@ -84,6 +84,9 @@
     async def finish(self, answering: Answering) -> None:
         """Keep the connection of an answer that is whole, if it is clean."""
         await answering.answer.aclose()
+        for key, value in answering.answer.headers:
+            if key.lower() == b"keep-alive":
+                answering.conn.note_keep_alive(value)
         await self.pool.give_back(answering.conn)
 
     async def drop(self, answering: Answering) -> None:
--- a/hyssopfold/errors.py
+++ b/hyssopfold/errors.py
@@ -77,6 +77,20 @@
         self.winner = winner
 
 
+class VersionConflictError(HyssopError):
+    """Another version is in force than the one an edit builds on."""
+
+    kind = "version-conflict"
+    exit_status = 3
+
+    def __init__(self, base: int, in_force: int) -> None:
+        super().__init__(
+            f"version {in_force} is in force, the edit builds on {base}",
+            f"get version {in_force}, redo the edit on it and send it again",
+        )
+        self.in_force = in_force
+
+
 class OutcomeUnknownError(HyssopError):
     """The fate of an edit could not be learned in time."""
 
--- a/hyssopfold/http.py
+++ b/hyssopfold/http.py
@@ -52,8 +52,18 @@
     return Answer(status, msgspec.json.encode(value))
 
 
-def refusal_answer(refusal: Refusal) -> Answer:
-    """Return the answer that tells a caller of a refusal."""
+def refusal_answer(
+    refusal: Refusal,
+    retry_after: Callable[[float], bytes],
+    outcome_name: bytes,
+) -> Answer:
+    """Return the answer that tells a caller of a refusal.
+
+    Args:
+        refusal: What is told.
+        retry_after: Writes seconds as the caller reads them.
+        outcome_name: Header that tells what is certain; empty for none.
+    """
     body = msgspec.json.encode(
         {
             "error": refusal.error,
@@ -61,9 +71,11 @@
             "remedy": refusal.remedy,
         }
     )
-    wait = str(max(1, round(refusal.retry_after_s))).encode()
-    outcome = refusal.outcome.encode()
-    headers = ((b"retry-after", wait), (b"hyssop-outcome", outcome))
+    headers: tuple[tuple[bytes, bytes], ...] = ()
+    if refusal.outcome == "not-run" or outcome_name:
+        headers = ((b"retry-after", retry_after(refusal.retry_after_s)),)
+    if outcome_name:
+        headers += ((outcome_name, refusal.outcome.encode()),)
     return Answer(refusal.status, body, headers=headers)
 
 
@@ -123,7 +135,7 @@
     app: App,
     address: str,
     stop: trio.Event,
-    grace_s: float,
+    grace_s: float | Callable[[], float],
     listener: serving.Listener | None = None,
     task_status: trio.TaskStatus[Any] = trio.TASK_STATUS_IGNORED,
     tls: certificates.Server | None = None,
@@ -134,7 +146,8 @@
         app: ASGI application.
         address: IP number and port.
         stop: Set to stop accepting and finish what is in flight.
-        grace_s: Longest to wait for requests in flight.
+        grace_s: Longest to wait for requests in flight, or what tells it once
+            `stop` is set.
         listener: Connections of `app`; made here when left out.
         task_status: Told once the address is bound.
         tls: Certificate to show, or None for plain HTTP.
@@ -161,7 +174,8 @@
             task_status.started([address])
             await stop.wait()
             accepting.cancel_scope.cancel()
-        await finish(listener, grace_s)
+        left_s = grace_s() if callable(grace_s) else grace_s
+        await finish(listener, left_s)
         nursery.cancel_scope.cancel()
 
 
--- a/hyssopfold/logs.py
+++ b/hyssopfold/logs.py
@@ -96,3 +96,8 @@
     root.setLevel(level.upper())
     for name in ("httpcore", "hypercorn", "hpack", "asyncio", "grpclib"):
         logging.getLogger(name).setLevel(logging.WARNING)
+
+
+def set_level(level: str) -> None:
+    """Write records from this level on."""
+    logging.getLogger().setLevel(level.upper())
--- a/hyssopfold/state.py
+++ b/hyssopfold/state.py
@@ -58,11 +58,32 @@
     rate_per_minute: float
 
 
+class Row(NamedTuple):
+    """A row of an operator's own document, kept as it was sent.
+
+    `table` names the part of the document that it belongs to and `text` is
+    its JSON. Kept row by row, an edit of one row is a small difference.
+    """
+
+    table: str
+    name: str
+    text: str
+
+
 class State(NamedTuple):
-    """What every instance must agree on, at one revision."""
+    """What every instance must agree on, at one revision.
+
+    `version` is the number that an operator gave the tables, 0 when they
+    came without one, and `rows` the document they were made from.
+    `evacuated` are failure domains that get no new work, sorted; they belong
+    to no version of the tables.
+    """
 
     tables: tables_module.Tables = tables_module.Tables()
     shifts: tuple[Shift, ...] = ()
+    version: int = 0
+    rows: tuple[Row, ...] = ()
+    evacuated: tuple[str, ...] = ()
 
 
 def encode(state: State) -> bytes:
--- a/hyssopfold/tables.py
+++ b/hyssopfold/tables.py
@@ -1,6 +1,10 @@
 """Routes and pools: parsing, checking and their canonical form."""
 
+from collections.abc import Collection
+from collections.abc import Iterable
+from collections.abc import Iterator
 from collections.abc import Mapping
+from collections.abc import Sequence
 import re
 from typing import Any
 from typing import NamedTuple
@@ -21,7 +25,12 @@
 
     `repeatable` None means by method. `deadline_ms` is the longest a caller
     waits; a lower `priority` number is served first; `weights` gives the
-    share of each region and an empty mapping means nearest first.
+    share of each region and an empty mapping means nearest first. `split`
+    gives the share of each of several pools and takes the place of `pool`.
+    `attempts` is the most servers one request may be sent to,
+    `latency_goal_ms` the time within which an answer is worth most, 0 when
+    there is none. With `sticky`, requests for one object keep to the servers
+    that handled it. Requests go to `allowed_regions` alone; none means any.
     """
 
     name: str
@@ -33,6 +42,11 @@
     deadline_ms: int
     priority: int
     weights: dict[str, float]
+    split: dict[str, float] = {}  # noqa: RUF012 - never changed
+    attempts: int = 3
+    latency_goal_ms: int = 0
+    sticky: bool = False
+    allowed_regions: tuple[str, ...] = ()
 
     def is_repeatable(self, method: str) -> bool:
         """Return whether a request may run twice without harm."""
@@ -56,6 +70,8 @@
     pool's slots kept free, `shift_cap` the share of the pool's traffic that
     may move in a minute, `link_cap_mbit` per pair of regions each way and
     `warm_up_s` the seconds until a cold server takes its full load.
+    `cold_rate` is how many requests a second a cold server bears, from all
+    entries together; 0 means that it is not bounded.
     """
 
     name: str
@@ -66,6 +82,20 @@
     link_cap_mbit: int
     warm_up_s: float
     drains: Drains
+    cold_rate: float = 0.0
+
+
+# What a pool has that is made from another source than our tables.
+USUAL_POOL = Pool(
+    name="",
+    slots=1,
+    connections=330,
+    headroom=0.1,
+    shift_cap=0.1,
+    link_cap_mbit=4000,
+    warm_up_s=30.0,
+    drains=Drains(),
+)
 
 
 class Tables(NamedTuple):
@@ -157,6 +187,38 @@
         None,
         help="share of each region; nearest region first when left out",
     ),
+    documents.Field(
+        "split",
+        documents.keyed(documents.number(float, 0, 1_000_000)),
+        None,
+        help="share of each of several pools, `pool` among them; all go to"
+        " `pool` when left out",
+    ),
+    documents.Field(
+        "attempts",
+        documents.number(int, 1, 10),
+        3,
+        help="most servers that one request may be sent to",
+    ),
+    documents.Field(
+        "latency_goal_ms",
+        documents.number(int, 0, 86_400_000),
+        0,
+        unit="ms",
+        help="time within which an answer is worth most; 0 when there is none",
+    ),
+    documents.Field(
+        "sticky",
+        documents.boolean,
+        False,
+        help="requests for one object keep to the servers that handled it",
+    ),
+    documents.Field(
+        "allowed_regions",
+        documents.listed(documents.string()),
+        (),
+        help="regions whose servers may serve the route; any when left out",
+    ),
 )
 
 POOL_FIELDS = (
@@ -209,11 +271,19 @@
         Drains(),
         help="servers, failure_domains and regions to empty",
     ),
+    documents.Field(
+        "cold_rate",
+        documents.number(float, 0, 1_000_000),
+        0.0,
+        unit="requests a second",
+        help="what a cold server bears, from all entries; 0 for no bound",
+    ),
 )
 
 
 def _route(values: Mapping[str, Any]) -> Route:
-    return Route(**{**values, "weights": values["weights"] or {}})
+    given = {key: values[key] or {} for key in ("weights", "split")}
+    return Route(**{**values, **given})
 
 
 _FIELDS = (
@@ -245,11 +315,18 @@
     reader, node = documents.compose(text, source)
     values = reader.mapping(node, _FIELDS, "")
     lines = {key: _row_lines(node, key) for key in ("routes", "pools")}
-    _check_rows(reader, values, lines)
+    for fault in row_faults(values["routes"], values["pools"]):
+        line = lines[fault.table][fault.row]
+        reader.fault_at(line, fault.where, fault.value, fault.allowed)
     reader.raise_faults()
+    return ordered(values["routes"], values["pools"])
+
+
+def ordered(routes: Iterable[Route], pools: Iterable[Pool]) -> Tables:
+    """Return checked rows as tables, sorted by name."""
     return Tables(
-        tuple(sorted(values["routes"], key=lambda route: route.name)),
-        tuple(sorted(values["pools"], key=lambda pool: pool.name)),
+        tuple(sorted(routes, key=lambda route: route.name)),
+        tuple(sorted(pools, key=lambda pool: pool.name)),
     )
 
 
@@ -263,40 +340,75 @@
     return []
 
 
-def _check_rows(
-    reader: documents.Reader,
-    values: Mapping[str, Any],
-    lines: Mapping[str, list[int]],
-) -> None:
-    """Note faults between rows: names twice, pools missing, routes alike."""
-    for key in ("routes", "pools"):
-        seen: set[str] = set()
-        for index, row in enumerate(values[key]):
-            if row.name in seen:
-                where = f"{key}[{index}].name"
-                line = lines[key][index]
-                reader.fault_at(line, where, repr(row.name), "a unique name")
-            seen.add(row.name)
-    pools = {pool.name for pool in values["pools"]}
+class RowFault(NamedTuple):
+    """What is wrong with a row of a table beside the other rows."""
+
+    table: str
+    row: int
+    key: str
+    value: str
+    allowed: str
+
+    @property
+    def where(self) -> str:
+        """Return the path of the key in a document."""
+        row = f"{self.table}[{self.row}]"
+        return f"{row}.{self.key}" if self.key else row
+
+
+def row_faults(
+    routes: Sequence[Route], pools: Sequence[Pool]
+) -> Iterator[RowFault]:
+    """Yield faults between rows: names twice, pools missing, routes alike."""
+    yield from _names_twice("routes", [route.name for route in routes])
+    yield from _names_twice("pools", [pool.name for pool in pools])
+    known = {pool.name for pool in pools}
     matches: dict[tuple[str, str, str], str] = {}
-    for index, route in enumerate(values["routes"]):
-        line = lines["routes"][index]
-        if route.pool not in pools:
-            allowed = "the name of a row in pools"
-            where = f"routes[{index}].pool"
-            reader.fault_at(line, where, repr(route.pool), allowed)
-        if route.weights and not any(route.weights.values()):
-            where = f"routes[{index}].weights"
-            reader.fault_at(line, where, "all zero", "one weight above 0")
+    for index, route in enumerate(routes):
+        for key, value, allowed in _route_faults(route, known):
+            yield RowFault("routes", index, key, value, allowed)
         for method in route.methods:
             match = (route.host, route.path_prefix, method)
             if match in matches:
-                where = f"routes[{index}]"
                 allowed = f"a match other than that of {matches[match]}"
-                reader.fault_at(line, where, " ".join(match), allowed)
+                yield RowFault("routes", index, "", " ".join(match), allowed)
             matches[match] = route.name
 
 
+def _names_twice(table: str, names: Sequence[str]) -> Iterator[RowFault]:
+    seen: set[str] = set()
+    for index, name in enumerate(names):
+        if name in seen:
+            yield RowFault(table, index, "name", repr(name), "a unique name")
+        seen.add(name)
+
+
+def _route_faults(
+    route: Route, pools: Collection[str]
+) -> Iterator[tuple[str, str, str]]:
+    """Yield key, value and what is allowed, for each fault of a route."""
+    if not route.host:
+        yield "host", "''", "a host name, or * for any"
+    if route.deadline_ms < 1:
+        yield "deadline_ms", str(route.deadline_ms), "1 ms or more"
+    if route.pool not in pools:
+        yield "pool", repr(route.pool), "the name of a row in pools"
+    if route.weights and not any(route.weights.values()):
+        yield "weights", "all zero", "one weight above 0"
+    if not route.split:
+        return
+    for name, share in route.split.items():
+        if name not in pools:
+            yield "split", repr(name), "the name of a row in pools"
+        # Written so that NaN, which compares to nothing, is refused too.
+        if not share >= 0:
+            yield "split", f"{share:g}", "shares of 0 or more"
+    if not any(route.split.values()):
+        yield "split", "all zero", "one share above 0"
+    if route.pool not in route.split:
+        yield "split", f"no share of {route.pool}", "one of `pool` too"
+
+
 def to_plain(tables: Tables) -> dict[str, Any]:
     """Return the tables as plain mappings and lists, as operators see them."""
     return {
--- a/hyssopfold/transport/gossip.py
+++ b/hyssopfold/transport/gossip.py
@@ -81,6 +81,10 @@
         """Take in what a backend server says of itself, to be spread."""
         self._carry(self._core.announce(server, trio.current_time()))
 
+    def set_seeds(self, seeds: tuple[str, ...]) -> None:
+        """Look for others at these addresses from now on."""
+        self._core.set_seeds(seeds)
+
     def update_self(self, **changes: Any) -> None:
         """Change what this instance says of itself from now on."""
         self._carry(self._core.update_self(trio.current_time(), **changes))
--- a/scripts/check_reference.py
+++ b/scripts/check_reference.py
@@ -11,7 +11,7 @@
 
 from hyssopfold import documents
 from hyssopfold import errors
-from hyssopfold import settings
+from hyssopfold import setting_fields
 from hyssopfold import tables
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
@@ -75,7 +75,8 @@
 
 def settings_page() -> str:
     """Return the reference of the settings."""
-    control, entry = settings.CONTROL_FIELDS, settings.ENTRY_FIELDS
+    control = setting_fields.CONTROL_FIELDS
+    entry = setting_fields.ENTRY_FIELDS
     shared = [field for field in control if field in entry]
     parts = [_SETTINGS_HEAD, "## Of every daemon\n"]
     parts += ["\n".join(_field_rows(shared)) + "\n"]
--- a/tests/support/attempts_machine.py
+++ b/tests/support/attempts_machine.py
@@ -141,7 +141,7 @@
     def answers_at_most_once(self):
         if self.attempts is not None:
             assert self.relays <= 1
-            assert len(self.attempts.tried) <= attempt.MAX_ATTEMPTS
+            assert len(self.attempts.tried) <= messages.MAX_ATTEMPTS
 
 
 def run():
