--- a/hyssopfold/tables.py
+++ b/hyssopfold/tables.py
@@ -395,8 +395,13 @@
         yield "pool", repr(route.pool), "the name of a row in pools"
     if route.weights and not any(route.weights.values()):
         yield "weights", "all zero", "one weight above 0"
-    if not route.split:
-        return
+    if route.split:
+        yield from _split_faults(route, pools)
+
+
+def _split_faults(
+    route: Route, pools: Collection[str]
+) -> Iterator[tuple[str, str, str]]:
     for name, share in route.split.items():
         if name not in pools:
             yield "split", repr(name), "the name of a row in pools"
--- a/tests/support/datapath.py
+++ b/tests/support/datapath.py
@@ -65,7 +65,7 @@
 class FakeSteering:
     """Everything is at home."""
 
-    def decide(self, route, request_id, client):
+    def decide(self, route, request_id, client, pool=""):
         home = messages.Region("dar", False)
         return regions.Decision((home,), ())
 
@@ -226,7 +226,7 @@
             claimed=self.claims,
             here=proxy.Here("dar", known),
             rng=rng,
-            max_body_bytes=max_body,
+            callers=proxy.Callers(max_body_bytes=max_body),
         )
         self.app = self.proxy.serve
         self.listener = serving.Listener(
