Let control instances find each other; tests of what grew

Cause: no list of members is given where the platform starts us. The three addresses form at the first start, newcomers are admitted and lost ones dismissed by any voter.

--- a/hyssopfold/core/consensus/node.py
+++ b/hyssopfold/core/consensus/node.py
@@ -15,6 +15,12 @@
 from hyssopfold.core.consensus import replica as replica_module
 
 STATUS_S = 2.0
+# Where newcomers are admitted without an operator, who is lost must show soon:
+# a second one may be lost a few seconds after the first was replaced.
+DISCOVERY_STATUS_S = 1.0
+# Chance with which each voter there proposes a change of members that is due:
+# of four voters one does within a word or two, and rarely do all.
+_TEND_CHANCE = 0.5
 _EAGER_STATUS_S = 0.1
 _FETCH_S = 1.0
 _SETTLE_S = 3.0
@@ -52,6 +58,7 @@
         wanted_members: int = 0,
     ) -> None:
         self._wanted_members = wanted_members
+        self._status_s = DISCOVERY_STATUS_S if wanted_members else STATUS_S
         self.name = identity.member.name
         self.replica = replica_module.Replica(identity, durable)
         self.peers = peers_module.Peers(self.replica, listed, first_start)
@@ -275,8 +282,10 @@
             admission = self.peers.admission(status, wanted, now)
             change = admission or self.peers.dismissal(wanted, now)
         # Any voter may do it; by lot, so that they do not all propose.
-        members = len(self.replica.register.members)
-        if change is not None and self._rng.random() < 1.0 / members:
+        chance = 1.0 / len(self.replica.register.members)
+        if wanted:
+            chance = _TEND_CHANCE
+        if change is not None and self._rng.random() < chance:
             self.submit(change, now, effects)
 
     def _on_chosen(
@@ -342,9 +351,9 @@
         # Eager at first, then ever slower: an instance that stays blank or
         # faulty for days must not cost the others more than a healthy one.
         if is_eager:
-            gap_s = min(self._status_gap_s * 1.5, STATUS_S)
+            gap_s = min(self._status_gap_s * 1.5, self._status_s)
         else:
-            gap_s = STATUS_S
+            gap_s = self._status_s
         self._status_gap_s = gap_s
         self._status_at = now + gap_s * self._rng.uniform(0.75, 1.0)
 
--- a/hyssopfold/core/consensus/peers.py
+++ b/hyssopfold/core/consensus/peers.py
@@ -8,10 +8,11 @@
 from hyssopfold.core.consensus import replica as replica_module
 
 SILENT_S = 5.0
-# Seconds without a word, of which one is due every two. One missed is enough
-# to let a newcomer vote beside a member that may be lost, which costs nothing
-# if it is not; three are asked for before a member's vote is taken for good.
-ABSENT_S = 2.5
+# Seconds without a word, of which one is due every second where instances
+# find each other. One missed is enough to let a newcomer vote beside a member
+# that may be lost, which costs nothing if it is not; five are asked for before
+# a member's vote is taken for good.
+ABSENT_S = 1.6
 LOST_S = 6.0
 MAX_SIGHTINGS = 32
 
--- a/hyssopfold/entry/carrier.py
+++ b/hyssopfold/entry/carrier.py
@@ -255,6 +255,9 @@
         self._begun = []
         self._stream = upstream.parts(answer)
         length = _length(answer)
+        if length is None and not self._dialect.unframed_answers:
+            # It may be a stream, whose parts the caller waits for.
+            return
         if length is not None and length > SHORT_ANSWER_BYTES:
             return
         size = 0
--- /dev/null
+++ b/tests/core/balancing/local.feature
@@ -0,0 +1,61 @@
+Feature: an entry that chooses servers by itself
+  With one grantor for each pool, a grantor that dies leaves every request of
+  the pool refused until another takes over. An entry that chooses by itself
+  goes on at once; it must not flood a cold server, nor forget who is warm.
+
+  Scenario: an object keeps to its server while that has room
+    Given 6 local servers of 3 slots
+    When 3 requests for object "book" are placed locally
+    Then they all went to the first server of "book"
+
+  Scenario: a loaded server's objects wait at it or go to the second, not to all
+    Given 6 local servers of 3 slots
+    When 12 requests for object "book" are placed locally
+    Then they went to the first 2 servers of "book" alone
+
+  Scenario: every entry ranks the servers alike, and a lost one moves few
+    Given 6 local servers of 3 slots
+    Then two entries agree on the server of each of 200 objects
+    And the loss of one server moves only its own objects
+
+  Scenario: a server that tells of its load from others is passed by
+    Given 6 local servers of 3 slots
+    And the first server of "book" told a load of 9 running or waiting
+    When 1 requests for object "book" are placed locally
+    Then they all went to the second server of "book"
+
+  Scenario: a server that takes no connection rests, then is taken for cold
+    Given 6 local servers of 3 slots
+    And the pool's cold servers bear 4 requests a second
+    And the first server of "book" took no connection
+    When 1 requests for object "book" are placed locally
+    Then they all went to the second server of "book"
+    When 1.5 s pass for the local entry
+    Then the first server of "book" gets at most 5 requests in a second
+
+  Scenario Outline: cold servers get what they bear, over <entries> entries
+    A zone comes back from a loss of power, all of its servers cold. Each
+    entry sends what it may; together they must stay below the rate at which
+    a cold server crashes, also right after entries restart.
+
+    Given <entries> local entries that know a cold server bearing 10 a second
+    When all of them place as many requests as they may for 3 s
+    Then in no second did the cold server get more than 15 requests
+    And in 3 s it got at least 10
+
+    Examples:
+      | entries |
+      | 1       |
+      | 2       |
+      | 8       |
+      | 80      |
+
+  Scenario: an evacuated failure domain gets nothing, whatever the object
+    Given 6 local servers of 3 slots
+    When 300 requests for 100 objects are placed locally with "dar-1" closed
+    Then no server of "dar-1" got any
+
+  Scenario: with all servers full a request is refused at once
+    Given 2 local servers of 3 slots
+    When 30 requests for object "book" are placed locally
+    Then 6 of them were refused for want of room
--- /dev/null
+++ b/tests/core/consensus/discovery.feature
@@ -0,0 +1,46 @@
+Feature: control instances that find each other from a few addresses
+  Nobody tells an instance how many others there are or where. A machine is
+  replaced by an empty one at another address; were the lost one counted for
+  ever, the next loss would leave no majority and every edit would be refused.
+
+  Scenario: five form from the addresses of three
+    Given 5 discovering members of which 3 are seeds, with seed 1
+    When discovery runs for 5 s
+    Then all 5 discovered members vote
+
+  Scenario: an edit is accepted within a second of the start
+    Given 5 discovering members of which 3 are seeds, with seed 2
+    When discovery runs for 1 s
+    And discovered "control-4" or a seed gets edit "ana" of revision 0
+    And discovery runs for 1 s
+    Then the discovered edit "ana" is accepted
+
+  Scenario: a lost one's place goes to a newcomer at another address
+    Given 5 discovering members of which 3 are seeds, with seed 3
+    When discovery runs for 5 s
+    And discovered "control-2" is lost for good
+    And discovery runs for 1 s
+    And a discovering newcomer "control-6" starts
+    And discovery runs for 4 s
+    Then discovered "control-6" votes
+    When discovery runs for 20 s
+    Then discovered "control-2" votes no more
+    When discovered "control-1" is lost for good
+    And discovered "control-3" is lost for good
+    And discovered "control-6" or a seed gets edit "ana" of revision 0
+    And discovery runs for 5 s
+    Then the discovered edit "ana" is accepted
+
+  Scenario: a wiped disk comes back at its address and votes once caught up
+    Given 5 discovering members of which 3 are seeds, with seed 4
+    When discovery runs for 5 s
+    And discovered "control-1" or a seed gets edit "ana" of revision 0
+    And discovery runs for 1 s
+    And discovered "control-5" comes back on a blank disk
+    And discovery runs for 4 s
+    Then all 5 discovered members vote
+
+  Scenario: blank disks after the first start never form a second cluster
+    Given 3 blank discovering members long after the first start
+    When discovery runs for 60 s
+    Then no discovered member holds anything
--- /dev/null
+++ b/tests/steps/core/balancing/local_steps.py
@@ -0,0 +1,225 @@
+"""Steps of core/balancing/local.feature."""
+
+from collections import Counter
+
+from behave import given
+from behave import then
+from behave import when
+
+from hyssopfold.core.balancing import affinity
+from hyssopfold.core.balancing import local
+from hyssopfold.core.balancing import messages
+from hyssopfold.core.membership import messages as membership
+
+_OPEN = (messages.Region("dar", False),)
+
+
+def _server(number, slots=3):
+    return membership.Server(
+        server_id=f"s{number}",
+        pool="ledger",
+        address=f"127.0.0.1:{7000 + number}",
+        region="dar",
+        failure_domain=f"dar-{number % 2}",
+        slots=slots,
+        connections=100,
+        state="ready",
+        incarnation=1,
+        sequence=1,
+        load=0.0,
+    )
+
+
+def _view(context, servers=None, cold=(), entries=("e1",)):
+    return local.View(
+        servers or context.local_servers,
+        cold,
+        context.local_cold_rate,
+        3.0,
+        entries,
+        context.local_now,
+    )
+
+
+def _request(key, regions=_OPEN):
+    return messages.Request("r", "ledger", regions, 1, 1e9, (), key, 0.25)
+
+
+@given("{count:d} local servers of {slots:d} slots")
+def _(context, count, slots):
+    context.local_servers = [_server(n, slots) for n in range(count)]
+    context.local_chooser = local.Chooser("e1")
+    context.local_cold_rate = 0.0
+    context.local_now = 100.0
+    context.local_answers = []
+
+
+@given("the pool's cold servers bear {rate:g} requests a second")
+def _(context, rate):
+    context.local_cold_rate = rate
+
+
+def _order(context, key):
+    ids = frozenset(one.server_id for one in context.local_servers)
+    return affinity.ranked(key, ids)
+
+
+def _take_from_first(context, key, done):
+    """Let a request that went to the object's first server end."""
+    chooser = context.local_chooser
+    grant = chooser.choose(_request(key), _view(context))
+    assert grant.server.server_id == _order(context, key)[0]
+    chooser.done(grant.server.server_id, done, 3.0, context.local_now)
+
+
+@given('the first server of "{key}" told a load of {load:d} running or waiting')
+def _(context, key, load):
+    told = messages.Load(3, load - 3, 3)
+    done = messages.Done("answered", 0.1, load=told)
+    _take_from_first(context, key, done)
+
+
+@given('the first server of "{key}" took no connection')
+def _(context, key):
+    done = messages.Done("failed", 0.1, reached=False, good=False)
+    _take_from_first(context, key, done)
+
+
+@when('{count:d} requests for object "{key}" are placed locally')
+def _(context, count, key):
+    context.local_answers = [
+        context.local_chooser.choose(_request(key), _view(context))
+        for _ in range(count)
+    ]
+
+
+@when("{seconds:g} s pass for the local entry")
+def _(context, seconds):
+    context.local_now += seconds
+
+
+@when(
+    '{count:d} requests for {keys:d} objects are placed locally with "{domain}" closed'
+)
+def _(context, count, keys, domain):
+    regions = (messages.Region("dar", False, (domain,)),)
+    context.local_answers = []
+    for number in range(count):
+        req = _request(f"object {number % keys}", regions)
+        grant = context.local_chooser.choose(req, _view(context))
+        context.local_answers.append(grant)
+        done = messages.Done("answered", 0.1)
+        server_id = grant.server.server_id
+        context.local_chooser.done(server_id, done, 3.0, context.local_now)
+
+
+def _went_to(context):
+    return [one.server.server_id for one in context.local_answers]
+
+
+@then('they all went to the first server of "{key}"')
+def _(context, key):
+    assert set(_went_to(context)) == {_order(context, key)[0]}
+
+
+@then('they all went to the second server of "{key}"')
+def _(context, key):
+    assert set(_went_to(context)) == {_order(context, key)[1]}
+
+
+@then('they went to the first {count:d} servers of "{key}" alone')
+def _(context, count, key):
+    wanted = set(_order(context, key)[:count])
+    assert set(_went_to(context)) == wanted, Counter(_went_to(context))
+
+
+@then("two entries agree on the server of each of {count:d} objects")
+def _(context, count):
+    context.local_before = {}
+    for number in range(count):
+        key = f"object {number}"
+        found = []
+        for name in ("e1", "e2"):
+            chooser = local.Chooser(name)
+            grant = chooser.choose(_request(key), _view(context))
+            found.append(grant.server.server_id)
+        assert found[0] == found[1]
+        context.local_before[key] = found[0]
+
+
+@then("the loss of one server moves only its own objects")
+def _(context):
+    lost, *left = context.local_servers
+    for key, before in context.local_before.items():
+        chooser = local.Chooser("e1")
+        grant = chooser.choose(_request(key), _view(context, left))
+        moved = grant.server.server_id != before
+        assert moved == (before == lost.server_id), key
+
+
+@then('the first server of "{key}" gets at most {most:d} requests in a second')
+def _(context, key, most):
+    chooser, got = context.local_chooser, 0
+    for _ in range(100):
+        context.local_now += 0.01
+        grant = chooser.choose(_request(key), _view(context))
+        server_id = grant.server.server_id
+        got += server_id == _order(context, key)[0]
+        done = messages.Done("answered", 0.01)
+        chooser.done(server_id, done, 3.0, context.local_now)
+    assert 1 <= got <= most, got
+
+
+@given(
+    "{count:d} local entries that know a cold server bearing {rate:g} a second"
+)
+def _(context, count, rate):
+    context.local_cold_rate = rate
+    context.local_now = 100.0
+    context.local_servers = [_server(1, 1000)]
+    context.local_names = [f"e{n}" for n in range(count)]
+    context.local_entries = [local.Chooser(one) for one in context.local_names]
+
+
+@when("all of them place as many requests as they may for {seconds:d} s")
+def _(context, seconds):
+    context.local_sent = []
+    for _ in range(seconds * 100):
+        context.local_now += 0.01
+        for chooser in context.local_entries:
+            view = _view(
+                context, cold={"s1"}, entries=tuple(context.local_names)
+            )
+            for _ in range(3):
+                answer = chooser.choose(_request("book"), view)
+                if isinstance(answer, messages.Grant):
+                    context.local_sent.append(context.local_now)
+
+
+@then("in no second did the cold server get more than {most:d} requests")
+def _(context, most):
+    sent = context.local_sent
+    for at in sent:
+        assert sum(at <= other < at + 1 for other in sent) <= most
+
+
+@then("in {seconds:d} s it got at least {least:d}")
+def _(context, seconds, least):
+    assert len(context.local_sent) >= least, len(context.local_sent)
+
+
+@then('no server of "{domain}" got any')
+def _(context, domain):
+    used = {one.server.failure_domain for one in context.local_answers}
+    assert used
+    assert domain not in used
+
+
+@then("{count:d} of them were refused for want of room")
+def _(context, count):
+    refused = [
+        one
+        for one in context.local_answers
+        if isinstance(one, messages.Refused)
+    ]
+    assert len(refused) == count, len(refused)
--- /dev/null
+++ b/tests/steps/core/consensus/discovery_steps.py
@@ -0,0 +1,88 @@
+"""Steps of core/consensus/discovery.feature."""
+
+from behave import given
+from behave import then
+from behave import when
+
+from hyssopfold.core.consensus import messages
+from tests.support import fake_discovery
+
+
+@given(
+    "{count:d} discovering members of which {seeds:d} are seeds, with seed {seed:d}"
+)
+def _(context, count, seeds, seed):
+    context.found = fake_discovery.FakeDiscovery(seeds, count, seed)
+    context.found_requests = {}
+
+
+@given("3 blank discovering members long after the first start")
+def _(context):
+    context.found = fake_discovery.FakeDiscovery(3, 3, 9)
+    context.found.first_start = False
+    for name in list(context.found.names):
+        context.found.wipe(name)
+        context.found.start(name)
+
+
+@when("discovery runs for {seconds:d} s")
+def _(context, seconds):
+    context.found.run(seconds)
+
+
+@when('discovered "{name}" is lost for good')
+def _(context, name):
+    context.found.crash(name)
+
+
+@when('a discovering newcomer "{name}" starts')
+def _(context, name):
+    context.found.first_start = False
+    context.found.add_instance(name)
+
+
+@when('discovered "{name}" comes back on a blank disk')
+def _(context, name):
+    context.found.first_start = False
+    context.found.wipe(name)
+    context.found.start(name)
+
+
+@when(
+    'discovered "{name}" or a seed gets edit "{change}" of revision {revision:d}'
+)
+def _(context, name, change, revision):
+    # An operator whose instance does not vote yet asks another one.
+    asked = name if context.found.voting(name) else "control-1"
+    number = len(context.found_requests) + 1
+    context.found_requests[change] = number
+    edit = messages.Edit(number, change, revision, change.encode())
+    context.found.submit(asked, edit)
+
+
+@then("all {count:d} discovered members vote")
+def _(context, count):
+    assert context.found.all_vote(), context.found.members()
+    assert len(context.found.members()) == count, context.found.members()
+
+
+@then('discovered "{name}" votes')
+def _(context, name):
+    assert context.found.voting(name), context.found.members()
+
+
+@then('discovered "{name}" votes no more')
+def _(context, name):
+    assert name not in context.found.members(), context.found.members()
+
+
+@then('the discovered edit "{change}" is accepted')
+def _(context, change):
+    result = context.found.results.get(context.found_requests[change])
+    assert isinstance(result, messages.EditAccepted), result
+
+
+@then("no discovered member holds anything")
+def _(context):
+    for name, member in context.found.nodes.items():
+        assert member.replica.is_blank, name
--- /dev/null
+++ b/tests/steps/core/orders/orders_steps.py
@@ -0,0 +1,73 @@
+"""Steps of core/orders/orders.feature."""
+
+from behave import given
+from behave import then
+from behave import when
+
+from hyssopfold import errors
+from hyssopfold import state
+from hyssopfold import tables
+from hyssopfold.core.orders import orders
+
+
+def _document(name):
+    text = f"""
+pools: [{{name: ledger, slots: 3}}]
+routes: [{{name: {name}, pool: ledger}}]
+"""
+    return orders.Document((), tables.parse(text))
+
+
+def _order(context, order):
+    context.order_error = None
+    try:
+        context.ordered = orders.apply(order, context.ordered, 0.0)
+    except errors.HyssopError as exc:
+        context.order_error = exc
+
+
+@given("ordered tables at version {version:d}")
+def _(context, version):
+    document = _document("first")
+    context.ordered = state.State(document.tables, version=version)
+
+
+@when('an order puts version {version:d} on base {base:d} with route "{name}"')
+def _(context, version, base, name):
+    _order(context, orders.Edit(base, version, lambda _: _document(name)))
+
+
+@when('an order evacuates "{domain}"')
+def _(context, domain):
+    _order(context, orders.Evacuate(domain))
+
+
+@when('an order ends the evacuation of "{domain}"')
+def _(context, domain):
+    _order(context, orders.EndEvacuation(domain))
+
+
+@then("the last order is refused as a conflict with version {version:d}")
+def _(context, version):
+    assert isinstance(context.order_error, errors.VersionConflictError)
+    assert context.order_error.in_force == version
+
+
+@then("the last order is refused as invalid")
+def _(context):
+    assert isinstance(context.order_error, errors.InvalidDocumentError)
+
+
+@then('the ordered route is "{name}"')
+def _(context, name):
+    assert [one.name for one in context.ordered.tables.routes] == [name]
+
+
+@then('"{domain}" is evacuated by order')
+def _(context, domain):
+    assert context.ordered.evacuated == (domain,)
+
+
+@then("nothing is evacuated by order")
+def _(context):
+    assert context.ordered.evacuated == ()
--- /dev/null
+++ b/tests/steps/platform/wire_steps.py
@@ -0,0 +1,272 @@
+"""Steps of platform/wire.feature."""
+
+import copy
+import json
+import pathlib
+import shutil
+import tempfile
+
+from behave import given
+from behave import then
+from behave import when
+from hyssop_platform import settings as platform_settings
+from hyssop_platform import wire
+
+from hyssopfold import announcements
+from hyssopfold import errors
+from hyssopfold import state
+
+REGIONS = {"dar-1": "dar", "mwanza-1": "mwanza"}
+BEAT = {
+    "service": "ledger",
+    "addr": "10.1.0.9:8080",
+    "zone": "dar-1",
+    "version": "v1",
+    "slots": 3,
+    "state": "ready",
+    "cold_left_s": 1.5,
+    "sequence": 4,
+    "born": 1700000000000,
+}
+_ROUTE = {
+    "name": "r-1",
+    "host": "books.example",
+    "path_prefix": "/pay/",
+    "kind": "unsafe",
+    "timeout_s": 1.2,
+    "target_latency_s": 0.3,
+    "priority": 1,
+    "service": "ledger",
+    "attempts": 2,
+    "sticky": True,
+    "allowed_regions": [],
+}
+_SPLIT = [
+    {"service": "ledger", "weight": 90},
+    {"service": "catalogue", "weight": 10},
+]
+_SERVICE = {
+    "name": "ledger",
+    "health_path": "/health",
+    "max_conns": 330,
+    "protocol": "h1",
+    "tls": False,
+    "cold_start_s": 3.0,
+    "cold_per_s": 9.9,
+}
+CONFIG = {
+    "version": "00000007",
+    "routes": [
+        _ROUTE,
+        {
+            **{key: _ROUTE[key] for key in _ROUTE if key != "service"},
+            "name": "r-2",
+            "path_prefix": "/read/",
+            "kind": "safe",
+            "split": _SPLIT,
+        },
+    ],
+    "services": [_SERVICE, {**_SERVICE, "name": "catalogue"}],
+    "limits": {"max_header_bytes": 16384, "idle_timeout_s": 15},
+}
+SETTINGS = """
+node_name = "front-dar-1-1"
+ip = "10.1.0.35"
+zone = "dar-1"
+region = "dar"
+port_range = [7660,7675]
+seeds = ["10.1.0.37:8146","10.2.0.30:8146"]
+bootstrap = false
+heartbeat_s = 1.5
+data_dir = "/data/x"
+bounds = ["grace_s=6","retry_ratio=0.2","retry_slack=56","ttl_max_s=5"]
+unheard_of = 1
+[zones]
+dar-1 = "dar"
+[listen]
+front = "10.1.0.35:8144"
+readiness_addr = "10.1.0.35:8140"
+directory = "10.1.0.35:8143"
+control = "10.1.0.35:8146"
+"""
+
+
+def _server(beat):
+    body = json.dumps(beat).encode()
+    return announcements.check(wire.server("i-1", body, REGIONS))
+
+
+@given("a platform heartbeat")
+def _(context):
+    context.beat = BEAT
+
+
+@given('a platform heartbeat in which "{field}" is {value}')
+def _(context, field, value):
+    context.beat = {**BEAT, field: json.loads(value)}
+
+
+@then("it announces a server with its own start, count and failure domain")
+def _(context):
+    server = _server(context.beat)
+    assert server.server_id == "i-1"
+    assert server.incarnation == BEAT["born"]
+    assert server.sequence == BEAT["sequence"]
+    assert (server.region, server.failure_domain) == ("dar", "dar-1")
+    assert server.cold_left_s == BEAT["cold_left_s"]
+    leaving = _server({**BEAT, "state": "draining"})
+    assert leaving.state == "leaving"
+
+
+@then('the platform\'s body is refused for "{field}"')
+def _(context, field):
+    try:
+        _server(context.beat)
+    except errors.InvalidDocumentError as exc:
+        told = str(exc).replace("address", "addr").replace("pool", "service")
+        assert field in told, told
+    else:
+        raise AssertionError("it was taken")
+
+
+@given('a platform configuration of version "{version}" on base "{base}"')
+def _(context, version, base):
+    body = json.dumps({**CONFIG, "version": version}).encode()
+    context.platform_edit = wire.whole(body, base)
+    context.platform_document = context.platform_edit.build(())
+
+
+@then("it is an edit of version {version:d} on base {base:d}")
+def _(context, version, base):
+    edit = context.platform_edit
+    assert (edit.version, edit.base) == (version, base)
+
+
+@then("its tables hold the timeouts, splits and kinds that were sent")
+def _(context):
+    first, second = context.platform_document.tables.routes
+    assert (first.deadline_ms, first.latency_goal_ms) == (1200, 300)
+    assert (first.repeatable, second.repeatable) == (False, True)
+    assert (first.attempts, first.sticky) == (2, True)
+    assert second.split == {"ledger": 90, "catalogue": 10}
+    pool = context.platform_document.tables.pools[0]
+    assert (pool.cold_rate, pool.warm_up_s, pool.connections) == (9.9, 3, 330)
+
+
+def _rendered(context, version):
+    document = context.platform_document
+    held = state.State(document.tables, (), version, document.rows)
+    # What is kept is what is spread: it must survive the way there.
+    return json.loads(wire.render(state.decode(state.encode(held))))
+
+
+@then("it is handed back as it was sent")
+def _(context):
+    assert _rendered(context, 7) == CONFIG
+
+
+_BROKEN = {
+    "first route names an unknown service": ("service", "nobody"),
+    "first timeout is 0": ("timeout_s", 0),
+    "first host is empty": ("host", ""),
+    "first kind is unheard of": ("kind", "perhaps"),
+}
+
+
+@given("a platform configuration whose {what}")
+def _(context, what):
+    config = copy.deepcopy(CONFIG)
+    first, second = config["routes"]
+    if what in _BROKEN:
+        key, value = _BROKEN[what]
+        first[key] = value
+    elif what == "split weights add up to 0":
+        second["split"] = [{**part, "weight": 0} for part in _SPLIT]
+    elif what == "split holds a weight below 0":
+        second["split"][1]["weight"] = -1
+    elif what == "first two routes match the same":
+        second["path_prefix"] = first["path_prefix"]
+    elif what == "version is no number":
+        config["version"] = "seven"
+    context.platform_body = json.dumps(config).encode()
+    if what == "text is cut short":
+        context.platform_body = context.platform_body[:-20]
+
+
+@then("the platform's configuration is refused")
+def _(context):
+    try:
+        wire.whole(context.platform_body, "00000005").build(())
+    except errors.InvalidDocumentError:
+        return
+    raise AssertionError("it was taken")
+
+
+@when('a platform patch replaces route "{changed}" and removes route "{gone}"')
+def _(context, changed, gone):
+    route = {**CONFIG["routes"][1], "name": changed, "timeout_s": 0.5}
+    patch = {
+        "version": "00000009",
+        "upsert": {"routes": [route]},
+        "remove": {"routes": [gone]},
+    }
+    edit = wire.patch(json.dumps(patch).encode(), "00000007")
+    context.platform_document = edit.build(context.platform_document.rows)
+
+
+@then('the patched document holds "{changed}" changed and not "{gone}"')
+def _(context, changed, gone):
+    (route,) = context.platform_document.tables.routes
+    assert (route.name, route.deadline_ms) == (changed, 500), route
+    body = _rendered(context, 9)
+    assert [one["name"] for one in body["routes"]] == [changed]
+    assert body["services"] == CONFIG["services"]
+    assert body["limits"] == CONFIG["limits"]
+
+
+def _write(context, text):
+    folder = tempfile.mkdtemp()
+    context.add_cleanup(shutil.rmtree, folder)
+    context.boot = pathlib.Path(folder) / "boot.toml"
+    context.boot.write_text(text, encoding="utf-8")
+
+
+@given("a settings file of the platform")
+def _(context):
+    _write(context, SETTINGS)
+
+
+@given('a settings file of the platform without "{field}"')
+def _(context, field):
+    lines = SETTINGS.splitlines()
+    kept = [line for line in lines if not line.startswith(f"{field} =")]
+    _write(context, "\n".join(kept))
+
+
+@then("an entry finds its addresses, others and bounds in it")
+def _(context):
+    cfg = platform_settings.load_entry(str(context.boot))
+    assert cfg.http_address == "10.1.0.35:8144"
+    assert cfg.lookup_address == "10.1.0.35:8143"
+    assert cfg.probe_address == "10.1.0.35:8140"
+    assert cfg.control_seeds == ("10.1.0.37:7675", "10.2.0.30:7675")
+    assert cfg.gossip_seeds == ("10.1.0.37:7660", "10.2.0.30:7660")
+    assert cfg.stop_serve_s < cfg.stop_max_s < 6
+    assert (cfg.retry_share, cfg.shared_retry_reserve) == (0.1, 28)
+
+
+@then("a control instance forms only at the first start")
+def _(context):
+    cfg = platform_settings.load_control(str(context.boot))
+    assert not cfg.first_start
+    assert cfg.data_folder == "/data/x"
+
+
+@then('the platform\'s settings are refused, naming "{field}"')
+def _(context, field):
+    try:
+        platform_settings.load_entry(str(context.boot))
+    except errors.InvalidDocumentError as exc:
+        assert field in str(exc), exc
+        return
+    raise AssertionError("they were taken")
