Take out a server that says goodbye without a number

The word made for it was numbered after the last word that was passed on, below the server's own usual words, which are not; its own instance took it for an old one and told nobody. Ruled out: lost datagrams (no member-changed line anywhere). Change: Spread.dismiss counts from the newest word known, and a later 'ready' of that life stays 'leaving'.

--- a/hyssopfold/control/hearing.py
+++ b/hyssopfold/control/hearing.py
@@ -52,12 +52,7 @@
 
     async def dismiss(self, server_id: str) -> bool:
         """Take a server out; return whether to acknowledge it."""
-        held = self._spread.directory.servers.get(server_id)
-        if held is not None and held.state == "ready":
-            word = held._replace(
-                state="leaving", sequence=held.sequence + 1, monitor=""
-            )
-            self._spread.announce(word)
+        self._spread.dismiss(server_id)
         return await self._confirm()
 
     async def _confirm(self) -> bool:
--- a/hyssopfold/core/membership/spread.py
+++ b/hyssopfold/core/membership/spread.py
@@ -157,9 +157,12 @@
         last = self._heard.get(server.server_id)
         if last is not None and not _is_newer(server, last):
             return []
+        held = self.known.servers.get(server.server_id)
+        if _has_left(held, server):
+            # A word that was on its way when the server was dismissed.
+            server = server._replace(state="leaving")
         self._heard[server.server_id] = server
         self._heard_at[server.server_id] = now
-        held = self.known.servers.get(server.server_id)
         cold_again = self.known.note_cold(server, now)
         if held is not None and not cold_again and self._vouched(held, server):
             if held.monitor == self.myself.name:
@@ -175,6 +178,26 @@
             *self._urgent(server),
         ]
 
+    def dismiss(self, server_id: str, now: float) -> list[Send | Changed]:
+        """Take out a server that leaves without a word of its own.
+
+        Its announcements are counted by itself, and others may have heard
+        newer ones than this instance: the next number after the newest known
+        here is newer than what any instance was told, since a server's usual
+        words are not passed on.
+        """
+        held = self.known.servers.get(server_id)
+        if held is None or held.state != "ready":
+            return []
+        heard = self._heard.get(server_id)
+        newest = held
+        if heard is not None and _is_newer(heard, held):
+            newest = heard
+        word = newest._replace(
+            state="leaving", sequence=newest.sequence + 1, monitor=""
+        )
+        return self.announce(word, now)
+
     def _renew(self, server_id: str, now: float, lease_s: float) -> None:
         self.known.servers.renew(server_id, now, lease_s)
 
@@ -183,7 +206,7 @@
         mine = held.monitor == self.myself.name
         if not mine and self.known.instances.get(held.monitor) is None:
             return False
-        if held.state == "leaving" and held.incarnation == server.incarnation:
+        if _has_left(held, server):
             return True
         same = held._replace(
             sequence=server.sequence,
@@ -540,6 +563,12 @@
     return word.server_id if isinstance(word, messages.Server) else word.name
 
 
+def _has_left(held: messages.Server | None, server: messages.Server) -> bool:
+    if held is None or held.state != "leaving":
+        return False
+    return held.incarnation == server.incarnation
+
+
 def _is_newer(one: messages.Server, other: messages.Server) -> bool:
     mine = (one.incarnation, one.sequence)
     return mine > (other.incarnation, other.sequence)
--- a/hyssopfold/transport/gossip.py
+++ b/hyssopfold/transport/gossip.py
@@ -81,6 +81,10 @@
         """Take in what a backend server says of itself, to be spread."""
         self._carry(self._core.announce(server, trio.current_time()))
 
+    def dismiss(self, server_id: str) -> None:
+        """Take out a server that leaves without a word of its own."""
+        self._carry(self._core.dismiss(server_id, trio.current_time()))
+
     def set_seeds(self, seeds: tuple[str, ...]) -> None:
         """Look for others at these addresses from now on."""
         self._core.set_seeds(seeds)
--- a/tests/core/membership/spread.feature
+++ b/tests/core/membership/spread.feature
@@ -21,6 +21,21 @@
       | 0.0  |
       | 0.3  |
 
+  Scenario Outline: a server that only says goodbye leaves everywhere, <where>
+    A server announces itself for a while, then asks once to be taken out and
+    stops seconds later. Its goodbye bears no number; counted below its own
+    last announcement it was taken for an old word, and payments went on.
+
+    When the servers announce themselves for 10 s
+    And a server asks <where> to be taken out
+    Then within 2 s no instance takes the server for ready
+    And for 5 s of further words it stays out
+
+    Examples:
+      | where               |
+      | its own instance    |
+      | another instance    |
+
   Scenario: a server that falls silent is gone everywhere
     When a server falls silent
     Then within 8 s no instance takes the server for ready
--- a/tests/steps/core/membership/spread_steps.py
+++ b/tests/steps/core/membership/spread_steps.py
@@ -183,3 +183,24 @@
     gossip.run(20)
     rate = (gossip.sent_bytes - before) / len(gossip.nodes) / 20
     assert 0 < rate < limit, rate
+
+
+@when("the servers announce themselves for {seconds:d} s")
+def _(context, seconds):
+    context.gossip.run(seconds)
+
+
+@when("a server asks {where} to be taken out")
+def _(context, where):
+    gossip = context.gossip
+    name = gossip.told[ONE]
+    if where == "another instance":
+        name = next(one for one in gossip.nodes if one != name)
+    gossip.carry(name, gossip.nodes[name].dismiss(ONE, gossip.now))
+
+
+@then("for {seconds:d} s of further words it stays out")
+def _(context, seconds):
+    for _ in range(seconds * 10):
+        context.gossip.run(0.1)
+        assert not context.gossip.ready_at(ONE), context.gossip.ready_at(ONE)
