Count an answered request as answered

Cause: the event that ends an answer has no fields; an empty named tuple is false, and 'x or event' dropped it. Every answered request was counted, logged and settled on its claim as 'unknown'. Change: compare with None. The new scenario fails without it.

--- a/hyssopfold/application.py
+++ b/hyssopfold/application.py
@@ -25,7 +25,6 @@
 from hyssopfold.control import api
 from hyssopfold.control import hearing
 from hyssopfold.control import instance as control_instance
-from hyssopfold.control import orders
 from hyssopfold.control import slot_votes
 from hyssopfold.core.attempts import claims as core_claims
 from hyssopfold.core.balancing import local
@@ -182,7 +181,7 @@
         parts = faces_module.ControlParts(
             operators,
             member,
-            orders.Orders(member),
+            operators.orders,
             hearing.Hearing(member, spread, confirmations),
             spread,
         )
--- a/hyssopfold/cmd/ctl.py
+++ b/hyssopfold/cmd/ctl.py
@@ -30,6 +30,7 @@
 _STATUS = "/hyssop/v1/status"
 _BACKUP = "/hyssop/v1/backup"
 _MEMBERS = "/hyssop/v1/members/"
+_EVACUATIONS = "/hyssop/v1/evacuations/"
 
 
 @click.group()
@@ -265,6 +266,25 @@
     click.echo(f"{target}: {size} bytes")
 
 
+@cli.command("evacuate")
+@click.argument("failure_domain")
+@click.option("--end", is_flag=True, help="Let it have work again.")
+@click.pass_obj
+def evacuate(
+    client: control_client.Client, failure_domain: str, end: bool
+) -> None:
+    """Give no more work to the servers of a failure domain, at once."""
+    path = _EVACUATIONS + urllib.parse.quote(failure_domain, safe="")
+    if end:
+        reply = client.delete(path, failure_domain)
+    else:
+        reply = client.put(path, {"change_id": failure_domain})
+    if reply.status != 200:
+        _raise_refusal(reply, failure_domain)
+    word = "has work again" if end else "is evacuated"
+    click.echo(f"{failure_domain} {word}: revision {reply.body['revision']}")
+
+
 @cli.command("explain")
 @click.argument("request_id")
 @click.argument("files", nargs=-1, type=click.File(encoding="utf-8"))
--- a/hyssopfold/control/api.py
+++ b/hyssopfold/control/api.py
@@ -5,6 +5,7 @@
 import time
 from typing import TypedDict
 import urllib.parse
+import uuid
 
 import msgspec
 import trio
@@ -19,8 +20,10 @@
 from hyssopfold import state
 from hyssopfold import tables
 from hyssopfold.control import instance as control_instance
+from hyssopfold.control import orders as control_orders
 from hyssopfold.control import state_answers
 from hyssopfold.core.consensus import messages
+from hyssopfold.core.orders import orders
 from hyssopfold.core.steering import plans
 from hyssopfold.transport import gossip
 
@@ -39,6 +42,7 @@
 
 
 _MEMBERS = "/hyssop/v1/members/"
+_EVACUATIONS = "/hyssop/v1/evacuations/"
 _MAX_CHANGE_ID = 128
 
 
@@ -64,6 +68,7 @@
         self._operators = operators
         self._announcers = announcers
         self._instance = instance
+        self.orders = control_orders.Orders(instance)
         self._spread = spread
         self._meter = meter
 
@@ -110,6 +115,8 @@
                 return await self._put_backup(receive)
             case ("PUT" | "DELETE", _) if path.startswith(_MEMBERS):
                 return await self._change_members(method, path)
+            case ("PUT" | "DELETE", _) if path.startswith(_EVACUATIONS):
+                return await self._evacuate(method, path)
         return await self._probe(path)
 
     async def _probe(self, path: str) -> http.Answer:
@@ -186,6 +193,13 @@
         )
         return state_answers.answer(result, name)
 
+    async def _evacuate(self, method: str, path: str) -> http.Answer:
+        name = urllib.parse.unquote(path.removeprefix(_EVACUATIONS))
+        kind = orders.Evacuate if method == "PUT" else orders.EndEvacuation
+        # Sent again after its end, the same order is a new one.
+        result = await self.orders.carry_out(uuid.uuid4().hex, kind(name))
+        return state_answers.order_answer(result, name)
+
     async def _get_tables(self) -> http.Answer:
         result = await self._instance.read()
         if not isinstance(result, messages.ReadDone):
@@ -193,6 +207,7 @@
         held = state.decode(result.register.value)
         plain = tables.to_plain(held.tables)
         body = {"revision": result.register.revision, **plain}
+        body["evacuated"] = held.evacuated
         return http.json_answer(body)
 
     async def _put_tables(
--- a/hyssopfold/control/state_answers.py
+++ b/hyssopfold/control/state_answers.py
@@ -7,6 +7,7 @@
 from hyssopfold import errors
 from hyssopfold import http
 from hyssopfold import state
+from hyssopfold.control import orders
 from hyssopfold.core.consensus import messages
 from hyssopfold.core.consensus import node as consensus_node
 
@@ -173,3 +174,26 @@
 @answer.register
 def _(result: messages.OutcomeUnknown, change_id: str) -> http.Answer:
     return http.error_answer(errors.OutcomeUnknownError(change_id), 504)
+
+
+@functools.singledispatch
+def order_answer(result: orders.Result, name: str) -> http.Answer:
+    """Return the HTTP answer for what became of an order."""
+    raise TypeError(f"no such result: {result!r}")
+
+
+@order_answer.register
+def _(result: orders.Accepted, name: str) -> http.Answer:
+    return http.json_answer({"revision": result.revision})
+
+
+@order_answer.register
+def _(result: orders.Rejected, name: str) -> http.Answer:
+    return http.error_answer(result.error, 422)
+
+
+@order_answer.register
+def _(result: orders.Unsettled, name: str) -> http.Answer:
+    if result.unknown:
+        return answer(messages.OutcomeUnknown(), name)
+    return answer(messages.EditNotAccepted(result.reason), name)
--- a/hyssopfold/entry/carrier.py
+++ b/hyssopfold/entry/carrier.py
@@ -140,7 +140,9 @@
         while effects:
             event: events.Event | None = None
             for effect in effects:
-                event = await self._carry(effect) or event
+                # Compared with None: an event without fields is false.
+                found = await self._carry(effect)
+                event = event if found is None else found
             effects = self._tell(event) if event is not None else ()
 
     def _tell(self, event: events.Event) -> attempt.Effects:
--- a/tests/entry/proxy.feature
+++ b/tests/entry/proxy.feature
@@ -102,3 +102,12 @@
     Given the data path over 0 stand-ins
     When the data path gets 40 requests at once
     Then the data path spreads their retry-after
+
+  Scenario: a whole answer is counted as one
+    The metrics called every answered payment `unknown`, and so did the claim
+    on its key: the event that ends an answer has no fields, an empty tuple is
+    false, and it was dropped as no event.
+
+    Given the data path over 1 stand-ins
+    When the data path gets POST with the fault ""
+    Then the data path counts 1 request as "answered" and none as "unknown"
--- a/tests/steps/entry/proxy_steps.py
+++ b/tests/steps/entry/proxy_steps.py
@@ -165,3 +165,17 @@
     drive(context)
     waits = {answer.headers["retry-after"] for answer in context.answers}
     assert len(waits) > 1, waits
+
+
+@then('the data path counts {count:d} request as "{one}" and none as "{other}"')
+def _(context, count, one, other):
+    drive(context)
+    text = context.path.meter.render().body.decode()
+    lines = [
+        line
+        for line in text.splitlines()
+        if line.startswith("hyssop_request_seconds_count")
+    ]
+    counted = [line for line in lines if f'outcome="{one}"' in line]
+    assert [line.split()[-1] for line in counted] == [str(count)], lines
+    assert not [line for line in lines if f'outcome="{other}"' in line], lines
--- a/tests/support/datapath.py
+++ b/tests/support/datapath.py
@@ -220,13 +220,14 @@
         self.placement = FakePlacement([word for _, word in made])
         self.claims = (entries or FakeEntries([name])).claims[name]
         self.pool = connections.Pool(lambda server: 40)
+        self.meter = metrics.Metrics("test")
         self.proxy = proxy.Proxy(
             FakeConfiguration(),
             FakeSteering(),
             self.placement,
             pacer or FakePacer(),
             upstream.Upstream(self.pool),
-            metrics.Metrics("test"),
+            self.meter,
             claimed=self.claims,
             here=proxy.Here("dar", known),
             rng=rng,
