--- a/tests/steps/entry/proxy_steps.py
+++ b/tests/steps/entry/proxy_steps.py
@@ -177,5 +177,5 @@
         if line.startswith("hyssop_request_seconds_count")
     ]
     counted = [line for line in lines if f'outcome="{one}"' in line]
-    assert [line.split()[-1] for line in counted] == [str(count)], lines
+    assert [float(line.split()[-1]) for line in counted] == [count], lines
     assert not [line for line in lines if f'outcome="{other}"' in line], lines
