Let control instances that do not vote confirm, and send orders to those that do

With more control instances than votes, one that does not vote could confirm nothing and would have refused every announcement. A read needs no ballot: it asks the voters. Tested in virtual time, cut off too.

--- a/hyssopfold/control/api.py
+++ b/hyssopfold/control/api.py
@@ -68,7 +68,7 @@
         self._operators = operators
         self._announcers = announcers
         self._instance = instance
-        self.orders = control_orders.Orders(instance)
+        self.orders = control_orders.Orders(instance, spread.directory)
         self._spread = spread
         self._meter = meter
 
--- a/hyssopfold/control/orders.py
+++ b/hyssopfold/control/orders.py
@@ -12,6 +12,7 @@
 from hyssopfold import state as state_module
 from hyssopfold.control import instance as control_instance
 from hyssopfold.core.consensus import messages
+from hyssopfold.core.membership import directory
 from hyssopfold.core.orders import orders
 
 logger = logging.getLogger(__name__)
@@ -43,7 +44,13 @@
     reason: str
 
 
-Result = Accepted | Rejected | Unsettled
+class Elsewhere(NamedTuple):
+    """This instance decides no orders; that at `address` (HTTP) does."""
+
+    address: str
+
+
+Result = Accepted | Rejected | Unsettled | Elsewhere
 
 
 class Orders:
@@ -51,10 +58,16 @@
 
     Args:
         instance: The member of the register that this process runs.
+        known: Directory of the control instances.
     """
 
-    def __init__(self, instance: control_instance.Instance) -> None:
+    def __init__(
+        self,
+        instance: control_instance.Instance,
+        known: directory.Directory | None = None,
+    ) -> None:
         self._instance = instance
+        self._directory = known
 
     async def carry_out(self, change_id: str, order: orders.Order) -> Result:
         """Return what became of an order.
@@ -63,7 +76,7 @@
         control instance: once accepted, it is accepted for good.
         """
         began = trio.current_time()
-        result = await self._settle(change_id, order)
+        result = self._elsewhere() or await self._settle(change_id, order)
         logger.info(
             logs.Event(
                 "order-decision",
@@ -77,6 +90,17 @@
         )
         return result
 
+    def _elsewhere(self) -> Elsewhere | None:
+        """Return a voter to ask, unless this instance votes itself."""
+        replica = self._instance.node.replica
+        if self._directory is None or replica.is_blank or replica.is_voter:
+            return None
+        voters = {member.address for member in replica.register.members}
+        for word in self._directory.instances.words():
+            if word.rpc_address in voters and word.state == "ready":
+                return Elsewhere(word.address)
+        return None
+
     async def _settle(self, change_id: str, order: orders.Order) -> Result:
         # What this instance has learned is newest nearly always: an edit on
         # it is safe, since it only wins if no other revision came between.
@@ -149,4 +173,6 @@
             return result.error.summary
         case Unsettled():
             return result.reason
+        case Elsewhere():
+            return result.address
     return ""
--- a/hyssopfold/control/state_answers.py
+++ b/hyssopfold/control/state_answers.py
@@ -192,6 +192,12 @@
     return http.error_answer(result.error, 422)
 
 
+@order_answer.register
+def _(result: orders.Elsewhere, name: str) -> http.Answer:
+    reason = f"{result.address} decides; this control instance does not vote"
+    return answer(messages.EditNotAccepted(reason), name)
+
+
 @order_answer.register
 def _(result: orders.Unsettled, name: str) -> http.Answer:
     if result.unknown:
--- a/hyssopfold/core/consensus/proposer.py
+++ b/hyssopfold/core/consensus/proposer.py
@@ -14,6 +14,7 @@
 _BACKOFF_S = 0.05
 _MAX_BACKOFF_S = 1.0
 
+NOT_A_VOTER = "this control instance does not vote"
 _NO_MAJORITY = "no majority of the control instances answers"
 
 Effects = list[messages.Effect]
@@ -199,10 +200,6 @@
             return
         if self._query is not None or now < self._retry_at:
             return
-        if not self._replica.is_voter:
-            reason = "this control instance does not vote"
-            self._finish(self._given_up(reason), effects)
-            return
         is_read = isinstance(current.operation, messages.Read)
         if (
             is_read
@@ -210,8 +207,13 @@
             and not self._replica.register.previous
         ):
             self._begin_query(now, effects)
-        else:
+        elif self._replica.is_voter:
             self._begin_round(now, effects)
+        else:
+            # A round needs a ballot that is synced before it is used, which
+            # is the vote of its proposer. A question needs none: a majority
+            # that holds what this instance holds makes it the newest.
+            self._finish(self._given_up(NOT_A_VOTER), effects)
 
     def _begin_query(self, now: float, effects: Effects) -> None:
         self._queries += 1
--- a/tests/core/consensus/discovery.feature
+++ b/tests/core/consensus/discovery.feature
@@ -44,3 +44,18 @@
     Given 3 blank discovering members long after the first start
     When discovery runs for 60 s
     Then no discovered member holds anything
+
+  Scenario: one that does not vote confirms what it holds, and decides nothing
+    Servers announce themselves to any control instance. One that does not
+    vote, if it could confirm nothing, would refuse its servers, and lose them.
+
+    Given 7 discovering members of which 3 are seeds, with seed 5
+    When discovery runs for 5 s
+    Then 5 discovered members vote and 2 do not
+    When a discovered member that does not vote is read
+    And a discovered member that does not vote gets an edit
+    And discovery runs for 1 s
+    Then the discovered read is done and the edit is not accepted
+    When both discovered members that do not vote are cut off and one is read
+    And discovery runs for 9 s
+    Then the last discovered read is not done
--- a/tests/steps/core/consensus/discovery_steps.py
+++ b/tests/steps/core/consensus/discovery_steps.py
@@ -86,3 +86,42 @@
 def _(context):
     for name, member in context.found.nodes.items():
         assert member.replica.is_blank, name
+
+
+@then("{votes:d} discovered members vote and {others:d} do not")
+def _(context, votes, others):
+    members = context.found.members()
+    assert len(members) == votes, members
+    context.found_others = sorted(set(context.found.names) - members)
+    assert len(context.found_others) == others, context.found_others
+
+
+@when("a discovered member that does not vote is read")
+def _(context):
+    context.found.submit(context.found_others[0], messages.Read(101))
+
+
+@when("a discovered member that does not vote gets an edit")
+def _(context):
+    edit = messages.Edit(102, "late", 0, b"value")
+    context.found.submit(context.found_others[0], edit)
+
+
+@then("the discovered read is done and the edit is not accepted")
+def _(context):
+    results = context.found.results
+    assert isinstance(results[101], messages.ReadDone), results[101]
+    assert isinstance(results[102], messages.EditNotAccepted), results[102]
+
+
+@when("both discovered members that do not vote are cut off and one is read")
+def _(context):
+    for name in context.found_others:
+        context.found.isolate(name)
+    context.found.submit(context.found_others[0], messages.Read(103))
+
+
+@then("the last discovered read is not done")
+def _(context):
+    result = context.found.results.get(103)
+    assert not isinstance(result, messages.ReadDone), result
