--- a/hyssopfold/application.py
+++ b/hyssopfold/application.py
@@ -271,7 +271,9 @@
         self.config = self._configuration()
         self.spread.on_revision = self.config.hear
         self.place = self._placement()
-        self.connected = connections.Pool(self._bound, cfg.proven_connection_s)
+        self.connected = connections.Pool(
+            self._bound, cfg.proven_connection_s, cfg.connect_timeout_s
+        )
         self.servers = upstream.Upstream(self.connected)
         self.meter = metrics.Metrics(cfg.name)
         self.clients = blocks.Blocks(cfg.client_blocks)
--- a/hyssopfold/core/attempts/attempt.py
+++ b/hyssopfold/core/attempts/attempt.py
@@ -9,7 +9,11 @@
 
 # Answers by which a server says that it failed, not that the request is bad.
 _SERVER_FAILURES = (500, 502, 503)
-RETRY_AFTER_S = 1.0
+# Callers that may come back do so at once: what failed here has most of its
+# time left, and another server or entry may take it.
+RETRY_AFTER_S = 0.1
+# Tries beyond the operator's number, at servers that never saw the request.
+EXTRA = 2
 # On a connection that has been used before, silence may be the connection's
 # own: a first attempt there leaves this share of the time for another one.
 REUSED_SHARE = 0.5
@@ -58,6 +62,9 @@
         self.last_sent = _SENT.NOT_SENT
         self._deadline = math.inf
         self.last_reason = ""
+        # Servers that may have seen the request, as far as an operator counts:
+        # not those that took no connection, nor others at their address.
+        self.counted = 0
         # A retry was taken from the budget already.
         self._spent = False
 
@@ -123,9 +130,14 @@
     def bytes_sent(self) -> Effects:
         """Note that the server may have the request from now on."""
         self.expect(Phase.SENDING)
-        self.last_sent = _SENT.MAYBE_SENT
+        self._note_sent()
         return ()
 
+    def _note_sent(self) -> None:
+        if self.last_sent is _SENT.NOT_SENT:
+            self.counted += 1
+        self.last_sent = _SENT.MAYBE_SENT
+
     def body_began(self) -> Effects:
         """Let the upload go on for as long as it makes progress."""
         self.expect(Phase.SENDING)
@@ -154,13 +166,14 @@
     def answer_began(self, event: messages.AnswerBegan, now: float) -> Effects:
         """Relay the answer if it is this request's own and can be whole."""
         self.expect(Phase.SENDING)
-        self.last_sent = _SENT.MAYBE_SENT
+        self._note_sent()
         mine = event.echoed == self.request.request_id
         if event.misdirected or (event.not_run and mine):
             self.last_sent = _SENT.REFUSED_NOT_RUN
-            why = "another server has the address"
-            if not event.misdirected:
-                why = "shed by the server"
+            why = "shed by the server"
+            if event.misdirected:
+                why = "another server has the address"
+                self.counted -= 1
             return self._failed(why, now)
         fault = _fault(event, mine)
         if fault:
@@ -219,7 +232,8 @@
     def _may_retry(self, now: float) -> bool:
         safe = self.request.repeatable or not self.maybe_ran
         in_time = now < self._deadline
-        tries_left = len(self.tried) < self.request.max_attempts
+        most = self.request.max_attempts
+        tries_left = self.counted < most and len(self.tried) < most + EXTRA
         possible = safe and in_time and tries_left and not self._body_dropped
         return possible and self._budget.spend()
 
--- a/hyssopfold/core/balancing/local.py
+++ b/hyssopfold/core/balancing/local.py
@@ -43,11 +43,18 @@
 FAILURES = 3
 FIRST_REST_S = 1.0
 MAX_REST_S = 8.0
+# A server is silent when requests wait at it and no answer came for so many
+# times the latency goal: dead without a sign, or slow beyond use. It gets one
+# request at a time until it answers.
+SILENT_GOALS = 2.0
+USUAL_GOAL_S = 0.5
+# One whose address belongs to another server now: its lease ends by then.
+ELSEWHERE_REST_S = 4.0
 # A server that refused for want of room gets nothing for so long: about the
 # time in which one of its requests ends.
 SHED_REST_S = 0.1
 # When all are loaded, callers should come back once some requests are done.
-RETRY_AFTER_S = 0.25
+RETRY_AFTER_S = 0.15
 
 
 class _Seen(NamedTuple):
@@ -58,6 +65,7 @@
     reported: float = 0.0
     reported_at: float = -math.inf
     in_flight_then: int = 0
+    waits_since: float = -math.inf
     failures: int = 0
     rests: int = 0
     resting_until: float = -math.inf
@@ -108,8 +116,9 @@
         if self._is_cold(seen, server.server_id, view):
             self._allowance.take(server.server_id)
         load = self._load(server, view.now)
+        since = seen.waits_since if seen.in_flight else view.now
         self._seen[server.server_id] = seen._replace(
-            in_flight=seen.in_flight + 1
+            in_flight=seen.in_flight + 1, waits_since=since
         )
         age_s = min(messages.NEVER_S, view.now - seen.reported_at)
         return messages.Grant(server, reason, known_load=load, load_age_s=age_s)
@@ -121,7 +130,7 @@
         closed = {one.name: set(one.closed_domains) for one in req.regions}
         usable = {}
         for server in view.servers:
-            self._meet(server)
+            self._meet(server, view.now)
             domains = closed.get(server.region)
             if domains is None or server.failure_domain in domains:
                 continue
@@ -129,13 +138,15 @@
                 usable[server.server_id] = server
         return usable
 
-    def _meet(self, server: membership.Server) -> None:
+    def _meet(self, server: membership.Server, now: float) -> None:
         seen = self._seen.get(server.server_id)
         if seen is None:
             self._seen[server.server_id] = _Seen(server.incarnation)
         elif seen.incarnation < server.incarnation:
             self._seen[server.server_id] = _Seen(
-                server.incarnation, in_flight=seen.in_flight
+                server.incarnation,
+                in_flight=seen.in_flight,
+                waits_since=now,
             )
 
     def _pick(
@@ -147,7 +158,7 @@
         loads = {
             name: self._load(server, view.now)
             for name, server in usable.items()
-            if self._is_open(name, view)
+            if self._is_open(name, req, view)
         }
         if not loads:
             return None
@@ -183,11 +194,16 @@
         }
         return ranking.rank(req.object_key, weights)
 
-    def _is_open(self, server_id: str, view: View) -> bool:
+    def _is_open(
+        self, server_id: str, req: messages.Request, view: View
+    ) -> bool:
         """Return whether a server takes requests as far as is known here."""
         seen = self._seen[server_id]
         if seen.resting_until > view.now:
             return False
+        silent_s = (req.goal_s or USUAL_GOAL_S) * SILENT_GOALS
+        if seen.in_flight and view.now - seen.waits_since > silent_s:
+            return False
         if not self._is_cold(seen, server_id, view):
             return True
         return self._allowance.may_send(
@@ -216,6 +232,8 @@
         if seen is None:
             return
         seen = seen._replace(in_flight=max(0, seen.in_flight - 1))
+        if done.kind in ("answered", "shed"):
+            seen = seen._replace(waits_since=now)
         if done.load is not None:
             seen = seen._replace(
                 reported=float(done.load.running + done.load.waiting),
@@ -245,6 +263,8 @@
 def _judged(
     seen: _Seen, done: messages.Done, warm_up_s: float, now: float
 ) -> _Seen:
+    if done.elsewhere:
+        return seen._replace(resting_until=now + ELSEWHERE_REST_S)
     if done.kind == "shed":
         return seen._replace(resting_until=now + SHED_REST_S)
     if done.good:
--- a/hyssopfold/core/balancing/messages.py
+++ b/hyssopfold/core/balancing/messages.py
@@ -77,7 +77,8 @@
     `kind` is `answered`, `failed` (connect or protocol error, time-out),
     `shed` (the server refused) or `cancelled` (the caller left). `reached`
     tells whether the server took a connection, `good` whether what it
-    answered is no failure of its own, `load` what it told beside.
+    answered is no failure of its own, `load` what it told beside. `elsewhere`
+    tells that another server has its address.
     """
 
     kind: str
@@ -85,6 +86,7 @@
     reached: bool = True
     good: bool = True
     load: Load | None = None
+    elsewhere: bool = False
 
 
 class Key(NamedTuple):
--- a/hyssopfold/core/membership/directory.py
+++ b/hyssopfold/core/membership/directory.py
@@ -74,6 +74,11 @@
         held = self._held.get(key)
         return held.word if held is not None else None
 
+    def left_s(self, key: str, now: float) -> float:
+        """Return the seconds that the word of `key` still holds, 0 if none."""
+        held = self._held.get(key)
+        return held.expires - now if held is not None else 0.0
+
     def age_s(self, key: str, now: float) -> float:
         """Return the seconds since the word of `key` came, or was renewed.
 
--- a/hyssopfold/entry/carrier.py
+++ b/hyssopfold/entry/carrier.py
@@ -378,8 +378,14 @@
         answer = answering.answer
         headers = {key.lower(): value for key, value in answer.headers}
         good = kind == "answered" and answer.status < SERVER_FAILURE
-        load = self._dialect.load_of(headers)
-        return messages.Done(kind, took, True, good, load)
+        return messages.Done(
+            kind,
+            took,
+            True,
+            good,
+            self._dialect.load_of(headers),
+            self._dialect.is_misdirected(answer.status),
+        )
 
     def _shed_or_failed(self) -> str:
         shed = self._machine.last_sent is events.Sent.REFUSED_NOT_RUN
@@ -404,7 +410,7 @@
     def _log_grant(self, grant: messages.Grant, effect: events.Acquire) -> None:
         now = trio.current_time()
         server = grant.server
-        heard_s = self._parts.known.servers.age_s(server.server_id, now)
+        lease_s = self._parts.known.servers.left_s(server.server_id, now)
         budget_left = self._parts.budget_of(self._pool.name).left
         self._exchange.log.add(
             logger,
@@ -415,8 +421,8 @@
             region=server.region,
             reason=grant.reason,
             load=round(grant.known_load, 2),
-            load_age_s=round(grant.load_age_s, 3),
-            heard_s=round(heard_s, 3),
+            load_age_s=_age(grant.load_age_s),
+            lease_left_s=round(lease_s, 3),
             attempt=len(effect.tried) + 1,
             budget_left=round(budget_left, 1),
             left_s=round(effect.deadline - now, 4),
@@ -480,6 +486,10 @@
     )
 
 
+def _age(age_s: float) -> str:
+    return "never" if age_s >= messages.NEVER_S else f"{age_s:.3f}"
+
+
 def _length(answer: httpcore.Response) -> int | None:
     for key, value in answer.headers:
         if key.lower() == b"content-length":
--- a/hyssopfold/entry/connections.py
+++ b/hyssopfold/entry/connections.py
@@ -156,13 +156,19 @@
         bound: Gives the connections that this entry may hold to a server.
         proven_s: Seconds for which a connection that brought a whole answer
             counts as new: it was alive so short a time ago.
+        connect_s: Seconds to wait for a new connection. Nothing is sent
+            before it is there, so what waits can go to another server.
     """
 
     def __init__(
-        self, bound: Callable[[messages.Server], int], proven_s: float = 0.0
+        self,
+        bound: Callable[[messages.Server], int],
+        proven_s: float = 0.0,
+        connect_s: float = CONNECT_TIMEOUT_S,
     ) -> None:
         self._bound = bound
         self._proven_s = proven_s
+        self._connect_s = connect_s
         self._idle: dict[str, list[Connection]] = defaultdict(list)
         self._count: dict[str, int] = defaultdict(int)
 
@@ -244,7 +250,7 @@
             )
             for option in _OPTIONS:
                 sock.setsockopt(*option)
-            with trio.fail_after(CONNECT_TIMEOUT_S):
+            with trio.fail_after(self._connect_s):
                 await sock.connect((host.strip("[]"), int(port)))
         except BaseException as exc:
             self._count[address] -= 1
--- a/hyssopfold/setting_fields.py
+++ b/hyssopfold/setting_fields.py
@@ -337,6 +337,15 @@
         " taken for alive, and carries what may not run twice; with 0 that"
         " gets a new connection each time",
     ),
+    documents.Field(
+        "connect_timeout_s",
+        _SECONDS,
+        2.0,
+        unit="s",
+        help="how long a new connection to a server may take; less than the"
+        " shortest deadline, so that another server can be tried, and more"
+        " than a round trip between the regions that lie furthest apart",
+    ),
     documents.Field(
         "retry_share",
         documents.number(float, 0, 1),
--- a/hyssopfold/settings.py
+++ b/hyssopfold/settings.py
@@ -79,6 +79,7 @@
     placement: str
     stop_serve_s: float | None
     proven_connection_s: float
+    connect_timeout_s: float
     retry_share: float
     shared_retry_reserve: float
     rpc_address: str
--- a/tests/core/balancing/local.feature
+++ b/tests/core/balancing/local.feature
@@ -50,6 +50,24 @@
     When 1.5 s pass for the local entry
     Then the first server of "book" gets at most 5 requests in a second
 
+  Scenario: a server that falls silent gets no more until it answers
+    A server dies without a sign. On connections that it had, requests hang
+    until their time is over, and every second one of an object's went there.
+
+    Given 6 local servers of 3 slots
+    And the first server of "book" holds a request for 0.6 s without an answer
+    When 1 requests for object "book" are placed locally
+    Then they all went to the second server of "book"
+    When the request held at the first server of "book" ends unanswered
+    And 1 requests for object "book" are placed locally
+    Then they all went to the first server of "book"
+
+  Scenario: a server whose address belongs to another is left alone
+    Given 6 local servers of 3 slots
+    And at the address of the first server of "book" another one answered
+    When 5 requests for object "book" are placed locally
+    Then they all went to the second server of "book"
+
   Scenario Outline: cold servers get what they bear, over <entries> entries
     A zone comes back from a loss of power, all of its servers cold. Each
     entry sends what it may; together they must stay below the rate at which
--- a/tests/steps/core/balancing/local_steps.py
+++ b/tests/steps/core/balancing/local_steps.py
@@ -193,6 +193,8 @@
                 answer = chooser.choose(_request("book"), view)
                 if isinstance(answer, messages.Grant):
                     context.local_sent.append(context.local_now)
+                    done = messages.Done("answered", 0.0)
+                    chooser.done("s1", done, 3.0, context.local_now)
 
 
 @then("in no second did the cold server get more than {most:d} requests")
@@ -257,3 +259,25 @@
         grant = chooser.choose(req, _view(context))
         placed += grant.server.region == same
     assert least <= placed / count <= most, placed / count
+
+
+@given(
+    'the first server of "{key}" holds a request for {seconds:g} s without an answer'
+)
+def _(context, key, seconds):
+    grant = context.local_chooser.choose(_request(key), _view(context))
+    assert grant.server.server_id == _order(context, key)[0]
+    context.local_now += seconds
+
+
+@when('the request held at the first server of "{key}" ends unanswered')
+def _(context, key):
+    done = messages.Done("failed", 1.0, good=False)
+    first = _order(context, key)[0]
+    context.local_chooser.done(first, done, 3.0, context.local_now)
+
+
+@given('at the address of the first server of "{key}" another one answered')
+def _(context, key):
+    done = messages.Done("shed", 0.1, good=False, elsewhere=True)
+    _take_from_first(context, key, done)
--- /dev/null
+++ b/tests/steps/entry/connections_steps.py
@@ -0,0 +1,98 @@
+"""Steps of entry/connections.feature."""
+
+import contextlib
+import socket
+import time
+
+from behave import given
+from behave import then
+from behave import when
+import trio
+
+from hyssopfold.core.membership import messages
+from hyssopfold.entry import connections
+
+
+def _server(port):
+    return messages.Server(
+        "s1", "ledger", f"127.0.0.1:{port}", "dar", "dar-1", 3, 30, "ready",
+        1, 1, 0.0,
+    )  # fmt: skip
+
+
+def _listen(context, backlog):
+    listener = socket.socket()
+    context.add_cleanup(listener.close)
+    listener.bind(("127.0.0.1", 0))
+    listener.listen(backlog)
+    return listener.getsockname()[1]
+
+
+@given("a server that takes no more connections")
+def _(context):
+    port = _listen(context, 0)
+    # The queue of connections that nobody accepts is filled.
+    for _ in range(4):
+        sock = socket.socket()
+        context.add_cleanup(sock.close)
+        sock.setblocking(False)
+        with contextlib.suppress(BlockingIOError):
+            sock.connect(("127.0.0.1", port))
+    context.conn_server = _server(port)
+
+
+@when("a connection to it is asked for with a limit of {limit:g} s")
+def _(context, limit):
+    pool = connections.Pool(lambda _: 10, connect_s=limit)
+
+    async def take():
+        try:
+            await pool.take(context.conn_server, fresh=True)
+        except connections.NotOpenedError as exc:
+            return exc
+        return None
+
+    began = time.monotonic()
+    context.conn_error = trio.run(take)
+    context.conn_took_s = time.monotonic() - began
+
+
+@then("it is given up within {most:g} s and nothing was sent")
+def _(context, most):
+    assert context.conn_error is not None
+    assert context.conn_took_s < most, context.conn_took_s
+
+
+@given("a server and a pool that trusts a connection for {trust:g} s")
+def _(context, trust):
+    context.conn_server = _server(_listen(context, 8))
+    context.conn_trust_s = trust
+
+
+@when(
+    "a connection brings an answer and a fresh one is asked for {later:g} s later"
+)
+def _(context, later):
+    pool = connections.Pool(lambda _: 10, context.conn_trust_s)
+
+    async def take_twice():
+        first = await pool.take(context.conn_server, fresh=True)
+        # As after a whole answer: idle, nothing left on it.
+        first.is_clean = lambda: True
+        await pool.give_back(first)
+        await trio.sleep(later)
+        second = await pool.take(context.conn_server, fresh=True)
+        await pool.drop(second)
+        return first is second
+
+    context.conn_same = trio.run(take_twice)
+
+
+@then("it is the same connection")
+def _(context):
+    assert context.conn_same
+
+
+@then("it is another connection")
+def _(context):
+    assert not context.conn_same
