--- a/hyssopfold/cmd/explain.py
+++ b/hyssopfold/cmd/explain.py
@@ -87,10 +87,15 @@
     return (
         f"sent last to {sent.get('server')} in {sent.get('region')}"
         f" ({sent.get('reason')}, load {sent.get('load')}"
-        f" known {sent.get('load_age_s')} s before)"
+        f" told {_before(sent)})"
     )
 
 
+def _before(sent: Fields) -> str:
+    age = sent.get("load_age_s", "never")
+    return age if age == "never" else f"{age} s before"
+
+
 def _detail(of: Mapping[str, Fields]) -> str:
     attempt = of.get("attempt-ended", {})
     return attempt.get("detail") or attempt.get("result") or "no attempt ended"
