--- a/hyssopfold/entry/carrier.py
+++ b/hyssopfold/entry/carrier.py
@@ -22,6 +22,7 @@
 from hyssopfold.core.membership import directory
 from hyssopfold.core.membership import messages as membership
 from hyssopfold.core.steering import regions
+from hyssopfold.entry import answers
 from hyssopfold.entry import exchange as exchange_module
 from hyssopfold.entry import pacing
 from hyssopfold.entry import steering
@@ -33,7 +34,6 @@
 # behind short ones.
 BULK_BYTES = 256 * 1024
 SHORT_ANSWER_BYTES = 64 * 1024
-_BODILESS = (204, 304)
 SERVER_FAILURE = 500
 
 
@@ -92,7 +92,7 @@
         self._dialect = exchange.dialect
         self._route = route
         self._pool = pool
-        limit_s, is_absolute = _limit(exchange, route)
+        limit_s, is_absolute = answers.limit(exchange, route)
         self._request = events.Request(
             exchange.request_id,
             route.is_repeatable(exchange.method),
@@ -241,7 +241,7 @@
             return events.Lost("body too large")
         if self._answering is None or self._answer_by.cancelled_caught:
             return events.Lost("no answer in time")
-        return _began(exchange, self._answering.answer)
+        return answers.began(exchange, self._answering.answer)
 
     async def _read_short(self) -> None:
         """Read a short answer whole before its head is passed on.
@@ -257,7 +257,7 @@
         self._short = None
         self._begun = []
         self._stream = upstream.parts(answer)
-        length = _length(answer)
+        length = answers.length_of(answer)
         if length is None and not self._dialect.unframed_answers:
             # It may be a stream, whose parts the caller waits for.
             return
@@ -308,7 +308,7 @@
             "headers": self._answer_headers(answer),
         }
         self._exchange.status = answer.status
-        length = _length(answer)
+        length = answers.length_of(answer)
         if self._short is not None:
             await self._pace(server, self._short, length)
             await self._end_attempt("answered")
@@ -333,7 +333,7 @@
     def _answer_headers(self, answer: httpcore.Response) -> http.Headers:
         names = self._dialect
         headers = exchange_module.end_to_end(answer.headers, names)
-        if answer.status in _BODILESS:
+        if answer.status in answers.BODILESS:
             headers = [one for one in headers if one[0] != b"content-length"]
         own = self._exchange.answer_headers()
         replaced = {name for name, _ in own}
@@ -404,7 +404,7 @@
                 outcome, exchange_module.MAX_BODY_BYTES
             )
         else:
-            refusal = _refusal(effect, self._pool.name)
+            refusal = answers.refusal(effect, self._pool.name)
         await self._parts.refuse(self._exchange, refusal)
 
     def _log_grant(self, grant: messages.Grant, effect: events.Acquire) -> None:
@@ -421,7 +421,7 @@
             region=server.region,
             reason=grant.reason,
             load=round(grant.known_load, 2),
-            load_age_s=_age(grant.load_age_s),
+            load_age_s=answers.shown_age(grant.load_age_s),
             lease_left_s=round(lease_s, 3),
             attempt=len(effect.tried) + 1,
             budget_left=round(budget_left, 1),
@@ -448,69 +448,3 @@
             detail="" if done.good else self._machine.last_reason,
             took_s=round(done.seconds, 4),
         )
-
-
-def _limit(
-    exchange: exchange_module.Exchange, route: tables.Route
-) -> tuple[float, bool]:
-    """Return the time limit, and whether the caller itself counts it."""
-    limit = route.deadline_ms / 1000
-    given = exchange.header(exchange.dialect.deadline_ms)
-    if given is not None and given.isdigit() and len(given) < 12:
-        return min(limit, int(given) / 1000), exchange.dialect.status_is_promise
-    return limit, False
-
-
-def _began(
-    exchange: exchange_module.Exchange, answer: httpcore.Response
-) -> events.AnswerBegan:
-    names = exchange.dialect
-    headers = {key.lower(): value for key, value in answer.headers}
-    echoed = headers.get(names.request_id)
-    not_run = names.says_not_run(answer.status, headers)
-    bodiless = answer.status in _BODILESS or exchange.method == "HEAD"
-    chunked = b"chunked" in headers.get(b"transfer-encoding", b"").lower()
-    framed = bodiless or chunked or b"content-length" in headers
-    signed = not names.stamp or names.stamp in headers
-    if names.needs_echo and echoed is None:
-        # Refusals come without it; nothing else does.
-        signed = False
-        echoed = exchange.request_id.encode("latin-1") if not_run else None
-    return events.AnswerBegan(
-        answer.status,
-        echoed.decode("latin-1") if echoed is not None else None,
-        not_run,
-        framed or names.unframed_answers,
-        names.is_misdirected(answer.status),
-        signed,
-    )
-
-
-def _age(age_s: float) -> str:
-    return "never" if age_s >= messages.NEVER_S else f"{age_s:.3f}"
-
-
-def _length(answer: httpcore.Response) -> int | None:
-    for key, value in answer.headers:
-        if key.lower() == b"content-length":
-            return int(value)
-    return None
-
-
-def _refusal(effect: events.Refuse, pool: str) -> http.Refusal:
-    wait_s = effect.retry_after_s
-    status = 504 if effect.error == "deadline-passed" else 502
-    if effect.outcome is events.Outcome.UNKNOWN:
-        remedy = "look whether it took effect before sending it again"
-    elif effect.error in ("attempt-failed", "deadline-passed"):
-        remedy = "send the request again"
-    else:
-        status = 503
-        remedy = f"ask again later: no server of pool {pool} has a free slot"
-    return http.Refusal(
-        status,
-        effect.error,
-        effect.outcome.value,
-        f"{remedy} ({effect.reason})",
-        wait_s,
-    )
