--- a/hyssopfold/core/balancing/local.py
+++ b/hyssopfold/core/balancing/local.py
@@ -44,8 +44,8 @@
 FIRST_REST_S = 1.0
 MAX_REST_S = 8.0
 # A server is silent when requests wait at it and no answer came for so many
-# times the latency goal: dead without a sign, or slow beyond use. It gets one
-# request at a time until it answers.
+# times the latency goal: dead without a sign, or slow beyond use. It gets
+# nothing until it answers, or none of them waits any more.
 SILENT_GOALS = 2.0
 USUAL_GOAL_S = 0.5
 # One whose address belongs to another server now: its lease ends by then.
