Let dismissed control instances vote again; keep a region from the majority

Cause: a member silent for 6 s was retired for good, though its data folder was whole: each long cut or freeze left one instance fewer to bear the next losses ("move its data folder aside" was the only way back). And newcomers were admitted by lot: of nine control instances in three regions, three of the five votes could lie in one region, whose loss then stops every edit. Two voters that admitted at the same moment also made six of the five wanted.

Change: a dismissal for silence does not retire; what a newcomer is admitted for is checked again on the register that the round finds; votes beyond half of those wanted in one region go to newcomers elsewhere.

Ruled out: wiping the folder and coming back blank (a crash between two of its steps would need an operator).

--- a/hyssopfold/application.py
+++ b/hyssopfold/application.py
@@ -85,6 +85,7 @@
         cfg.edit_timeout_s,
         cfg.first_start,
         0 if cfg.control else cfg.voters,
+        cfg.region,
     )
 
 
--- a/hyssopfold/core/consensus/messages.py
+++ b/hyssopfold/core/consensus/messages.py
@@ -222,7 +222,7 @@
     `chosen` is the newest ballot that it knows to be chosen; `listed` the
     control instances of its settings; `seen` what it has seen of the
     receiver; `ask` asks for a `Status` in return; `fault` says why it does not
-    vote.
+    vote; `region` is where it runs, empty where nobody needs to know.
     """
 
     member: Member
@@ -237,6 +237,7 @@
     seen: Sighting | None
     ask: bool
     fault: str
+    region: str = ""
 
     @property
     def blank(self) -> bool:
@@ -296,17 +297,28 @@
 
 
 class AddMember(NamedTuple):
-    """Event: let an instance vote that has caught up."""
+    """Event: let an instance vote that has caught up.
+
+    With `wanted` above 0 it is let only while fewer vote, and where it does
+    not give its region a majority: what was found when this was asked for may
+    have changed since, by another instance that asked at the same moment.
+    """
 
     request: int
     name: str
+    wanted: int = 0
 
 
 class RemoveMember(NamedTuple):
-    """Event: let a member vote no more."""
+    """Event: let a member vote no more.
+
+    One that `retires` is never admitted again under its id. One that was only
+    silent keeps its data folder and may take a vote again once it is back.
+    """
 
     request: int
     name: str
+    retires: bool = True
 
 
 class ReplaceMember(NamedTuple):
--- a/hyssopfold/core/consensus/node.py
+++ b/hyssopfold/core/consensus/node.py
@@ -47,6 +47,7 @@
         first_start: Whether a cluster may be formed where all are blank.
         wanted_members: How many instances vote; newcomers are admitted until
             there are so many. 0 leaves that to operators.
+        region: Region that this instance runs in.
     """
 
     def __init__(
@@ -59,12 +60,16 @@
         operation_timeout_s: float = 8.0,
         first_start: bool = True,
         wanted_members: int = 0,
+        region: str = "",
     ) -> None:
         self._wanted_members = wanted_members
+        self._region = region
         self._status_s = DISCOVERY_STATUS_S if wanted_members else STATUS_S
         self.name = identity.member.name
         self.replica = replica_module.Replica(identity, durable)
-        self.peers = peers_module.Peers(self.replica, listed, first_start)
+        self.peers = peers_module.Peers(
+            self.replica, listed, first_start, region
+        )
         self._rng = rng
         self._now = 0.0
         self.proposer = proposer_module.Proposer(
@@ -345,6 +350,7 @@
             seen=seen,
             ask=ask,
             fault=self.fault,
+            region=self._region,
         )
 
     def _tell_all(self, now: float, effects: Effects) -> None:
--- a/hyssopfold/core/consensus/operations.py
+++ b/hyssopfold/core/consensus/operations.py
@@ -18,6 +18,11 @@
     def candidate(self, name: str) -> messages.Member | str:
         """Return the instance if it has caught up, else why it may not vote."""
 
+    def surplus(
+        self, register: messages.Register, name: str, wanted: int
+    ) -> str:
+        """Return why the instance should not vote beside the members, or ""."""
+
     def majority_heard(self, members: Sequence[messages.Member]) -> bool:
         """Return whether a majority of `members` was heard of lately."""
 
@@ -93,6 +98,10 @@
     new = view.candidate(operation.name)
     if isinstance(new, str):
         return _refuse(register, new)
+    if operation.wanted:
+        surplus = view.surplus(register, operation.name, operation.wanted)
+        if surplus:
+            return _refuse(register, surplus)
     return _change(register, (*register.members, new), register.retired)
 
 
@@ -111,7 +120,10 @@
     if not view.majority_heard(members):
         # Nothing could be decided any more until one of them came back.
         return _refuse(register, "no majority of those that stay answers")
-    return _change(register, members, _retire(register, old.id))
+    retired = register.retired
+    if operation.retires:
+        retired = _retire(register, old.id)
+    return _change(register, members, retired)
 
 
 @apply.register
--- a/hyssopfold/core/consensus/peers.py
+++ b/hyssopfold/core/consensus/peers.py
@@ -6,6 +6,7 @@
 from hyssopfold.core.consensus import messages
 from hyssopfold.core.consensus import quorums
 from hyssopfold.core.consensus import replica as replica_module
+from hyssopfold.core.consensus import seats as seats_module
 
 SILENT_S = 5.0
 # Seconds without a word, of which one is due every second where instances
@@ -42,6 +43,7 @@
         replica: What this member holds and knows.
         listed: Control instances in the settings, this one included.
         first_start: Whether a cluster may be formed where all are blank.
+        region: Region that this instance runs in.
     """
 
     def __init__(
@@ -49,9 +51,11 @@
         replica: replica_module.Replica,
         listed: Sequence[messages.Endpoint],
         first_start: bool = True,
+        region: str = "",
     ) -> None:
         self._replica = replica
         self.first_start = first_start
+        self._region = region
         self._listed = tuple(sorted(listed))
         self._heard: dict[str, _Heard] = {}
         # Since when a member that was never heard of is waited for.
@@ -280,21 +284,61 @@
         new = status.member
         if register.member(new.name) is not None or status.fault:
             return None
-        lost = len(self._silent(ABSENT_S, now))
-        if len(register.members) - lost >= wanted:
-            return None
         if new.id in register.retired or not self._has_caught_up(status):
             return None
-        return messages.AddMember(0, new.name)
+        if self.surplus(register, new.name, wanted, now):
+            return None
+        return messages.AddMember(0, new.name, wanted)
+
+    def surplus(
+        self, register: messages.Register, name: str, wanted: int, now: float
+    ) -> str:
+        """Return why a newcomer should not vote beside the members, or "".
+
+        A region that holds a majority of the votes takes every decision with
+        it when it is lost: its surplus votes count as places to be taken, and
+        a newcomer of a region with fewer votes goes first. Where no other
+        region offers one, any voter is better than one too few.
+        """
+        seats = seats_module.Seats(
+            register.members, self._regions(), set(self._silent(ABSENT_S, now))
+        )
+        region = self._regions().get(name, "")
+        others = [
+            status.region
+            for status in self.statuses(now)
+            if not status.fault and register.member(status.member.name) is None
+        ]
+        return seats.surplus(region, others, wanted)
 
     def dismissal(
         self, wanted: int, now: float
     ) -> messages.RemoveMember | None:
-        """Return how to take the vote of a lost member beyond `wanted`."""
+        """Return how to take a vote beyond `wanted`: a lost member's first.
+
+        It is not retired: it may have been cut off or frozen and hold its
+        data still. Retired, it would be gone for good though it runs, and
+        each such cut would leave one instance fewer to bear later losses.
+        """
+        members = self._replica.register.members
+        if len(members) <= wanted:
+            return None
         silent = self._silent(LOST_S, now)
-        if not silent or len(self._replica.register.members) <= wanted:
+        if silent:
+            return messages.RemoveMember(0, silent[0], retires=False)
+        if self._silent(ABSENT_S, now):
+            # It is lost, or back soon: known before long.
             return None
-        return messages.RemoveMember(0, silent[0])
+        seats = seats_module.Seats(members, self._regions(), set())
+        me = self._replica.identity.member.name
+        return messages.RemoveMember(0, seats.spare(me), retires=False)
+
+    def _regions(self) -> dict[str, str]:
+        """Return the region of each instance that was heard of."""
+        me = self._replica.identity.member.name
+        return {me: self._region} | {
+            name: heard.status.region for name, heard in self._heard.items()
+        }
 
     def _silent(self, silent_s: float, now: float) -> list[str]:
         """Return the names of members not heard of for so many seconds."""
@@ -330,6 +374,12 @@
         """Return the instance if it has caught up, else why it may not vote."""
         return self._peers.candidate(name, self._now)
 
+    def surplus(
+        self, register: messages.Register, name: str, wanted: int
+    ) -> str:
+        """Return why the instance should not vote beside the members."""
+        return self._peers.surplus(register, name, wanted, self._now)
+
     def majority_heard(self, members: Sequence[messages.Member]) -> bool:
         """Return whether a majority of `members` was heard of lately."""
         return self._peers.majority_heard(members, self._now)
--- a/tests/core/consensus/discovery.feature
+++ b/tests/core/consensus/discovery.feature
@@ -59,3 +59,48 @@
     When both discovered members that do not vote are cut off and one is read
     And discovery runs for 9 s
     Then the last discovered read is not done
+
+  Scenario: a member that was cut off for long takes a lost one's place again
+    A network fault cuts a control instance off for ten seconds; the sixth
+    takes its place. Once it is back another one is lost, and then two more.
+    Were its vote gone for good, only four members would be left to bear the
+    later losses, and every edit would be refused.
+
+    Given 6 discovering members of which 3 are seeds, with seed 6
+    When discovery runs for 5 s
+    And a discovered voter is cut off for 12 s
+    Then the discovered voter that was cut off votes no more
+    When another discovered voter is lost for good
+    And discovery runs for 20 s
+    Then the discovered voter that was cut off votes again
+    And 5 discovered members vote and 1 do not
+    When another discovered voter is lost for good
+    And another discovered voter is lost for good
+    And the discovered voter that was cut off gets edit "ana" of revision 0
+    And discovery runs for 5 s
+    Then the discovered edit "ana" is accepted
+
+  Scenario Outline: a lost region never holds a majority of the votes
+    Nine control instances run in three regions and five of them vote. Had
+    chance put three of the five into one region, its loss would leave no
+    majority, and no edit would be accepted until the power is back.
+
+    Given 9 discovering members of which 3 are seeds, with seed <seed>
+    When discovery runs for 8 s
+    Then 5 discovered members vote and 4 do not
+    And no region holds more than 2 discovered votes
+    When the region with most discovered votes is lost
+    And a discovered voter that is left gets edit "ana" of revision 0
+    And discovery runs for 5 s
+    Then the discovered edit "ana" is accepted
+
+    Examples:
+      | seed |
+      | 1    |
+      | 2    |
+      | 3    |
+      | 4    |
+      | 5    |
+      | 6    |
+      | 7    |
+      | 8    |
--- a/tests/core/consensus/random.feature
+++ b/tests/core/consensus/random.feature
@@ -8,6 +8,13 @@
     When members run at random under failures one at a time and in pairs
     Then every invariant of the register held
 
+  Scenario: random runs in which dismissed members vote again
+    A member that was cut off keeps its data and its promises. Let in again
+    under its old id it must not bring back what was decided without it.
+
+    When members run at random while silent ones are dismissed and come back
+    Then every invariant of the register held
+
   Scenario Outline: a broken rule is caught by <judge>: <rule>
     Given members that break the rule <rule>
     Then the broken members are caught by <judge>: <what>
--- a/tests/steps/core/consensus/discovery_steps.py
+++ b/tests/steps/core/consensus/discovery_steps.py
@@ -1,5 +1,7 @@
 """Steps of core/consensus/discovery.feature."""
 
+import collections
+
 from behave import given
 from behave import then
 from behave import when
@@ -54,6 +56,10 @@
 def _(context, name, change, revision):
     # An operator whose instance does not vote yet asks another one.
     asked = name if context.found.voting(name) else "control-1"
+    _edit(context, asked, change, revision)
+
+
+def _edit(context, asked, change, revision):
     number = len(context.found_requests) + 1
     context.found_requests[change] = number
     edit = messages.Edit(number, change, revision, change.encode())
@@ -125,3 +131,69 @@
 def _(context):
     result = context.found.results.get(103)
     assert not isinstance(result, messages.ReadDone), result
+
+
+@when("a discovered voter is cut off for {seconds:d} s")
+def _(context, seconds):
+    context.found_cut = max(context.found.members())
+    context.found.isolate(context.found_cut)
+    context.found.run(seconds)
+    context.found_members_then = context.found.members()
+    context.found.heal()
+
+
+@then("the discovered voter that was cut off votes no more")
+def _(context):
+    assert context.found_cut not in context.found_members_then
+
+
+@when("another discovered voter is lost for good")
+def _(context):
+    running = set(context.found.nodes) - {context.found_cut}
+    name = max(context.found.members() & running)
+    context.found.crash(name)
+
+
+@then("the discovered voter that was cut off votes again")
+def _(context):
+    assert context.found.voting(context.found_cut), context.found.members()
+
+
+@when(
+    'the discovered voter that was cut off gets edit "{change}" of revision'
+    " {revision:d}"
+)
+def _(context, change, revision):
+    _edit(context, context.found_cut, change, revision)
+
+
+def _by_region(found):
+    held = collections.defaultdict(set)
+    for name in found.members():
+        held[found.region_of(name)].add(name)
+    return held
+
+
+@then("no region holds more than {most:d} discovered votes")
+def _(context, most):
+    held = _by_region(context.found)
+    assert max(map(len, held.values())) <= most, held
+
+
+@when("the region with most discovered votes is lost")
+def _(context):
+    found = context.found
+    held = _by_region(found)
+    region = max(held, key=lambda one: (len(held[one]), one))
+    for name in list(found.nodes):
+        if found.region_of(name) == region:
+            found.crash(name)
+
+
+@when(
+    'a discovered voter that is left gets edit "{change}" of revision'
+    " {revision:d}"
+)
+def _(context, change, revision):
+    left = context.found.members() & set(context.found.nodes)
+    _edit(context, min(left), change, revision)
--- a/tests/steps/core/consensus/node_steps.py
+++ b/tests/steps/core/consensus/node_steps.py
@@ -365,12 +365,12 @@
     assert len(context.kills) >= count, len(context.kills)
 
 
-def _run_machine(node_class):
+def _run_machine(node_class, machine_class=register_machine.RegisterMachine):
     seed = os.environ.get("HYSSOP_SOAK_SEED")
     steps = int(os.environ.get("HYSSOP_SOAK_STEPS", "0"))
     machine = type(
         "Machine",
-        (register_machine.RegisterMachine,),
+        (machine_class,),
         {"node_class": node_class},
     )
     if seed is not None:
@@ -392,6 +392,11 @@
     _run_machine(fake_members.node.Node)
 
 
+@when("members run at random while silent ones are dismissed and come back")
+def _(context):
+    _run_machine(fake_members.node.Node, register_machine.ReturningMachine)
+
+
 @then("every invariant of the register held")
 def _(context):
     """The run raises when one does not."""
--- a/tests/support/fake_discovery.py
+++ b/tests/support/fake_discovery.py
@@ -28,8 +28,14 @@
             rng,
             first_start=self.first_start,
             wanted_members=WANTED,
+            region=self.region_of(identity.member.name),
         )
 
+    @staticmethod
+    def region_of(name):
+        """Return the region of a member: three, by turns."""
+        return f"region-{int(name.partition('-')[2]) % 3}"
+
     def members(self):
         """Return the names of those that vote, as the newest one knows."""
         known = [one.learned for one in self.nodes.values()]
--- a/tests/support/register_machine.py
+++ b/tests/support/register_machine.py
@@ -203,3 +203,19 @@
         }
         assert len(registers) == 1, "all agree in the end"
         self.history.check_final(registers.pop())
+
+
+class ReturningMachine(RegisterMachine):
+    """The same, where silent members are dismissed and vote again later."""
+
+    @stateful.rule(index=_INDEX, gone=_INDEX)
+    def dismiss(self, index, gone):
+        """Take the vote of a member that keeps its data."""
+        event = messages.RemoveMember(0, self._name(gone), retires=False)
+        self.members.submit(self._name(index), event)
+
+    @stateful.rule(index=_INDEX, back=_INDEX)
+    def let_vote_again(self, index, back):
+        """Let one vote that was a member before."""
+        event = messages.AddMember(0, self._name(back))
+        self.members.submit(self._name(index), event)
