Spend less processor time on starts; sort the directory once a change

Change: no search for garbage while modules load, fewer after; the ready servers of a pool and the ready entries are made once a change; holders are kept while the entries stay the same.

--- a/hyssopfold/cmd/daemon.py
+++ b/hyssopfold/cmd/daemon.py
@@ -3,6 +3,7 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 import faulthandler
+import gc
 import signal
 import sys
 from typing import Any
@@ -13,6 +14,11 @@
 from hyssopfold import errors
 from hyssopfold import security
 
+# Objects made between two searches for garbage, and searches of each age
+# between two of the next. A request makes some thousand objects and few cycles,
+# so that the usual 700 search ten times a request and find nothing.
+_GC_THRESHOLDS = (20_000, 10, 10)
+
 
 def start(
     load: Callable[[str], Any],
@@ -37,6 +43,7 @@
         return
     # Where a process stands that answers no more: `kill -USR1` prints it.
     faulthandler.register(signal.SIGUSR1)
+    _settle_memory()
     try:
         trio.run(main, cfg)
     except BaseExceptionGroup as group:
@@ -45,6 +52,14 @@
         sys.exit(report(exc))
 
 
+def _settle_memory() -> None:
+    """Leave what the modules made out of the search for garbage."""
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(*_GC_THRESHOLDS)
+    gc.enable()
+
+
 def report(exc: BaseException) -> int:
     """Print one line for each error in `exc`; return the exit status."""
     if isinstance(exc, BaseExceptionGroup):
--- a/hyssopfold/core/balancing/affinity.py
+++ b/hyssopfold/core/balancing/affinity.py
@@ -24,9 +24,13 @@
         self._kept: dict[str, tuple[str, ...]] = {}
 
     def rank(self, key: str, weights: Mapping[str, float]) -> tuple[str, ...]:
-        """Return the servers of `weights`, the best for `key` first."""
-        if weights != self._weights:
-            self._weights = dict(weights)
+        """Return the servers of `weights`, the best for `key` first.
+
+        What is kept holds for one object of weights: comparing those of a
+        large pool with each request would cost more than the choice itself.
+        """
+        if weights is not self._weights:
+            self._weights = weights
             self._kept.clear()
         found = self._kept.get(key)
         if found is None:
--- a/hyssopfold/core/balancing/allowance.py
+++ b/hyssopfold/core/balancing/allowance.py
@@ -36,6 +36,9 @@
     def __init__(self, name: str) -> None:
         self._name = name
         self._buckets: dict[str, _Bucket] = {}
+        # Who holds each server's allowance, for one object of entries.
+        self._holders: dict[str, tuple[str, ...]] = {}
+        self._holders_of: Collection[str] = ()
 
     def may_send(
         self, server_id: str, rate: float, entries: Collection[str], now: float
@@ -45,16 +48,30 @@
         Args:
             server_id: The server.
             rate: Requests a second that it bears, from all entries.
-            entries: Names of the entries that serve callers.
+            entries: Names of the entries that serve callers; the same object
+                until one of them changes.
             now: Monotonic time in seconds.
         """
-        holders = affinity.alike(server_id, {*entries, self._name})[:HOLDERS]
+        holders = self._drawn(server_id, entries)
         if self._name not in holders:
             return False
         held = self._filled(server_id, rate * MARGIN / len(holders), now)
         self._buckets[server_id] = held
         return held.tokens >= 1
 
+    def _drawn(
+        self, server_id: str, entries: Collection[str]
+    ) -> tuple[str, ...]:
+        if entries is not self._holders_of:
+            self._holders_of = entries
+            self._holders.clear()
+        holders = self._holders.get(server_id)
+        if holders is None:
+            names = {*entries, self._name}
+            holders = affinity.alike(server_id, names)[:HOLDERS]
+            self._holders[server_id] = holders
+        return holders
+
     def take(self, server_id: str) -> None:
         """Count a request that goes to a cold server."""
         held = self._buckets.get(server_id)
--- a/hyssopfold/core/membership/directory.py
+++ b/hyssopfold/core/membership/directory.py
@@ -31,6 +31,8 @@
     def __init__(self, lease_s: float) -> None:
         self._lease_s = lease_s
         self._held: dict[str, _Held[Word]] = {}
+        # Grows with each change of the words; a renewal is none.
+        self.changes = 0
 
     def update(self, key: str, word: Word, now: float) -> bool:
         """Take a word in; return whether it was newer than what is held.
@@ -47,6 +49,7 @@
         if _left(held, word):
             word = word._replace(state="leaving")
         self._held[key] = _Held(word, now + self._lease_s)
+        self.changes += 1
         return True
 
     def renew(self, key: str, now: float, lease_s: float) -> None:
@@ -58,6 +61,7 @@
     def expire(self, now: float) -> list[Word]:
         """Drop and return the words whose lease has ended."""
         ended = [key for key, held in self._held.items() if held.expires <= now]
+        self.changes += len(ended)
         return [self._held.pop(key).word for key in ended]
 
     def words(self) -> Iterable[Word]:
@@ -116,6 +120,11 @@
         self.servers: Leases[messages.Server] = Leases(lease_s)
         self._cold_until: dict[str, float] = {}
         self.instances: Leases[messages.Instance] = Leases(lease_s)
+        # Asked for with each request: sorted out once a change, not each time.
+        self._pools: dict[str, tuple[messages.Server, ...]] = {}
+        self._pools_of = -1
+        self._entries: tuple[messages.Instance, ...] = ()
+        self._entries_of = -1
 
     def merge(
         self, datagram: messages.Datagram, now: float
@@ -148,18 +157,36 @@
             self._cold_until.pop(server.server_id, None)
         return [*ended, *self.instances.expire(now)]
 
-    def ready_servers(self, pool: str) -> list[messages.Server]:
-        """Return the servers of `pool` that may get new work."""
-        return [
-            server
-            for server in self.servers.words()
-            if server.pool == pool and server.state == "ready"
-        ]
-
-    def ready_entries(self) -> list[messages.Instance]:
-        """Return the entries that callers may be sent to."""
-        return [
-            instance
-            for instance in self.instances.words()
-            if instance.role == "entry" and instance.state == "ready"
-        ]
+    def ready_servers(self, pool: str) -> tuple[messages.Server, ...]:
+        """Return the servers of `pool` that may get new work.
+
+        The same object until a server changes.
+        """
+        if self._pools_of != self.servers.changes:
+            self._pools_of = self.servers.changes
+            self._pools = _by_pool(self.servers.words())
+        return self._pools.get(pool, ())
+
+    def ready_entries(self) -> tuple[messages.Instance, ...]:
+        """Return the entries that callers may be sent to.
+
+        The same object until an instance changes.
+        """
+        if self._entries_of != self.instances.changes:
+            self._entries_of = self.instances.changes
+            self._entries = tuple(
+                instance
+                for instance in self.instances.words()
+                if instance.role == "entry" and instance.state == "ready"
+            )
+        return self._entries
+
+
+def _by_pool(
+    servers: Iterable[messages.Server],
+) -> dict[str, tuple[messages.Server, ...]]:
+    found: dict[str, list[messages.Server]] = {}
+    for server in servers:
+        if server.state == "ready":
+            found.setdefault(server.pool, []).append(server)
+    return {pool: tuple(held) for pool, held in found.items()}
