Use new connections for a while where resting ones are forgotten

Cause: a reset right after a request on a connection that had rested tells nothing of whether it ran; a payment or an upload sent so is lost. On the grown deployments servers forget connections after a third of a second, and connections that rested for up to 3 s are trusted with such requests.

Change: a reset within 0.15 s on a connection that had rested lets only those be used for 10 s that rested half as long. Later resets are servers that broke off their work and change nothing. One line of log each, and one when other entries' word keeps a silent server out.

Ruled out: a new connection for each such request (a round trip between regions is 70 to 110 ms, a third of the goal).

--- a/hyssopfold/core/balancing/local.py
+++ b/hyssopfold/core/balancing/local.py
@@ -328,15 +328,23 @@
 
     def hear(
         self, sender: str, reports: Iterable[messages.Report], now: float
-    ) -> None:
-        """Take in what another entry learned of servers just now."""
+    ) -> tuple[str, ...]:
+        """Take in what another entry learned of servers just now.
+
+        Returns:
+            Servers that get nothing more, by this and others' word.
+        """
+        newly = []
         for report in reports:
             server_id = self._by_key.get(report.key)
             if server_id is None:
                 continue
             if report.is_silent:
+                before = self._is_accused(server_id, now)
                 accusers = self._accusers.setdefault(server_id, {})
                 accusers[sender] = now + ACCUSED_S
+                if not before and self._is_accused(server_id, now):
+                    newly.append(server_id)
                 continue
             self._accusers.get(server_id, {}).pop(sender, None)
             seen = self._seen[server_id]
@@ -345,6 +353,7 @@
                 reported_at=now,
                 in_flight_then=seen.in_flight,
             )
+        return tuple(newly)
 
     def _is_accused(self, server_id: str, now: float) -> bool:
         accusers = self._accusers.get(server_id)
--- a/hyssopfold/entry/connections.py
+++ b/hyssopfold/entry/connections.py
@@ -2,14 +2,19 @@
 
 from collections import defaultdict
 from collections.abc import Callable
+import logging
 import socket
 from typing import Any
 
 import httpcore
 import trio
 
+from hyssopfold import logs
+from hyssopfold.core.attempts import reuse
 from hyssopfold.core.membership import messages
 
+logger = logging.getLogger(__name__)
+
 CONNECT_TIMEOUT_S = 2.0
 IDLE_S = 10.0
 MAX_AGE_S = 300.0
@@ -120,6 +125,10 @@
         self.stream = stream
         self.opened = now
         self.used = now
+        # When it was taken for the request that it carries, and how long it
+        # had rested then; 0 for a new one.
+        self.taken = now
+        self.rested_s = 0.0
         # How long it may rest before the server may close it.
         self.idle_s = IDLE_S
         host, port = address.rsplit(":", 1)
@@ -167,7 +176,7 @@
         connect_s: float = CONNECT_TIMEOUT_S,
     ) -> None:
         self._bound = bound
-        self._proven_s = proven_s
+        self._reuse = reuse.Reuse(proven_s)
         self._connect_s = connect_s
         self._idle: dict[str, list[Connection]] = defaultdict(list)
         self._count: dict[str, int] = defaultdict(int)
@@ -192,6 +201,8 @@
         while idle and (not fresh or self._is_proven(idle[-1], now)):
             conn = idle.pop()
             if self._is_good(conn, now):
+                conn.taken = now
+                conn.rested_s = now - conn.used
                 return conn
             await self._close(conn)
         if self._count[address] >= self._bound(server):
@@ -209,6 +220,21 @@
         else:
             await self._close(conn)
 
+    def note_broken(self, conn: Connection) -> None:
+        """Learn from a connection that broke before an answer began."""
+        now = trio.current_time()
+        after_s = now - conn.taken
+        if self._reuse.note_reset(conn.rested_s, after_s, now):
+            logger.info(
+                logs.Event(
+                    "connection-forgotten",
+                    server=conn.address,
+                    rested_s=round(conn.rested_s, 3),
+                    after_s=round(after_s, 3),
+                    limit_s=round(self._reuse.limit_s(now), 3),
+                )
+            )
+
     async def drop(self, conn: Connection) -> None:
         """Close a connection whose request was cancelled or went wrong."""
         await self._close(conn)
@@ -233,10 +259,11 @@
                 await self._close(idle.pop())
 
     def _is_proven(self, conn: Connection, now: float) -> bool:
-        return now - conn.used < self._proven_s
+        return self._reuse.is_proven(now - conn.used, now)
 
     def _is_good(self, conn: Connection, now: float) -> bool:
-        rested = now - conn.used > conn.idle_s
+        limit_s = min(conn.idle_s, self._reuse.limit_s(now))
+        rested = now - conn.used > limit_s
         old = now - conn.opened > MAX_AGE_S
         return not rested and not old and conn.is_clean()
 
--- a/hyssopfold/entry/local_placement.py
+++ b/hyssopfold/entry/local_placement.py
@@ -127,7 +127,16 @@
             if isinstance(parcel.message, messages.Reports):
                 now = trio.current_time()
                 reports = parcel.message.reports
-                self._chooser.hear(parcel.sender, reports, now)
+                for one in self._chooser.hear(parcel.sender, reports, now):
+                    logger.info(
+                        logs.Event(
+                            "server-silent",
+                            server=one,
+                            by=parcel.sender,
+                            others=local.ACCUSERS,
+                            held_s=local.ACCUSED_S,
+                        )
+                    )
             else:
                 # Sent by an entry with another way of placing requests.
                 logger.warning(
