--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: demo test soak chaos capacity format clean
+.PHONY: demo test soak chaos faults capacity format clean
 
 # The runtime set alone; enough for the daemons and the demo.
 $(VENV)/runtime: requirements/runtime.txt pyproject.toml
@@ -30,6 +30,10 @@
 chaos: $(VENV)/dev
 	$(BIN)/python -m bench.chaos --seed $(or $(SEED),1) --seconds $(or $(SECONDS),60)
 
+# Days of faults on the model of large deployments: make faults SEED=7 DAYS=4
+faults: $(VENV)/dev
+	$(BIN)/python -m bench.soak --seed $(or $(SEED),1) --days $(or $(DAYS),4)
+
 capacity: $(VENV)/dev
 	$(BIN)/python -m bench.capacity
 
--- a/bench/emulator/world.py
+++ b/bench/emulator/world.py
@@ -15,16 +15,16 @@
 
 # What a server needs for an object that it handled lately, as a share.
 WARM_SHARE = 0.3
+# A server that has just started takes so many times as long.
+COLD_FACTOR = 2.0
+# Servers that one try of a caller may be sent to.
+ATTEMPTS = 2
 # Spread of the work of one request around its mean (log-normal).
 SPREAD = 0.15
 LATE_SHARE = 0.2
 PERIOD_S = 36.0
 
 
-def _never_cold(server_id: str) -> bool:
-    return False
-
-
 class Call(NamedTuple):
     """One request of a caller, on one of its tries."""
 
@@ -44,6 +44,12 @@
     ) -> None:
         self.word = word
         self.slow = 1.0
+        # It takes no connection, or takes requests and answers none.
+        self.is_dead = False
+        self.is_mute = False
+        self.cold_until = 0.0
+        # Times at which requests came while it was cold.
+        self.cold_arrivals: list[float] = []
         self._rng = rng
         self._keeps = keeps
         self._known: collections.OrderedDict[str, None] = (
@@ -60,7 +66,7 @@
         slots = self.word.slots
         return messages.Load(self.running, len(self.waiting), slots)
 
-    def work_s(self, call: Call) -> float:
+    def work_s(self, call: Call, now: float) -> float:
         """Return the time for a request; the object is remembered."""
         share = WARM_SHARE if call.key in self._known else 1.0
         self.runs += 1
@@ -69,6 +75,8 @@
         self._known.move_to_end(call.key)
         if len(self._known) > self._keeps:
             self._known.popitem(last=False)
+        if now < self.cold_until:
+            share *= COLD_FACTOR
         noise = self._rng.lognormvariate(-SPREAD * SPREAD / 2, SPREAD)
         return call.kind.work_s * share * noise * self.slow
 
@@ -213,7 +221,7 @@
         )  # fmt: skip
         view = local.View(
             self.words[pool.name],
-            _never_cold,
+            lambda name: self.servers[name].cold_until > self.now,
             pool.cold_rate,
             3.0,
             self.names,
@@ -252,6 +260,13 @@
         tried: tuple[str, ...], sent: float,
     ) -> None:  # fmt: skip
         slots = server.word.slots
+        if server.is_dead:
+            self._unreached(call, entry, server, tried)
+            return
+        if self.now < server.cold_until:
+            server.cold_arrivals.append(self.now)
+        if server.is_mute:
+            return
         if server.running < slots:
             self._begin(call, entry, server, sent)
         elif len(server.waiting) < 3 * slots:
@@ -263,6 +278,20 @@
                 self.now + way, self._shed, call, entry, server, done, tried
             )
 
+    def _unreached(
+        self, call: Call, entry: Any, server: Server, tried: tuple[str, ...]
+    ) -> None:
+        if call.number not in self._waited_for:
+            return
+        self._waited_for.remove(call.number)
+        done = messages.Done("failed", 0.0, False, False)
+        entry.done(server.word.server_id, done, 3.0, self.now)
+        # Nothing was sent: two more may be asked (see core/attempts).
+        if len(tried) + 1 >= ATTEMPTS + 2:
+            self._refuse(call, 0.1)
+            return
+        self._place(call, entry, (*tried, server.word.server_id))
+
     def _shed(
         self, call: Call, entry: Any, server: Server,
         done: messages.Done, tried: tuple[str, ...],
@@ -271,7 +300,7 @@
             return
         self._waited_for.remove(call.number)
         entry.done(server.word.server_id, done, 3.0, self.now)
-        if len(tried) + 1 >= 2:
+        if len(tried) + 1 >= ATTEMPTS:
             self._refuse(call, 0.1)
             return
         self._place(call, entry, (*tried, server.word.server_id))
@@ -280,7 +309,7 @@
         self, call: Call, entry: Any, server: Server, sent: float
     ) -> None:
         server.running += 1
-        took = server.work_s(call)
+        took = server.work_s(call, self.now)
         self.at(self.now + took, self._end, call, entry, server, sent)
 
     def _end(self, call: Call, entry: Any, server: Server, sent: float) -> None:
--- /dev/null
+++ b/tests/steps/bench/soak/soak_steps.py
@@ -0,0 +1,61 @@
+"""Steps of bench/soak/soak.feature."""
+
+from unittest import mock
+
+from behave import given
+from behave import then
+from behave import when
+
+from bench.soak import day
+from bench.soak import faults
+from hyssopfold.core.balancing import allowance
+from hyssopfold.core.balancing import local
+
+_SECONDS = 30.0
+
+
+def _break(context, target, name, value):
+    patch = mock.patch.object(target, name, value)
+    patch.start()
+    context.add_cleanup(patch.stop)
+
+
+@given("soaked entries that take any server when the first ones are loaded")
+def _(context):
+    _break(context, local, "SHARED_BY", 99)
+    _break(context, local, "FULL", (3.5, 3.5, 3.5))
+
+
+@given("soaked entries that each take a cold server's allowance for theirs")
+def _(context):
+    def drawn_alone(held, server_id, entries):
+        return (held._name,)
+
+    _break(context, allowance.Allowance, "_drawn", drawn_alone)
+
+
+@when('a soak plays "{site}" with seed {seed:d}')
+def _(context, site, seed):
+    context.soaked = day.play(day.Day(site, seed, _SECONDS, 0.8))
+
+
+@when('a soak plays "{site}" with seed {seed:d} at {load:g} times its load')
+def _(context, site, seed, load):
+    context.soaked = day.play(day.Day(site, seed, _SECONDS, load))
+
+
+@then("the soak finds nothing")
+def _(context):
+    assert not context.soaked.findings, context.soaked
+
+
+@then('the soak finds "{what}"')
+def _(context, what):
+    found = context.soaked.findings
+    assert any(what in one for one in found), context.soaked
+
+
+@then("soak plans of seed {one:d} are alike, and unlike that of seed {other:d}")
+def _(context, one, other):
+    assert faults.plan(one, 60.0) == faults.plan(one, 60.0)
+    assert faults.plan(one, 60.0) != faults.plan(other, 60.0)
