--- a/hyssopfold/core/balancing/local.py
+++ b/hyssopfold/core/balancing/local.py
@@ -16,6 +16,7 @@
 from typing import NamedTuple
 import zlib
 
+from hyssopfold.core.balancing import accusations
 from hyssopfold.core.balancing import affinity
 from hyssopfold.core.balancing import allowance
 from hyssopfold.core.balancing import messages
@@ -56,10 +57,6 @@
 # nothing until it answers, or none of them waits any more.
 SILENT_GOALS = 2.0
 USUAL_GOAL_S = 0.5
-# Others' word that a server is silent counts for so long, and only when so many
-# say it: a single one may be cut off from the server.
-ACCUSED_S = 1.0
-ACCUSERS = 2
 # One whose address belongs to another server now: its lease ends by then.
 ELSEWHERE_REST_S = 4.0
 # A server that refused for want of room gets nothing for so long: about the
@@ -133,8 +130,7 @@
         self._allowance = allowance.Allowance(name)
         # Servers whose load was told here since it was passed on.
         self._fresh: set[str] = set()
-        # Entries that say a server is silent, and until when that counts.
-        self._accusers: dict[str, dict[str, float]] = {}
+        self._accusations = accusations.Accusations()
         self._by_key: dict[int, str] = {}
 
     def choose(
@@ -264,7 +260,9 @@
         seen = self._met(server, view.now)
         if seen.resting_until > view.now:
             return False
-        if _is_silent(seen, view.now) or self._is_accused(server_id, view.now):
+        if _is_silent(seen, view.now) or self._accusations.is_accused(
+            server_id, view.now
+        ):
             return False
         if not self._is_cold(seen, server_id, view):
             return True
@@ -340,13 +338,10 @@
             if server_id is None:
                 continue
             if report.is_silent:
-                before = self._is_accused(server_id, now)
-                accusers = self._accusers.setdefault(server_id, {})
-                accusers[sender] = now + ACCUSED_S
-                if not before and self._is_accused(server_id, now):
+                if self._accusations.accuse(server_id, sender, now):
                     newly.append(server_id)
                 continue
-            self._accusers.get(server_id, {}).pop(sender, None)
+            self._accusations.withdraw(server_id, sender)
             seen = self._seen[server_id]
             self._seen[server_id] = seen._replace(
                 reported=float(report.load),
@@ -355,15 +350,6 @@
             )
         return tuple(newly)
 
-    def _is_accused(self, server_id: str, now: float) -> bool:
-        accusers = self._accusers.get(server_id)
-        if not accusers:
-            return False
-        lately = sum(until > now for until in accusers.values())
-        if not lately:
-            del self._accusers[server_id]
-        return lately >= ACCUSERS
-
     def in_flight(self) -> dict[str, int]:
         """Return the requests under way by server."""
         return {
@@ -378,7 +364,7 @@
         for server_id in self._seen.keys() - set(known):
             if not self._seen[server_id].in_flight:
                 del self._seen[server_id]
-                self._accusers.pop(server_id, None)
+        self._accusations.forget(self._seen.keys())
         self._by_key = {
             report_key(server_id, seen.incarnation): server_id
             for server_id, seen in self._seen.items()
--- a/hyssopfold/entry/local_placement.py
+++ b/hyssopfold/entry/local_placement.py
@@ -8,6 +8,7 @@
 
 from hyssopfold import logs
 from hyssopfold import tables
+from hyssopfold.core.balancing import accusations
 from hyssopfold.core.balancing import local
 from hyssopfold.core.balancing import messages
 from hyssopfold.core.membership import messages as membership
@@ -133,8 +134,8 @@
                             "server-silent",
                             server=one,
                             by=parcel.sender,
-                            others=local.ACCUSERS,
-                            held_s=local.ACCUSED_S,
+                            others=accusations.ACCUSERS,
+                            held_s=accusations.ACCUSED_S,
                         )
                     )
             else:
