Tell forgotten connections from servers that lose their answers

Servers that ran a request and reset the connection within 0.15 s were taken for connections forgotten at rest, and one such reset made an entry open new ones for ten seconds.

Change: the reset must come within one and a half round trips, as the connection's own opening took, and 20 ms; and it takes two.

The scenario of lost answers (70 ms, twice, beside one true sign) failed before.

--- a/hyssopfold/entry/connections.py
+++ b/hyssopfold/entry/connections.py
@@ -118,9 +118,16 @@
         address: IP number and port of the server.
         stream: The open socket.
         now: Time of opening.
+        round_trip_s: Seconds that the opening took.
     """
 
-    def __init__(self, address: str, stream: Stream, now: float) -> None:
+    def __init__(
+        self,
+        address: str,
+        stream: Stream,
+        now: float,
+        round_trip_s: float = 0.0,
+    ) -> None:
         self.address = address
         self.stream = stream
         self.opened = now
@@ -129,6 +136,7 @@
         # had rested then; 0 for a new one.
         self.taken = now
         self.rested_s = 0.0
+        self.round_trip_s = round_trip_s
         # How long it may rest before the server may close it.
         self.idle_s = IDLE_S
         host, port = address.rsplit(":", 1)
@@ -224,7 +232,9 @@
         """Learn from a connection that broke before an answer began."""
         now = trio.current_time()
         after_s = now - conn.taken
-        if self._reuse.note_reset(conn.rested_s, after_s, now):
+        if self._reuse.note_reset(
+            conn.rested_s, after_s, conn.round_trip_s, now
+        ):
             logger.info(
                 logs.Event(
                     "connection-forgotten",
@@ -270,6 +280,7 @@
     async def _open(self, address: str) -> Connection:
         host, port = address.rsplit(":", 1)
         self._count[address] += 1
+        began = trio.current_time()
         sock = None
         try:
             sock = trio.socket.socket(
@@ -286,7 +297,8 @@
             if isinstance(exc, OSError | trio.TooSlowError):
                 raise NotOpenedError(f"connect: {exc!r}") from exc
             raise
-        return Connection(address, Stream(sock), trio.current_time())
+        now = trio.current_time()
+        return Connection(address, Stream(sock), now, now - began)
 
     async def _close(self, conn: Connection) -> None:
         self._count[conn.address] -= 1
