Count a cold server's allowance from when it is known to be cold

Cause: since choosing looks at the servers that rank first only, a cold server was met with the first request for it, and its allowance, which begins empty, let that request go elsewhere: the first of every object, to a server that did not know it. Before, each request looked at all servers.

Change: the allowance of cold servers is begun when the pool's servers are made ready, once a change.

--- a/hyssopfold/core/balancing/allowance.py
+++ b/hyssopfold/core/balancing/allowance.py
@@ -40,6 +40,13 @@
         self._holders: dict[str, tuple[str, ...]] = {}
         self._holders_of: Collection[str] = ()
 
+    def note(self, server_id: str, now: float) -> None:
+        """Count what may go to a server from now on: it is known to be cold.
+
+        A fresh process does not know what it sent before it restarted.
+        """
+        self._buckets.setdefault(server_id, _Bucket(0.0, now))
+
     def may_send(
         self, server_id: str, rate: float, entries: Collection[str], now: float
     ) -> bool:
@@ -79,10 +86,8 @@
             self._buckets[server_id] = held._replace(tokens=held.tokens - 1)
 
     def _filled(self, server_id: str, rate: float, now: float) -> _Bucket:
-        held = self._buckets.get(server_id)
-        if held is None:
-            # A fresh process does not know what it sent before it restarted.
-            return _Bucket(0.0, now)
+        self.note(server_id, now)
+        held = self._buckets[server_id]
         tokens = min(1.0, held.tokens + (now - held.at) * rate)
         return _Bucket(tokens, now)
 
--- a/hyssopfold/core/balancing/local.py
+++ b/hyssopfold/core/balancing/local.py
@@ -139,7 +139,7 @@
         For a request that names its object only the few servers that rank
         first are looked at: the cost does not grow with the pool.
         """
-        held = self._pool(req.pool, view.servers)
+        held = self._pool(req.pool, view)
         if req.object_key:
             order = held.ranking.rank(req.object_key, held.weights)
             found = self._by_object(req, order, held.servers, view)
@@ -160,8 +160,9 @@
         age_s = min(messages.NEVER_S, view.now - seen.reported_at)
         return messages.Grant(server, reason, known_load=load, load_age_s=age_s)
 
-    def _pool(self, name: str, servers: Sequence[membership.Server]) -> "_Pool":
+    def _pool(self, name: str, view: View) -> "_Pool":
         """Return a pool's servers by id and weight, made once a change."""
+        servers = view.servers
         held = self._pools.get(name)
         if held is not None and held.source is servers:
             return held
@@ -174,6 +175,8 @@
         if held is not None and held.weights == weights:
             weights = held.weights
         by_id = {server.server_id: server for server in servers}
+        for server_id in filter(view.is_cold, by_id):
+            self._allowance.note(server_id, view.now)
         held = _Pool(servers, by_id, weights, ranking)
         self._pools[name] = held
         return held
--- a/tests/core/balancing/local.feature
+++ b/tests/core/balancing/local.feature
@@ -161,3 +161,16 @@
     Given 400 local servers of 3 slots
     When 50 requests for object "book" are placed and answered locally
     Then at most 3 servers were looked at for each
+
+  Scenario: what a cold server bears counts from when it is known to be cold
+    A zone's servers come back cold. An entry counted what it may send to one
+    from the first request for it, which it then had to send elsewhere, to a
+    server that did not know the object: the first request of every object.
+
+    Given 6 local servers of 3 slots
+    And the pool's cold servers bear 9.9 requests a second
+    And the first server of "book" says that it is cold
+    When 1 requests for object "leaf" are placed locally
+    And 1 s pass for the local entry
+    And 1 requests for object "book" are placed locally
+    Then they all went to the first server of "book"
--- a/tests/steps/core/balancing/local_steps.py
+++ b/tests/steps/core/balancing/local_steps.py
@@ -34,7 +34,7 @@
 def _view(context, servers=None, cold=(), entries=("e1",)):
     return local.View(
         servers or context.local_servers,
-        set(cold).__contains__,
+        {*cold, *context.local_cold}.__contains__,
         context.local_cold_rate,
         3.0,
         entries,
@@ -53,6 +53,7 @@
     context.local_servers = [_server(n, slots) for n in range(count)]
     context.local_chooser = local.Chooser("e1")
     context.local_cold_rate = 0.0
+    context.local_cold = set()
     context.local_now = 100.0
     context.local_answers = []
 
@@ -62,6 +63,11 @@
     context.local_cold_rate = rate
 
 
+@given('the first server of "{key}" says that it is cold')
+def _(context, key):
+    context.local_cold = {_order(context, key)[0]}
+
+
 def _order(context, key):
     return affinity.alike(key, {one.server_id for one in context.local_servers})
 
@@ -188,6 +194,7 @@
 )
 def _(context, count, rate):
     context.local_cold_rate = rate
+    context.local_cold = set()
     context.local_now = 100.0
     context.local_servers = [_server(1, 1000)]
     context.local_names = [f"e{n}" for n in range(count)]
@@ -259,6 +266,7 @@
         for number in range(near + far)
     ]
     context.local_cold_rate, context.local_now = 0.0, 100.0
+    context.local_cold = set()
 
 
 @then(
