Take back the limit on connections that rested

In the log of the first 14 s three entries draw the line at 5 to 33 ms, for connections that had rested for 10 and 12 ms: resets of servers that lose answers, which no rest explains.

The fault that it was for (a payment lost on a forgotten connection) stays open.

--- a/hyssopfold/entry/connections.py
+++ b/hyssopfold/entry/connections.py
@@ -2,19 +2,14 @@
 
 from collections import defaultdict
 from collections.abc import Callable
-import logging
 import socket
 from typing import Any
 
 import httpcore
 import trio
 
-from hyssopfold import logs
-from hyssopfold.core.attempts import reuse
 from hyssopfold.core.membership import messages
 
-logger = logging.getLogger(__name__)
-
 CONNECT_TIMEOUT_S = 2.0
 IDLE_S = 10.0
 MAX_AGE_S = 300.0
@@ -118,25 +113,13 @@
         address: IP number and port of the server.
         stream: The open socket.
         now: Time of opening.
-        round_trip_s: Seconds that the opening took.
     """
 
-    def __init__(
-        self,
-        address: str,
-        stream: Stream,
-        now: float,
-        round_trip_s: float = 0.0,
-    ) -> None:
+    def __init__(self, address: str, stream: Stream, now: float) -> None:
         self.address = address
         self.stream = stream
         self.opened = now
         self.used = now
-        # When it was taken for the request that it carries, and how long it
-        # had rested then; 0 for a new one.
-        self.taken = now
-        self.rested_s = 0.0
-        self.round_trip_s = round_trip_s
         # How long it may rest before the server may close it.
         self.idle_s = IDLE_S
         host, port = address.rsplit(":", 1)
@@ -184,7 +167,7 @@
         connect_s: float = CONNECT_TIMEOUT_S,
     ) -> None:
         self._bound = bound
-        self._reuse = reuse.Reuse(proven_s)
+        self._proven_s = proven_s
         self._connect_s = connect_s
         self._idle: dict[str, list[Connection]] = defaultdict(list)
         self._count: dict[str, int] = defaultdict(int)
@@ -209,8 +192,6 @@
         while idle and (not fresh or self._is_proven(idle[-1], now)):
             conn = idle.pop()
             if self._is_good(conn, now):
-                conn.taken = now
-                conn.rested_s = now - conn.used
                 return conn
             await self._close(conn)
         if self._count[address] >= self._bound(server):
@@ -228,23 +209,6 @@
         else:
             await self._close(conn)
 
-    def note_broken(self, conn: Connection) -> None:
-        """Learn from a connection that broke before an answer began."""
-        now = trio.current_time()
-        after_s = now - conn.taken
-        if self._reuse.note_reset(
-            conn.rested_s, after_s, conn.round_trip_s, now
-        ):
-            logger.info(
-                logs.Event(
-                    "connection-forgotten",
-                    server=conn.address,
-                    rested_s=round(conn.rested_s, 3),
-                    after_s=round(after_s, 3),
-                    limit_s=round(self._reuse.limit_s(now), 3),
-                )
-            )
-
     async def drop(self, conn: Connection) -> None:
         """Close a connection whose request was cancelled or went wrong."""
         await self._close(conn)
@@ -269,18 +233,16 @@
                 await self._close(idle.pop())
 
     def _is_proven(self, conn: Connection, now: float) -> bool:
-        return self._reuse.is_proven(now - conn.used, now)
+        return now - conn.used < self._proven_s
 
     def _is_good(self, conn: Connection, now: float) -> bool:
-        limit_s = min(conn.idle_s, self._reuse.limit_s(now))
-        rested = now - conn.used > limit_s
+        rested = now - conn.used > conn.idle_s
         old = now - conn.opened > MAX_AGE_S
         return not rested and not old and conn.is_clean()
 
     async def _open(self, address: str) -> Connection:
         host, port = address.rsplit(":", 1)
         self._count[address] += 1
-        began = trio.current_time()
         sock = None
         try:
             sock = trio.socket.socket(
@@ -297,8 +259,7 @@
             if isinstance(exc, OSError | trio.TooSlowError):
                 raise NotOpenedError(f"connect: {exc!r}") from exc
             raise
-        now = trio.current_time()
-        return Connection(address, Stream(sock), now, now - began)
+        return Connection(address, Stream(sock), trio.current_time())
 
     async def _close(self, conn: Connection) -> None:
         self._count[conn.address] -= 1
--- a/hyssopfold/entry/upstream.py
+++ b/hyssopfold/entry/upstream.py
@@ -76,9 +76,7 @@
             raise LostError(str(exc)) from exc
         try:
             answer = await _begin(conn, server, outgoing, on_first_byte)
-        except BaseException as exc:
-            if isinstance(exc, LostError):
-                self.pool.note_broken(conn)
+        except BaseException:
             await self.pool.drop(conn)
             raise
         return Answering(conn, answer)
