--- a/hyssopfold/core/balancing/local.py
+++ b/hyssopfold/core/balancing/local.py
@@ -36,8 +36,7 @@
 # at the first a server is about to refuse by itself. Room that only urgent
 # requests may use keeps queues short for them: in the model, a market at 1.8
 # times its usual load earns 0.93 of the worth, 0.91 with 3.5 for all, its worst
-# seconds 0.69 in place of 0.56; a large market 0.49 in place of 0.42. At usual
-# load nothing changes.
+# seconds 0.69 in place of 0.56; a large market 0.49 in place of 0.42 (2 seeds).
 FULL = (3.5, 2.8, 2.2)
 # How much likelier a server of the entry's own region ranks first than one
 # elsewhere. Most objects are asked for in one region; served there they spare
