Serve requests of a connection side by side; one caller's error stays its own

And each pipelined request went to a server only once the one before was answered.

Change: serving.py becomes a package over h11: a parser a request, one ordered writer under one lock, requests that may be repeated served beside others (nine at the most), what may not be repeated alone. Errors nobody expected end their own connection. hypercorn's protocol object carries one request at a time and is no longer used. Time behind others counts against the request's limit.

Tests: 14 scenarios over real sockets; 7 of them fail on the code before (side by side, order around an unsafe one, failure in the middle, a close within, a stop, a leaving caller, slow readers in a stop).

--- a/hyssopfold/application.py
+++ b/hyssopfold/application.py
@@ -209,7 +209,9 @@
     if cfg.probe_address:
         apps[cfg.probe_address] = faces.probes(entry.parts)
     _with_metrics(cfg, apps, entry.parts.app)
-    listener = serving.Listener(apps[cfg.http_address], cfg.limits)
+    listener = serving.Listener(
+        apps[cfg.http_address], cfg.limits, entry.parts.forward.runs_beside
+    )
     leave = entry.leave(listener)
     await _run_daemon(
         cfg,
--- a/hyssopfold/cmd/explain.py
+++ b/hyssopfold/cmd/explain.py
@@ -52,7 +52,19 @@
         return f"Its answer broke off: {_detail(of)}."
     status = ended.get("status", "?")
     took = ended.get("took_s", "?")
-    return f"It was answered with {status} after {took} s, {_last(of)}."
+    return (
+        f"It was answered with {status} after {took} s,"
+        f"{_behind(ended)} {_last(of)}."
+    )
+
+
+def _behind(ended: Fields) -> str:
+    """Return how long a request stood behind others of its connection."""
+    ahead = ended.get("ahead", "0")
+    if ahead == "0":
+        return ""
+    behind = ended.get("behind_s", "?")
+    return f" of these {behind} s behind {ahead} others of its connection,"
 
 
 def _refused(refused: Fields, of: Mapping[str, Fields]) -> str:
--- a/hyssopfold/entry/carrier.py
+++ b/hyssopfold/entry/carrier.py
@@ -93,6 +93,8 @@
         self._route = route
         self._pool = pool
         limit_s, is_absolute = answers.limit(exchange, route)
+        # A request that stood behind others has used a part of its time.
+        limit_s = max(0.0, limit_s - (trio.current_time() - exchange.began))
         self._request = events.Request(
             exchange.request_id,
             route.is_repeatable(exchange.method),
--- a/hyssopfold/entry/exchange.py
+++ b/hyssopfold/entry/exchange.py
@@ -5,6 +5,7 @@
 
 from hyssopfold import http
 from hyssopfold import request_log
+from hyssopfold import serving
 from hyssopfold.entry import configuration
 from hyssopfold.entry import dialect as dialect_module
 
@@ -111,9 +112,12 @@
     @property
     def host(self) -> str:
         """Return the host asked for, without a port."""
-        value = (self.header(b"host") or b"").decode("latin-1")
-        name, _, port = value.rpartition(":")
-        return name if name and port.isdigit() else value
+        return host_of(self.header(b"host") or b"")
+
+    @property
+    def place(self) -> serving.Place | None:
+        """Return where the request stood on its connection, if known."""
+        return place_of(self.scope)
 
     @property
     def client(self) -> str:
@@ -257,6 +261,20 @@
         return found
 
 
+def place_of(scope: http.Scope) -> serving.Place | None:
+    """Return where a request stood on its connection, if that is known."""
+    place: serving.Place | None
+    place = scope.get("extensions", {}).get(serving.PLACE)
+    return place
+
+
+def host_of(header: bytes) -> str:
+    """Return the host that a `host` header names, without a port."""
+    value = header.decode("latin-1")
+    name, _, port = value.rpartition(":")
+    return name if name and port.isdigit() else value
+
+
 def end_to_end(
     headers: http.Headers,
     dialect: dialect_module.Dialect = dialect_module.OURS,
--- a/hyssopfold/entry/proxy.py
+++ b/hyssopfold/entry/proxy.py
@@ -138,14 +138,13 @@
         self, scope: http.Scope, receive: http.Receive, send: http.Send
     ) -> None:
         """Answer one request of a caller."""
-        now = trio.current_time()
         snapshot = self._config.snapshot
         exchange = exchange_module.Exchange(
             scope,
             receive,
             send,
             snapshot,
-            now,
+            _began(scope),
             self._callers.max_body_bytes,
             self._callers.dialect,
             self._sampler,
@@ -177,6 +176,20 @@
             self._meter.requests.observe(labels, took)
             self._log_end(exchange, took)
 
+    def runs_beside(self, scope: http.Scope) -> bool:
+        """Return whether a request may run beside others of its connection.
+
+        It may where it may be repeated: the caller has not waited for what
+        the others do, and does not mind in which order they are done.
+        """
+        headers = dict(scope["headers"])
+        if headers.keys() & {b"content-length", b"transfer-encoding"}:
+            return False
+        router = self._config.snapshot.router
+        host = exchange_module.host_of(headers.get(b"host", b""))
+        route = router.match(host, scope["path"], scope["method"])
+        return route is not None and route.is_repeatable(scope["method"])
+
     def _log_admitted(
         self,
         exchange: exchange_module.Exchange,
@@ -201,12 +214,18 @@
     def _log_end(
         self, exchange: exchange_module.Exchange, took_s: float
     ) -> None:
+        place = exchange.place
+        behind_s = place.behind_s if place is not None else 0.0
+        if place is not None and place.ahead:
+            self._meter.behind.observe({}, behind_s)
         exchange.log.add(
             logger,
             "ended",
             outcome=exchange.outcome,
             status=exchange.status,
             took_s=round(took_s, 4),
+            ahead=place.ahead if place is not None else 0,
+            behind_s=round(behind_s, 4),
         )
         good = exchange.outcome == "answered"
         exchange.log.end(good and exchange.status < carrier.SERVER_FAILURE)
@@ -273,6 +292,12 @@
         await http.send_answer(exchange.send, answer, head)
 
 
+def _began(scope: http.Scope) -> float:
+    """Return when a request's head was read: its caller waits since then."""
+    place = exchange_module.place_of(scope)
+    return place.read_at if place is not None else trio.current_time()
+
+
 def _promised_status(refusal: http.Refusal) -> int:
     """Return the status for callers to whom 503 promises `not-run`."""
     if refusal.outcome == "not-run":
--- a/hyssopfold/logs.py
+++ b/hyssopfold/logs.py
@@ -120,7 +120,7 @@
     root = logging.getLogger()
     root.handlers[:] = [handler]
     root.setLevel(level.upper())
-    for name in ("httpcore", "hypercorn", "hpack", "asyncio", "grpclib"):
+    for name in ("httpcore", "hpack", "asyncio", "grpclib"):
         logging.getLogger(name).setLevel(logging.WARNING)
     return handler
 
--- a/hyssopfold/metrics.py
+++ b/hyssopfold/metrics.py
@@ -35,6 +35,13 @@
             registry=self.registry,
             buckets=_LATENCY_BUCKETS_S,
         )
+        self.behind = aioprometheus.collectors.Histogram(
+            "hyssop_behind_seconds",
+            "Time for which requests stood behind others on their connection",
+            const_labels=labels,
+            registry=self.registry,
+            buckets=_LATENCY_BUCKETS_S,
+        )
         self.refusals = aioprometheus.collectors.Counter(
             "hyssop_refusals_total",
             "Requests refused by this entry, by error",
--- a/tests/steps/serving_steps.py
+++ b/tests/steps/serving/connection_steps.py
@@ -1,4 +1,4 @@
-"""Steps of serving.feature."""
+"""Steps of connection.feature."""
 
 from behave import then
 from behave import when
