Choose servers by the time until the answer

Change: run times by route, region and whether the server knows the object, and a pool's mean run, are followed from answers; of the two servers that share an object the one that answers first is taken while that is within a multiple of the goal by priority, counted from when the caller asked; idle ones may learn an object that its own can't bear; Retry-After is the wait at the best of them.

--- a/hyssopfold/core/balancing/local.py
+++ b/hyssopfold/core/balancing/local.py
@@ -10,8 +10,10 @@
 from collections.abc import Callable
 from collections.abc import Collection
 from collections.abc import Iterable
+from collections.abc import Iterator
 from collections.abc import Mapping
 from collections.abc import Sequence
+import itertools
 import math
 from typing import NamedTuple
 import zlib
@@ -19,7 +21,9 @@
 from hyssopfold.core.balancing import accusations
 from hyssopfold.core.balancing import affinity
 from hyssopfold.core.balancing import allowance
+from hyssopfold.core.balancing import estimates
 from hyssopfold.core.balancing import messages
+from hyssopfold.core.balancing import whereabouts
 from hyssopfold.core.membership import messages as membership
 
 # Servers that share an object. One handles it while its wait is short, the
@@ -29,15 +33,15 @@
 # model (bench/emulator) at 1.3 times the usual load, 0.97 of the worth is
 # earned so, and 0.47 with any server taken when the first ones are loaded.
 SHARED_BY = 2
-# Load, as a multiple of a server's slots, up to which a request waits about as
-# long as a warm one takes, a third of what a cold one takes.
-SHORT_WAIT = 2.2
-# Loads at which a server is full for a request, by its priority, 0 the highest;
-# at the first a server is about to refuse by itself. Room that only urgent
-# requests may use keeps queues short for them: in the model, a market at 1.8
-# times its usual load earns 0.93 of the worth, 0.91 with 3.5 for all, its worst
-# seconds 0.69 in place of 0.56; a large market 0.49 in place of 0.42 (2 seeds).
-FULL = (3.5, 2.8, 2.2)
+# Load, as a multiple of a server's slots, at which it is about to refuse.
+FULL = 3.5
+# Expected time of an answer, as a multiple of the goal, up to which a request
+# is sent to a busy server, by its priority.
+PATIENCE = (2.0, 1.5, 1.0)
+# Servers beyond those that share an object which may learn it too, each while
+# its load is below this.
+SPARES = 2
+IDLE_LOAD = 0.5
 # How much likelier a server of the entry's own region ranks first than one
 # elsewhere. Most objects are asked for in one region; served there they spare
 # the way between regions (0.36 of the requests go far, with 1 it is 0.66). More
@@ -107,11 +111,17 @@
 
 
 class _Choice(NamedTuple):
-    """A server, why it was taken, and its load as a multiple of its slots."""
+    """A server, why it was taken, and its load as a multiple of its slots.
+
+    `expected_s` is the time until the answer, `wait_s` the part of it in the
+    server's queue.
+    """
 
     server: membership.Server
     reason: str
     load: float
+    expected_s: float = 0.0
+    wait_s: float = 0.0
 
 
 class Chooser:
@@ -129,6 +139,8 @@
         self._allowance = allowance.Allowance(name)
         self._accusations = accusations.Accusations()
         self._by_key: dict[int, str] = {}
+        self._estimates = estimates.Estimates()
+        self._whereabouts = whereabouts.Whereabouts()
 
     def choose(
         self, req: messages.Request, view: View
@@ -146,7 +158,7 @@
             found = self._least_loaded(req, held.servers, view)
         if isinstance(found, messages.Refused):
             return found
-        server, reason, load = found
+        server, load = found.server, found.load
         seen = self._met(server, view.now)
         if self._is_cold(seen, server.server_id, view):
             self._allowance.take(server.server_id)
@@ -157,7 +169,14 @@
             goal_s=req.goal_s or USUAL_GOAL_S,
         )
         age_s = min(messages.NEVER_S, view.now - seen.reported_at)
-        return messages.Grant(server, reason, known_load=load, load_age_s=age_s)
+        return messages.Grant(
+            server,
+            found.reason,
+            known_load=load,
+            load_age_s=age_s,
+            expected_s=found.expected_s,
+            asked=req,
+        )
 
     def _pool(self, name: str, view: View) -> "_Pool":
         """Return a pool's servers by id and weight, made once a change."""
@@ -204,31 +223,82 @@
         servers: Mapping[str, membership.Server],
         view: View,
     ) -> "_Choice | messages.Refused":
-        """Return the first that has room of those that share the object."""
+        """Return who answers soonest of those that share the object."""
+        usable = self._usable(req, order, servers, view)
+        sharing = list(itertools.islice(usable, SHARED_BY))
+        if not sharing:
+            return messages.Refused(
+                _why_none(req, servers.values()), RETRY_AFTER_S
+            )
+        choices = self._by_time(req, sharing, view.now)
+        for choice in choices:
+            if _has_room(req, choice):
+                return choice
+        for other in itertools.islice(usable, SPARES):
+            # Where servers are idle, an object asked for more than the first
+            # ones bear is better learned by one more than refused.
+            spare = self._expected(req, other, False, view.now)
+            if spare.load < IDLE_LOAD:
+                return spare
+        # By then what waits at the best of them now is done.
+        wait_s = max(RETRY_AFTER_S, choices[0].wait_s)
+        return messages.Refused("no-slot", wait_s)
+
+    def _usable(
+        self,
+        req: messages.Request,
+        order: Sequence[str],
+        servers: Mapping[str, membership.Server],
+        view: View,
+    ) -> Iterator[membership.Server]:
+        """Yield the servers that may serve a request and take requests."""
         closed = _closed_domains(req)
-        error = "no-server"
-        found: list[_Choice] = []
         for name in order:
             server = servers[name]
-            if not _may_serve(server, req, closed):
-                continue
-            error = "no-slot"
-            if not self._is_open(server, view):
-                continue
-            load = self._load(server, view.now)
-            if load < SHORT_WAIT:
-                return _Choice(server, "affinity", load)
-            found.append(_Choice(server, "affinity-wait", load))
-            if len(found) == SHARED_BY:
-                break
-        least = min(
-            found,
-            key=lambda one: (one.load, one.server.server_id),
-            default=None,
+            if _may_serve(server, req, closed) and self._is_open(server, view):
+                yield server
+
+    def _by_time(
+        self,
+        req: messages.Request,
+        found: Sequence[membership.Server],
+        now: float,
+    ) -> "list[_Choice]":
+        """Return the servers, the one expected to answer first at the front.
+
+        The one it belongs to is taken for one that knows the object: others
+        may have sent it there, and if not it is to learn it. Held to where it
+        was answered last, an object would stay at as many servers as there
+        are entries, and these forget others for it.
+        """
+        known = [
+            self._whereabouts.knows(
+                req.object_key, (one.server_id, one.incarnation), now
+            )
+            for one in found
+        ]
+        known[0] = True
+        choices = [
+            self._expected(req, one, is_known, now)
+            for one, is_known in zip(found, known, strict=True)
+        ]
+        return sorted(choices, key=lambda one: one.expected_s)
+
+    def _expected(
+        self,
+        req: messages.Request,
+        server: membership.Server,
+        is_known: bool,
+        now: float,
+    ) -> "_Choice":
+        load = self._load(server, now)
+        kind = estimates.Kind(req.route, server.region)
+        run_s = self._estimates.run_s(kind, req.goal_s, is_known)
+        wait_s = self._estimates.wait_s(
+            req.pool, load * server.slots, server.slots, req.goal_s
         )
-        if least is None or least.load >= _full(req.priority):
-            return messages.Refused(error, RETRY_AFTER_S)
-        return least
+        reason = "affinity" if wait_s == 0 else "affinity-wait"
+        return _Choice(server, reason, load, run_s + wait_s, wait_s)
 
     def _least_loaded(
         self,
@@ -250,7 +320,7 @@
             if self._is_open(server, view)
         ]
         least, name = min(loads, default=(math.inf, ""))
-        if least >= _full(req.priority):
+        if least >= FULL:
             return messages.Refused("no-slot", RETRY_AFTER_S)
         return _Choice(servers[name], "least-loaded", least)
 
@@ -284,6 +354,27 @@
             known = max(known, seen.reported + since)
         return known / max(1, server.slots)
 
+    def learn(
+        self, grant: messages.Grant, done: messages.Done, now: float
+    ) -> None:
+        """Take in what a grant's answer tells of run times and objects."""
+        req, server = grant.asked, grant.server
+        if req is None or done.kind != "answered" or not done.good:
+            return
+        life = (server.server_id, server.incarnation)
+        if req.object_key:
+            was_known = self._whereabouts.knows(req.object_key, life, now)
+            self._whereabouts.note(req.object_key, life, now)
+        else:
+            was_known = True
+        waits = done.load is not None and done.load.waiting > 0
+        kind = estimates.Kind(req.route, server.region)
+        self._estimates.observe(
+            estimates.Answer(
+                kind, req.pool, req.goal_s, done.seconds, was_known, waits
+            )
+        )
+
     def done(
         self, server_id: str, done: messages.Done, warm_up_s: float, now: float
     ) -> None:
@@ -343,6 +434,7 @@
     def forget(self, known: Collection[str]) -> None:
         """Drop the servers that are gone and have nothing under way."""
         self._allowance.forget(known)
+        self._whereabouts.forget(known)
         for server_id in self._seen.keys() - set(known):
             if not self._seen[server_id].in_flight:
                 del self._seen[server_id]
@@ -353,11 +445,6 @@
         }
 
 
-def _full(priority: int) -> float:
-    """Return the load at which a server takes no request of a priority."""
-    return FULL[min(priority, len(FULL) - 1)]
-
-
 def life_key(server_id: str, incarnation: int) -> int:
     """Return what stands for one life of a server between entries."""
     return zlib.crc32(f"{server_id} {incarnation}".encode())
@@ -368,6 +455,29 @@
     return {one.name: set(one.closed_domains) for one in req.regions}
 
 
+def _has_room(req: messages.Request, choice: _Choice) -> bool:
+    """Return whether a busy server is to take a request.
+
+    One whose answer would come too late to be of much use makes all behind it
+    late too; it finds room only where nothing waits.
+    """
+    if choice.load >= FULL:
+        return False
+    patience = PATIENCE[min(req.priority, len(PATIENCE) - 1)]
+    in_all_s = req.waited_s + choice.expected_s
+    goal_s = req.goal_s or USUAL_GOAL_S
+    return choice.load < 1 or in_all_s <= patience * goal_s
+
+
+def _why_none(
+    req: messages.Request, servers: Iterable[membership.Server]
+) -> str:
+    """Return why no server takes a request: none may serve it, or all rest."""
+    closed = _closed_domains(req)
+    may = any(_may_serve(server, req, closed) for server in servers)
+    return "no-slot" if may else "no-server"
+
+
 def _may_serve(
     server: membership.Server,
     req: messages.Request,
--- a/hyssopfold/core/balancing/messages.py
+++ b/hyssopfold/core/balancing/messages.py
@@ -28,6 +28,8 @@
     monotonic time in seconds; a lower `priority` number goes first.
     `object_key` names the object that it concerns, where that should decide
     the server, and `goal_s` the time within which an answer is worth most.
+    `route` names the row of the table that it came by, `waited_s` how long its
+    caller has waited already.
     """
 
     request_id: str
@@ -38,6 +40,8 @@
     avoid: tuple[str, ...]
     object_key: str = ""
     goal_s: float = 0.0
+    route: str = ""
+    waited_s: float = 0.0
 
 
 class Grant(NamedTuple):
@@ -46,6 +50,8 @@
     `key` and `number` name the slot between holder and grantor. `known_load`
     is what the choice took the server's load for, as a multiple of its slots,
     and `load_age_s` the age of the server's own word of it in seconds.
+    `expected_s` is the time until the answer that it was made for, and `asked`
+    the request that it answers, where the choice learns from its end.
     """
 
     server: membership.Server
@@ -54,6 +60,8 @@
     number: int = 0
     known_load: float = 0.0
     load_age_s: float = NEVER_S
+    expected_s: float = 0.0
+    asked: Request | None = None
 
 
 class Refused(NamedTuple):
--- a/hyssopfold/entry/carrier.py
+++ b/hyssopfold/entry/carrier.py
@@ -218,6 +218,8 @@
             avoid,
             f"{self._route.name} {key}" if key else "",
             self._route.latency_goal_ms / 1000,
+            self._route.name,
+            trio.current_time() - self._exchange.began,
         )
 
     async def _send(self, effect: events.Send) -> events.Event:
--- a/hyssopfold/entry/local_placement.py
+++ b/hyssopfold/entry/local_placement.py
@@ -103,6 +103,7 @@
         """Take in how an attempt ended."""
         warm_up_s = self._warm_up_s.get(grant.server.pool, 0.0)
         now = trio.current_time()
+        self._chooser.learn(grant, done, now)
         self._chooser.done(grant.server.server_id, done, warm_up_s, now)
 
     def in_flight(self) -> dict[str, int]:
--- a/hyssopfold/entry/proxy.py
+++ b/hyssopfold/entry/proxy.py
@@ -28,7 +28,7 @@
 # How far apart callers that are refused together come back, as a multiple of
 # the time that they are told.
 _RETURN_SPREAD = (1.0, 3.0)
-_NO_TABLES_WAIT_S = 0.4
+_NO_TABLES_WAIT_S = 0.5
 # How long a request waits at an entry that has just started for its first
 # tables, which control gives within a second of its own start. A caller sent
 # away comes back by guess, and may find no tables once more.
