Revert "Let requests wait for an entry's first tables and servers"

What waited is sent all at once while a part of the servers is known, to servers that do not know the objects, and all that comes behind it is late. Coming back later finds them all.

--- a/hyssopfold/entry/configuration.py
+++ b/hyssopfold/entry/configuration.py
@@ -82,19 +82,8 @@
             _QUEUE
         )
         self.snapshot = Snapshot(0, state.State())
-        self._learned = trio.Event()
         self.publisher = publisher.Publisher(history.History(), self.age_s)
 
-    async def first(self, timeout_s: float) -> Snapshot:
-        """Return the tables in force, waiting for the first ones if need be.
-
-        Those of revision 0 when none came in time.
-        """
-        if not self.snapshot.revision:
-            with trio.move_on_after(timeout_s):
-                await self._learned.wait()
-        return self.snapshot
-
     def age_s(self, now: float) -> float:
         """Return the seconds since a majority confirmed the revision.
 
@@ -161,7 +150,6 @@
         """Put a revision in force for all requests that begin from now on."""
         assert revision > self.snapshot.revision, "a revision only goes up"
         self.snapshot = Snapshot(revision, state.decode(encoded))
-        self._learned.set()
         self.publisher.publish(revision, encoded)
         logger.info(logs.Event("revision-in-force", revision=revision))
 
--- a/hyssopfold/entry/local_placement.py
+++ b/hyssopfold/entry/local_placement.py
@@ -18,13 +18,6 @@
 logger = logging.getLogger(__name__)
 
 _TIDY_S = 5.0
-# An entry that has just started waits so long for a pool's first server: they
-# announce themselves each 1 to 2 s, and a request sent away might come back
-# before they have.
-FIRST_SERVER_S = 1.0
-# From its start on; later a pool without servers has none.
-STARTING_S = 3.0
-_LOOK_S = 0.02
 # How often the entries of a region tell each other of servers that are silent.
 # In the model of a large market (bench/emulator, 80 entries, two servers in five
 # twelve times slower for a quarter of the time) 0.836 of the worth is earned,
@@ -61,17 +54,11 @@
         # Names of the entries that serve callers, made once a change.
         self._entries: tuple[membership.Instance, ...] = ()
         self._names: tuple[str, ...] = ()
-        self._started = trio.current_time()
 
     async def acquire(
         self, req: messages.Request, pool: tables.Pool
     ) -> messages.Grant | messages.Refused:
-        """Return a server, or why there is none.
-
-        At once, but for the first seconds of the process, in which it may not
-        know any server of the pool yet.
-        """
-        await self._first_server(pool.name)
+        """Return a server, or why there is none; at once."""
         now = trio.current_time()
         known = self._directory
         view = local.View(
@@ -84,14 +71,6 @@
         )
         return self._chooser.choose(req, view)
 
-    async def _first_server(self, pool: str) -> None:
-        began = trio.current_time()
-        until = min(began + FIRST_SERVER_S, self._started + STARTING_S)
-        while not self._directory.ready_servers(pool):
-            if trio.current_time() >= until:
-                return
-            await trio.sleep(_LOOK_S)
-
     def _entry_names(self) -> tuple[str, ...]:
         entries = self._directory.ready_entries()
         if entries is not self._entries:
--- a/hyssopfold/entry/proxy.py
+++ b/hyssopfold/entry/proxy.py
@@ -28,13 +28,7 @@
 # How far apart callers that are refused together come back, as a multiple of
 # the time that they are told.
 _RETURN_SPREAD = (1.0, 3.0)
-_NO_TABLES_WAIT_S = 0.5
-# How long a request waits at an entry that has just started for its first
-# tables, which control gives within a second of its own start. A caller sent
-# away comes back by guess, and may find no tables once more.
-FIRST_TABLES_S = 1.0
-# Requests that wait so at once; each holds a connection and its head.
-MAX_WAITING = 1_000
+_NO_TABLES_WAIT_S = 0.2
 
 
 class Here(NamedTuple):
@@ -93,7 +87,6 @@
         callers: Callers = USUAL_CALLERS,
     ) -> None:
         self.in_flight = 0
-        self._waiting = 0
         self._parts = carrier.Parts(
             here.region,
             here.known,
@@ -145,7 +138,7 @@
         self, scope: http.Scope, receive: http.Receive, send: http.Send
     ) -> None:
         """Answer one request of a caller."""
-        snapshot = await self._first_snapshot()
+        snapshot = self._config.snapshot
         exchange = exchange_module.Exchange(
             scope,
             receive,
@@ -183,16 +176,6 @@
             self._meter.requests.observe(labels, took)
             self._log_end(exchange, took)
 
-    async def _first_snapshot(self) -> configuration.Snapshot:
-        """Return the tables for a request; a fresh entry waits for its own."""
-        if self._config.snapshot.revision or self._waiting >= MAX_WAITING:
-            return self._config.snapshot
-        self._waiting += 1
-        try:
-            return await self._config.first(FIRST_TABLES_S)
-        finally:
-            self._waiting -= 1
-
     def runs_beside(self, scope: http.Scope) -> bool:
         """Return whether a request may run beside others of its connection.
 
--- a/tests/support/datapath.py
+++ b/tests/support/datapath.py
@@ -54,10 +54,6 @@
         held = state.State(tables.parse(TABLES))
         self.snapshot = configuration.Snapshot(1, held)
 
-    async def first(self, timeout_s):
-        """Return the tables."""
-        return self.snapshot
-
     def age_s(self, now):
         """Return the age of a revision confirmed just now."""
         return 0.0
