--- a/hyssopfold/entry/proxy.py
+++ b/hyssopfold/entry/proxy.py
@@ -28,7 +28,7 @@
 # How far apart callers that are refused together come back, as a multiple of
 # the time that they are told.
 _RETURN_SPREAD = (1.0, 3.0)
-_NO_TABLES_WAIT_S = 0.2
+_NO_TABLES_WAIT_S = 0.5
 
 
 class Here(NamedTuple):
