--- a/hyssopfold/core/balancing/local.py
+++ b/hyssopfold/core/balancing/local.py
@@ -38,10 +38,6 @@
 # Expected time of an answer, as a multiple of the goal, up to which a request
 # is sent to a busy server, by its priority.
 PATIENCE = (2.0, 1.5, 1.0)
-# Servers beyond those that share an object which may learn it too, each while
-# its load is below this.
-SPARES = 2
-IDLE_LOAD = 0.5
 # How much likelier a server of the entry's own region ranks first than one
 # elsewhere. Most objects are asked for in one region; served there they spare
 # the way between regions (0.36 of the requests go far, with 1 it is 0.66). More
@@ -225,7 +221,7 @@
     ) -> "_Choice | messages.Refused":
         """Return who answers soonest of those that share the object."""
         usable = self._usable(req, order, servers, view)
-        sharing = list(itertools.islice(usable, SHARED_BY))
+        sharing = tuple(itertools.islice(usable, SHARED_BY))
         if not sharing:
             return messages.Refused(
                 _why_none(req, servers.values()), RETRY_AFTER_S
@@ -234,12 +230,6 @@
         for choice in choices:
             if _has_room(req, choice):
                 return choice
-        for other in itertools.islice(usable, SPARES):
-            # Where servers are idle, an object asked for more than the first
-            # ones bear is better learned by one more than refused.
-            spare = self._expected(req, other, False, view.now)
-            if spare.load < IDLE_LOAD:
-                return spare
         # By then what waits at the best of them now is done.
         wait_s = max(RETRY_AFTER_S, choices[0].wait_s)
         return messages.Refused("no-slot", wait_s)
