hyssopctl losses: why requests missed their goal, from the logs

What binds was guessed from single lines. A request that missed its goal counts as one that is asked for later: its lines are written like those of a failed one. New fields: goal_s on ended, expected_s on routing-decision.

--- a/hyssopfold/cmd/ctl.py
+++ b/hyssopfold/cmd/ctl.py
@@ -18,6 +18,7 @@
 from hyssopfold import tables as tables_module
 from hyssopfold.cmd import daemon
 from hyssopfold.cmd import explain as explain_module
+from hyssopfold.cmd import losses as losses_module
 from hyssopfold.cmd import status as status_module
 from hyssopfold.control import client as control_client
 from hyssopfold.control import state_answers
@@ -311,6 +312,20 @@
     click.echo(explain_module.cause(lines))
 
 
+@cli.command("losses")
+@click.argument("files", nargs=-1, type=click.File(errors="replace"))
+@click.option("--json", "as_json", is_flag=True, help="For programs.")
+def losses(files: tuple[TextIO, ...], as_json: bool) -> None:
+    """Tell from logs which requests missed their goal, and why.
+
+    Reads standard input when no files are named.
+    """
+    texts = itertools.chain.from_iterable(files or (sys.stdin,))
+    found = losses_module.gather(texts)
+    for line in losses_module.lines(found, as_json):
+        click.echo(line)
+
+
 def _parse(file: str) -> str:
     text = pathlib.Path(file).read_text(encoding="utf-8")
     tables_module.parse(text, file)
--- a/hyssopfold/entry/carrier.py
+++ b/hyssopfold/entry/carrier.py
@@ -426,6 +426,7 @@
             reason=grant.reason,
             load=round(grant.known_load, 2),
             load_age_s=answers.shown_age(grant.load_age_s),
+            expected_s=round(grant.expected_s, 4),
             lease_left_s=round(lease_s, 3),
             attempt=len(effect.tried) + 1,
             budget_left=round(budget_left, 1),
--- a/hyssopfold/entry/proxy.py
+++ b/hyssopfold/entry/proxy.py
@@ -174,7 +174,8 @@
             }
             took = trio.current_time() - exchange.began
             self._meter.requests.observe(labels, took)
-            self._log_end(exchange, took)
+            goal_s = route.latency_goal_ms / 1000 if route else 0.0
+            self._log_end(exchange, took, goal_s)
 
     def runs_beside(self, scope: http.Scope) -> bool:
         """Return whether a request may run beside others of its connection.
@@ -212,7 +213,10 @@
         )
 
     def _log_end(
-        self, exchange: exchange_module.Exchange, took_s: float
+        self,
+        exchange: exchange_module.Exchange,
+        took_s: float,
+        goal_s: float,
     ) -> None:
         place = exchange.place
         behind_s = place.behind_s if place is not None else 0.0
@@ -226,8 +230,10 @@
             took_s=round(took_s, 4),
             ahead=place.ahead if place is not None else 0,
             behind_s=round(behind_s, 4),
+            goal_s=goal_s,
         )
-        good = exchange.outcome == "answered"
+        in_time = not goal_s or took_s <= goal_s
+        good = exchange.outcome == "answered" and in_time
         exchange.log.end(good and exchange.status < carrier.SERVER_FAILURE)
 
     def _pool(
