--- a/hyssopfold/core/balancing/local.py
+++ b/hyssopfold/core/balancing/local.py
@@ -1,10 +1,10 @@
 """Which server an entry chooses by itself, without asking anyone.
 
-Bounded-load consistent hashing: requests for an object go to the servers that
-rank first for it and so have handled it lately, unless those are loaded
-beyond a bound; then to the next. A short wait at a warm server beats a cold
-one. What this entry knows of a server's load is what the server told in its
-last answer, and what this entry itself has sent since.
+Consistent hashing with few servers an object: of those that rank first for it,
+and so have handled it lately, the one is taken that is expected to answer
+first, unless that would be too late to be of use. What this entry knows of a
+server's load is what the server told in its last answer, and what this entry
+itself has sent since.
 """
 
 from collections.abc import Callable
@@ -26,12 +26,10 @@
 from hyssopfold.core.balancing import whereabouts
 from hyssopfold.core.membership import messages as membership
 
-# Servers that share an object. One handles it while its wait is short, the
-# second beyond that; none else, whatever the load: on a cold server the same
-# request takes three times as long, so that spreading out an overload makes
-# it larger, until all servers are busy with objects they don't know. In the
-# model (bench/emulator) at 1.3 times the usual load, 0.97 of the worth is
-# earned so, and 0.47 with any server taken when the first ones are loaded.
+# Servers that share an object; none else, whatever the load: on a server that
+# does not know the object the same request takes three times as long, so that
+# spreading out an overload makes it larger, until all servers are busy with
+# objects they don't know.
 SHARED_BY = 2
 # Load, as a multiple of a server's slots, at which it is about to refuse.
 FULL = 3.5
@@ -40,9 +38,8 @@
 PATIENCE = (2.0, 1.5, 1.0)
 # How much likelier a server of the entry's own region ranks first than one
 # elsewhere. Most objects are asked for in one region; served there they spare
-# the way between regions (0.36 of the requests go far, with 1 it is 0.66). More
-# would fill a region that has few servers for its callers: at 14 the worst
-# seconds of a busy day earn 0.46 in place of 0.55 (bench/emulator, 4 seeds).
+# the way between regions. More would fill a region that has few servers for
+# its callers.
 HOME_WEIGHT = 5.0
 # A report of load is worth nothing once what ran then is done.
 REPORT_S = 2.0
@@ -256,10 +253,10 @@
     ) -> "list[_Choice]":
         """Return the servers, the one expected to answer first at the front.
 
-        The one it belongs to is taken for one that knows the object: others
-        may have sent it there, and if not it is to learn it. Held to where it
-        was answered last, an object would stay at as many servers as there
-        are entries, and these forget others for it.
+        The one that ranks first is taken for one that knows the object: other
+        entries may have sent it there, and if not it is to learn it. Held to
+        where it was answered last, an object would stay at as many servers as
+        there are entries, and these would forget others for it.
         """
         known = [
             self._whereabouts.knows(
--- a/hyssopfold/entry/local_placement.py
+++ b/hyssopfold/entry/local_placement.py
@@ -19,11 +19,6 @@
 
 _TIDY_S = 5.0
 # How often the entries of a region tell each other of servers that are silent.
-# In the model of a large market (bench/emulator, 80 entries, two servers in five
-# twelve times slower for a quarter of the time) 0.836 of the worth is earned,
-# 0.821 without a word; large shops 0.838 and 0.801. Loads are not told: that cost
-# each entry an eighth of its processor time and earned nothing on a day of a
-# large deployment.
 TELL_S = 0.5
 # Entries that are told each time, drawn anew: bounds what a large region costs.
 MAX_TOLD = 24
--- a/hyssopfold/serving/__init__.py
+++ b/hyssopfold/serving/__init__.py
@@ -4,10 +4,14 @@
 `connection` reads the requests of one, `turns` answers each in its place.
 """
 
-from hyssopfold.serving.limits import CutAnswerError
-from hyssopfold.serving.limits import Limits
-from hyssopfold.serving.listening import Listener
-from hyssopfold.serving.turns import PLACE
-from hyssopfold.serving.turns import Place
+from hyssopfold.serving import limits
+from hyssopfold.serving import listening
+from hyssopfold.serving import turns
+
+CutAnswerError = limits.CutAnswerError
+Limits = limits.Limits
+Listener = listening.Listener
+Place = turns.Place
+PLACE = turns.PLACE
 
 __all__ = ["PLACE", "CutAnswerError", "Limits", "Listener", "Place"]
