Answer 404 only while no newer revision is known of; fetch from the peer that told of it

(1) An entry learns by a held question (push) from one control instance at a time; when that one freezes or is cut off, the push never comes and only gossip tells of the revision, 0.5 s a period. (2) It then waited up to 0.5 s for the push, asked a control instance first - likely another that is in trouble - and a peer that has the revision only 0.35 to 0.5 s later. (3) Meanwhile the router in force said 404 as if nothing newer was known.

Change: a request that no route matches while a newer revision is known of is refused as not run with 503, to come back after 0.2 s or more. A follower asks first the peer that told of the revision, after 0.1 to 0.25 s, and another source each 0.25 s (0.5 before). Whoever puts a revision in force tells two peers at once, not at its next period.

--- a/hyssopfold/cmd/explain.py
+++ b/hyssopfold/cmd/explain.py
@@ -80,6 +80,7 @@
         "no-slot": f"all servers of {pool} that may serve it were full",
         "no-server": f"no server of {pool} may serve it now",
         "no-tables": "the entry had learned no tables yet",
+        "tables-behind": "no route matched, and newer tables were on the way",
         "no-route": f"no route matches at version {_version(of)}",
         "deadline-passed": f"no server took it in time, {_last(of)}",
         "attempt-failed": f"each attempt failed without a run, {_detail(of)}",
--- a/hyssopfold/core/distribution/follower.py
+++ b/hyssopfold/core/distribution/follower.py
@@ -10,7 +10,9 @@
 from hyssopfold.core.distribution import rows
 
 FETCH_TIMEOUT_S = 1.5
-HEDGE_S = 0.5
+HEDGE_S = 0.25
+# A hint overtakes the push it speaks of by up to a round trip between regions.
+HINT_DELAY_S = (0.1, 0.25)
 # One that holds nothing yet refuses every caller: it asks more often.
 FIRST_HEDGE_S = 0.2
 MAX_BACKOFF_S = 5.0
@@ -127,7 +129,7 @@
     def next_deadline(self) -> float:
         """Return the time by which `Tick` is due."""
         due = [call.deadline for call in self._calls.values()]
-        if self._behind():
+        if self.is_behind:
             due.append(self._next_ask)
         if self._ways.push and self.revision and not self._watching():
             due.append(self._next_watch)
@@ -139,7 +141,9 @@
         """Return the seconds since a majority confirmed the revision."""
         return now - self.confirmed_at
 
-    def _behind(self) -> bool:
+    @property
+    def is_behind(self) -> bool:
+        """Return whether a newer revision is known of than is in force."""
         known = max(self.revision, self.skipped)
         return known == 0 or self.wanted > known
 
@@ -151,10 +155,10 @@
             if len(self._peers) > MAX_PEERS:
                 self._peers.pop(next(iter(self._peers)))
         if event.revision > self.wanted:
-            if not self._behind():
+            if not self.is_behind:
                 # The push is likely under way; a short wait spares a
                 # question that would cross with it.
-                self._next_ask = now + self._rng.uniform(0.0, HEDGE_S)
+                self._next_ask = now + self._rng.uniform(*HINT_DELAY_S)
                 self._asks = 0
             self.wanted = event.revision
 
@@ -317,7 +321,7 @@
         return any(call.kind == "watch" for call in self._calls.values())
 
     def _go_on(self, now: float, effects: list[messages.Effect]) -> None:
-        if self._behind() and self._next_ask <= now:
+        if self.is_behind and self._next_ask <= now:
             self._chase(now, effects)
         if not self.revision:
             return
@@ -353,12 +357,13 @@
         self._next_ask = now + min(delay, MAX_BACKOFF_S) * jitter
 
     def _next_source(self) -> str:
-        """Return a control instance, or every other time a peer that has it.
+        """Return a peer that has the revision, or a control instance, by turns.
 
-        Peers bring a change to where control is cut off from.
+        A peer that told of it has just been alive; the control instance that
+        is being watched may be the one that fell silent.
         """
         fresh = [p for p, has in self._peers.items() if has > self.revision]
-        if self.revision and fresh and self._asks % 2 == 0:
+        if self.revision and fresh and self._asks % 2:
             return self._rng.choice(fresh)
         return self._next_control()
 
--- a/hyssopfold/core/membership/spread.py
+++ b/hyssopfold/core/membership/spread.py
@@ -142,20 +142,25 @@
         """Change this instance's word; it is spread when it differs.
 
         That it leaves goes to all at once: look-ups must not name it longer.
+        A newer revision is hinted at once: a push that is lost shows by its
+        time-out only.
         """
         before = self.myself
         word = before._replace(**changes)
         self.myself = word
+        hints: list[Send | Changed] = []
+        if word.revision > before.revision:
+            hints += [Send(peer, self._datagram()) for peer in self._peers()]
         # The revision goes along with every datagram, and the load of an
         # entry is no ground for a decision elsewhere: neither is news.
         if word._replace(load=before.load, revision=before.revision) == before:
-            return []
+            return hints
         self.myself = word._replace(sequence=word.sequence + 1)
         self._note_self(now)
         if word.state != "leaving":
-            return []
+            return hints
         datagram = self._datagram()._replace(instances=(self.myself,))
-        return [
+        return hints + [
             Send(instance.gossip_address, datagram)
             for instance in self.known.instances.words()
             if instance.name != self.myself.name
--- a/hyssopfold/entry/configuration.py
+++ b/hyssopfold/entry/configuration.py
@@ -92,6 +92,11 @@
         age = self._follower.age_s(now)
         return age if age < messages.NEVER_S / 2 else math.inf
 
+    @property
+    def is_behind(self) -> bool:
+        """Return whether a newer revision is known of than is in force."""
+        return self._follower.is_behind
+
     def set_control(self, addresses: list[str]) -> None:
         """Ask the control instances at these addresses from now on."""
         self._follower.set_control(addresses)
--- a/hyssopfold/entry/proxy.py
+++ b/hyssopfold/entry/proxy.py
@@ -29,6 +29,7 @@
 # the time that they are told.
 _RETURN_SPREAD = (1.0, 3.0)
 _NO_TABLES_WAIT_S = 0.5
+_TABLES_BEHIND_WAIT_S = 0.2
 
 
 class Here(NamedTuple):
@@ -162,7 +163,7 @@
             elif snapshot.revision == 0:
                 await self.refuse(exchange, _no_tables())
             elif route is None or pool is None:
-                await self.refuse(exchange, _no_route())
+                await self.refuse(exchange, self._unrouted())
             else:
                 await self._serve_once(exchange, route, pool)
         finally:
@@ -236,6 +237,13 @@
         good = exchange.outcome == "answered" and in_time
         exchange.log.end(good and exchange.status < carrier.SERVER_FAILURE)
 
+    def _unrouted(self) -> http.Refusal:
+        """Return the answer to a request that no route in force matches.
+
+        A newer revision that is known of may have added the route.
+        """
+        return _tables_behind() if self._config.is_behind else _no_route()
+
     def _pool(
         self, exchange: exchange_module.Exchange, route: tables.Route
     ) -> tables.Pool | None:
@@ -317,6 +325,13 @@
     )
 
 
+def _tables_behind() -> http.Refusal:
+    remedy = "ask again soon: this entry is fetching newer tables"
+    return http.Refusal(
+        503, "tables-behind", "not-run", remedy, _TABLES_BEHIND_WAIT_S
+    )
+
+
 def _no_tables() -> http.Refusal:
     remedy = "ask again soon: this entry has not learned the tables yet"
     return http.Refusal(503, "no-tables", "not-run", remedy, _NO_TABLES_WAIT_S)
--- a/tests/core/distribution/follower.feature
+++ b/tests/core/distribution/follower.feature
@@ -92,6 +92,12 @@
     And a change is accepted on the distribution network
     Then the distribution network has it in force everywhere within 13 s
 
+  Scenario: a change told by a peer while every control instance is silent
+    The control instance that an entry watches freezes as it accepts a change:
+    the entry answered 404 for a route added 2.0 s before.
+
+    Then an entry that hears of a change from a peer alone has it within 1 s
+
   Scenario: a word of a revision that no one has
     Given a distribution network of 2 entries that loses 0 %
     And distribution by push, pull and piggyback
--- a/tests/entry/proxy.feature
+++ b/tests/entry/proxy.feature
@@ -45,6 +45,18 @@
       | GET    | unasked-101   | 200    |         | 2    |
       | GET    | silent        | 200    |         | 2    |
 
+  Scenario Outline: a path that no route matches while <known>
+    Given the data path over 1 stand-ins
+    And the data path's entry <knows> a newer revision
+    When the data path gets GET of a path without a route
+    Then the data path answers <status> with outcome "not-run"
+    And the data path ran it 0 times
+
+    Examples:
+      | known                              | knows        | status |
+      | the newest revision is in force    | knows no     | 404    |
+      | a newer one is still being fetched | has heard of | 503    |
+
   Scenario Outline: an answer <fault> reaches the caller as cut
     Given the data path over 1 stand-ins
     When the data path gets <method> with the fault "<fault>"
--- a/tests/steps/core/distribution/follower_steps.py
+++ b/tests/steps/core/distribution/follower_steps.py
@@ -203,6 +203,24 @@
     context.net.change()
 
 
+@then(
+    "an entry that hears of a change from a peer alone has it within"
+    " {bound:g} s"
+)
+def _(context, bound):
+    for seed in range(1, 21):
+        net = fake_distribution.FakeNetwork(seed, entries=2)
+        net.change()
+        net.run(SETTLE_S)
+        net.cut_between(net.control, ["entry-1"])
+        net.change()
+        peer, entry = net.entries["entry-2"].core, net.entries["entry-1"].core
+        assert net.run_until(lambda: peer.revision == 2, 1) is not None, seed
+        net._feed("entry-1", entry, messages.Heard("entry-2", 2))
+        took = net.run_until(lambda: entry.revision == 2, 10)
+        assert took is not None and took <= bound, (seed, took)
+
+
 def _update(revision, value=None):
     value = fake_distribution.value_of(revision) if value is None else value
     return messages.Update(revision, rows.digest(value), 0, value)
--- a/tests/steps/entry/proxy_steps.py
+++ b/tests/steps/entry/proxy_steps.py
@@ -42,6 +42,23 @@
     context.script.append(step)
 
 
+@given("the data path's entry {knows} a newer revision")
+def _(context, knows):
+    async def step(path):
+        path.config.is_behind = knows == "has heard of"
+        path.config.keep_routes("upload")
+
+    context.script.append(step)
+
+
+@when("the data path gets GET of a path without a route")
+def _(context):
+    async def step(path):
+        return await path.ask("GET", "/added-just-now")
+
+    context.script.append(step)
+
+
 @when('the data path gets {method} with the fault ""')
 def _(context, method):
     context.execute_steps(
--- a/tests/support/datapath.py
+++ b/tests/support/datapath.py
@@ -53,6 +53,15 @@
     def __init__(self):
         held = state.State(tables.parse(TABLES))
         self.snapshot = configuration.Snapshot(1, held)
+        self.is_behind = False
+
+    def keep_routes(self, *names):
+        """Drop the routes that are not named."""
+        held = self.snapshot.tables
+        kept = tuple(one for one in held.routes if one.name in names)
+        self.snapshot = configuration.Snapshot(
+            1, state.State(held._replace(routes=kept))
+        )
 
     def age_s(self, now):
         """Return the age of a revision confirmed just now."""
@@ -221,8 +230,9 @@
         self.claims = (entries or FakeEntries([name])).claims[name]
         self.pool = connections.Pool(lambda server: 40)
         self.meter = metrics.Metrics("test")
+        self.config = FakeConfiguration()
         self.proxy = proxy.Proxy(
-            FakeConfiguration(),
+            self.config,
             FakeSteering(),
             self.placement,
             pacer or FakePacer(),
