--- a/tests/steps/core/distribution/follower_steps.py
+++ b/tests/steps/core/distribution/follower_steps.py
@@ -209,18 +209,23 @@
 )
 def _(context, bound):
     for seed in range(1, 21):
-        net = fake_distribution.FakeNetwork(seed, entries=2)
-        net.change()
-        net.run(SETTLE_S)
-        net.cut_between(net.control, ["entry-1"])
-        net.change()
-        peer, entry = net.entries["entry-2"].core, net.entries["entry-1"].core
-        assert net.run_until(lambda: peer.revision == 2, 1) is not None, seed
-        net._feed("entry-1", entry, messages.Heard("entry-2", 2))
-        took = net.run_until(lambda: entry.revision == 2, 10)
+        took = _learn_from_peer(seed)
         assert took is not None and took <= bound, (seed, took)
 
 
+def _learn_from_peer(seed):
+    """Return the seconds from a peer's word to the change in force."""
+    net = fake_distribution.FakeNetwork(seed, entries=2)
+    net.change()
+    net.run(SETTLE_S)
+    net.cut_between(net.control, ["entry-1"])
+    net.change()
+    peer, entry = net.entries["entry-2"].core, net.entries["entry-1"].core
+    assert net.run_until(lambda: peer.revision == 2, 1) is not None, seed
+    net._feed("entry-1", entry, messages.Heard("entry-2", 2))
+    return net.run_until(lambda: entry.revision == 2, 10)
+
+
 def _update(revision, value=None):
     value = fake_distribution.value_of(revision) if value is None else value
     return messages.Update(revision, rows.digest(value), 0, value)
