--- a/hyssopfold/control/api.py
+++ b/hyssopfold/control/api.py
@@ -130,6 +130,7 @@
             case "/metrics":
                 revision = self._instance.register.revision
                 self._meter.revision.set({}, revision)
+                self._meter.set_gossip(self._spread.sent_bytes)
                 return self._meter.render()
         return http.json_answer(
             {"error": "not-found", "remedy": "see docs/operators"}, 404
--- a/hyssopfold/core/membership/beats.py
+++ b/hyssopfold/core/membership/beats.py
@@ -7,11 +7,16 @@
 import zlib
 
 from hyssopfold.core.membership import directory
+from hyssopfold.core.membership import messages
 
-MAX_BEATS = 90
-LATELY_S = 3.0
+# As many as fit into a datagram beside the sender's own word.
+MAX_BEATS = 180
+LATELY_S = 1.0
 MAX_BURIED = 1000
-_PACKED = struct.Struct("<IHI")
+# A hash of the name and the life, and the low bits of the count.
+_PACKED = struct.Struct("<IH")
+_COUNT_MASK = 0xFFFF
+_HALF = 0x8000
 
 
 class _Count(NamedTuple):
@@ -21,7 +26,7 @@
 
 
 class Beats:
-    """Newest sign of life of each instance, known by a hash of its name.
+    """Newest sign of life of each instance, known by a hash of its life.
 
     A sign counts only for the life that the directory knows: one of an
     earlier life, delayed on its way, does not keep an instance alive.
@@ -31,22 +36,30 @@
         self._counts: dict[str, _Count] = {}
         self._names: dict[int, str] = {}
         self._buried: dict[str, _Count] = {}
+        self._learned = -1
+        self._suspected: set[str] = set()
 
     def advance(self, name: str, incarnation: int, now: float) -> None:
         """Count one more sign of life of this instance itself."""
         held = self._counts.get(name)
         count = 1 if held is None else held.beats + 1
         self._counts[name] = _Count(incarnation, count, now)
-        self._names[_hash(name)] = name
+        self._names[_hash(name, incarnation)] = name
 
     def learn(self, known: directory.Directory) -> None:
         """Follow the directory: new lives count anew, dropped ones go."""
+        if self._learned == known.instances.changes:
+            return
+        self._learned = known.instances.changes
         words = {word.name: word for word in known.instances.words()}
         for name, word in words.items():
             held = self._counts.get(name)
             if held is None or held.incarnation != word.incarnation:
+                if held is not None:
+                    self._names.pop(_hash(name, held.incarnation), None)
                 self._counts[name] = _Count(word.incarnation, 0, 0.0)
-                self._names[_hash(name)] = name
+                self._suspected.discard(name)
+                self._names[_hash(name, word.incarnation)] = name
         for name in self._counts.keys() - words.keys():
             held = self._counts[name]
             self._buried.setdefault(name, held)
@@ -54,9 +67,9 @@
             del self._buried[name]
         while len(self._buried) > MAX_BURIED:
             name = next(iter(self._buried))
-            del self._buried[name]
+            dropped = self._buried.pop(name)
             self._counts.pop(name, None)
-            self._names.pop(_hash(name), None)
+            self._names.pop(_hash(name, dropped.incarnation), None)
 
     def is_alive(self, name: str, incarnation: int) -> bool:
         """Return whether a word of an instance may be taken in.
@@ -77,6 +90,25 @@
         held = self._counts.get(name)
         return now - held.changed_at if held is not None and held.beats else 0.0
 
+    def suspicion(self, name: str) -> messages.Suspicion:
+        """Suspect an instance until a newer sign of life; return it to tell."""
+        held = self._counts[name]
+        self._suspected.add(name)
+        return messages.Suspicion(name, held.incarnation, held.beats)
+
+    def suspect(self, told: messages.Suspicion) -> None:
+        """Take in another's suspicion, unless a newer sign of life came."""
+        held = self._counts.get(told.name)
+        if held is None or held.incarnation != told.incarnation:
+            return
+        newer = (held.beats - told.beats) & _COUNT_MASK
+        if not 0 < newer < _HALF:
+            self._suspected.add(told.name)
+
+    def is_suspected(self, name: str) -> bool:
+        """Return whether no sign of life came since an instance was suspected."""
+        return name in self._suspected
+
     def pack(self, me: str, rng: random.Random, now: float) -> bytes:
         """Return this instance's sign of life and some that changed lately.
 
@@ -87,6 +119,7 @@
             name
             for name, held in self._counts.items()
             if now - held.changed_at <= LATELY_S
+            and held.beats
             and name != me
             and name not in self._buried
         ]
@@ -95,25 +128,28 @@
 
     def _pack(self, name: str) -> bytes:
         held = self._counts[name]
-        return _PACKED.pack(
-            _hash(name), held.incarnation & 0xFFFF, held.beats & 0xFFFFFFFF
-        )
+        key = _hash(name, held.incarnation)
+        return _PACKED.pack(key, held.beats & _COUNT_MASK)
 
     def merge(self, packed: bytes, now: float) -> Iterable[str]:
         """Take in signs of life; return the names that made a new one."""
         fresh = []
         usable = len(packed) - len(packed) % _PACKED.size
-        for key, tag, count in _PACKED.iter_unpack(packed[:usable]):
+        for key, count in _PACKED.iter_unpack(packed[:usable]):
             name = self._names.get(key)
             if name is None:
                 continue
             held = self._counts[name]
-            if tag != held.incarnation & 0xFFFF or count <= held.beats:
+            newer = (count - held.beats) & _COUNT_MASK
+            if held.beats and not 0 < newer < _HALF:
                 continue
-            self._counts[name] = _Count(held.incarnation, count, now)
+            # Of a life not heard of before, any count is the first.
+            total = held.beats + newer if held.beats else count or _HALF * 2
+            self._counts[name] = _Count(held.incarnation, total, now)
+            self._suspected.discard(name)
             fresh.append(name)
         return fresh
 
 
-def _hash(name: str) -> int:
-    return zlib.crc32(name.encode())
+def _hash(name: str, incarnation: int) -> int:
+    return zlib.crc32(f"{name} {incarnation}".encode())
--- a/hyssopfold/core/membership/directory.py
+++ b/hyssopfold/core/membership/directory.py
@@ -6,6 +6,7 @@
 from typing import NamedTuple
 from typing import TypeVar
 
+from hyssopfold.core.membership import digests
 from hyssopfold.core.membership import messages
 
 MAX_RECORDS = 20_000
@@ -26,10 +27,12 @@
 
     Args:
         lease_s: Seconds that a word holds without a newer one.
+        hashed: Hashes to keep current with the words.
     """
 
-    def __init__(self, lease_s: float) -> None:
+    def __init__(self, lease_s: float, hashed: digests.Digests) -> None:
         self._lease_s = lease_s
+        self._hashed = hashed
         self._held: dict[str, _Held[Word]] = {}
         # Grows with each change of the words; a renewal is none.
         self.changes = 0
@@ -49,6 +52,11 @@
         if _left(held, word):
             word = word._replace(state="leaving")
         self._held[key] = _Held(word, now + self._lease_s)
+        if word.state == "gone":
+            self._hashed.put_tombstone(key)
+        else:
+            version = (word.incarnation, word.sequence, word.state)
+            self._hashed.put(key, version)
         self.changes += 1
         return True
 
@@ -62,6 +70,8 @@
         """Drop and return the words whose lease has ended."""
         ended = [key for key, held in self._held.items() if held.expires <= now]
         self.changes += len(ended)
+        for key in ended:
+            self._hashed.drop(key)
         return [self._held.pop(key).word for key in ended]
 
     def words(self) -> Iterable[Word]:
@@ -117,9 +127,12 @@
     """
 
     def __init__(self, lease_s: float) -> None:
-        self.servers: Leases[messages.Server] = Leases(lease_s)
+        self.digests = digests.Digests()
+        self.servers: Leases[messages.Server] = Leases(lease_s, self.digests)
         self._cold_until: dict[str, float] = {}
-        self.instances: Leases[messages.Instance] = Leases(lease_s)
+        self.instances: Leases[messages.Instance] = Leases(
+            lease_s, self.digests
+        )
         # Asked for with each request: sorted out once a change, not each time.
         self._pools: dict[str, tuple[messages.Server, ...]] = {}
         self._pools_of = -1
--- a/hyssopfold/core/membership/messages.py
+++ b/hyssopfold/core/membership/messages.py
@@ -6,6 +6,7 @@
 State = Literal["ready", "leaving", "gone"]
 InstanceState = Literal["starting", "ready", "leaving"]
 Role = Literal["control", "entry"]
+NO_DIGEST = -1
 
 
 class Server(NamedTuple):
@@ -53,14 +54,25 @@
     rpc_address: str = ""
 
 
+class Suspicion(NamedTuple):
+    """No sign of life of an instance has come for long; `beats` is the last."""
+
+    name: str
+    incarnation: int
+    beats: int
+
+
 class Datagram(NamedTuple):
     """What one process tells another; `revision` is the one in force.
 
-    `beats` are signs of life of instances, packed (see `beats`). `buckets`
-    are hashes of all that the sender knows, for comparison; empty in a reply.
-    `want` asks for everything, in datagrams numbered `part` out of `parts`.
-    `news` marks what is to be told on; what comes in answer to a question is
-    known widely already.
+    `beats` are signs of life of instances, packed (see `beats`). `digest` is
+    one hash of all that the sender knows, `buckets` a hash of each part of it
+    (see `digests`); with `compare` the receiver is to answer with what it
+    knows in the parts that differ. `want` asks for everything, in datagrams
+    numbered `part` out of `parts`. `introduce` asks the receiver to tell the
+    sender's word to all. `relay` asks it to pass the datagram on to its
+    failure domain. `pull` asks for the receiver's signs of life. `suspects`
+    are instances that their own failure domain no longer hears.
     """
 
     sender: str
@@ -68,8 +80,13 @@
     instances: tuple[Instance, ...]
     servers: tuple[Server, ...]
     beats: bytes = b""
-    buckets: tuple[int, ...] = ()
+    digest: int = NO_DIGEST
+    buckets: bytes = b""
+    compare: bool = False
     want: bool = False
     part: int = 0
     parts: int = 0
-    news: bool = False
+    introduce: bool = False
+    relay: bool = False
+    pull: bool = False
+    suspects: tuple[Suspicion, ...] = ()
--- a/hyssopfold/entry/app.py
+++ b/hyssopfold/entry/app.py
@@ -115,6 +115,7 @@
         meter.revision_age.set({}, self._config.age_s(now))
         left_out = self._output.left_out + self._proxy.log_lines_left_out
         meter.log_lines_left_out.set({}, left_out)
+        meter.set_gossip(self._spread.sent_bytes)
         in_flight = self._placement.in_flight()
         for pool in self._config.snapshot.tables.pools:
             ready = held.ready_servers(pool.name)
--- a/hyssopfold/metrics.py
+++ b/hyssopfold/metrics.py
@@ -1,5 +1,7 @@
 """Metrics of a daemon, kept and rendered by aioprometheus."""
 
+from collections.abc import Mapping
+
 import aioprometheus.collectors
 import aioprometheus.renderer
 
@@ -84,6 +86,13 @@
             const_labels=labels,
             registry=self.registry,
         )
+        self.gossip_bytes = aioprometheus.collectors.Gauge(
+            "hyssop_gossip_bytes",
+            "Bytes of datagrams to other instances since the start, by purpose"
+            " and distance",
+            const_labels=labels,
+            registry=self.registry,
+        )
         self.lease_age = aioprometheus.collectors.Gauge(
             "hyssop_lease_age_seconds",
             "Time since the last word of a server or instance",
@@ -91,6 +100,12 @@
             registry=self.registry,
         )
 
+    def set_gossip(self, sent: Mapping[tuple[str, str], int]) -> None:
+        """Take in the bytes of datagrams sent, by purpose and distance."""
+        for (purpose, distance), count in sent.items():
+            labels = {"purpose": purpose, "distance": distance}
+            self.gossip_bytes.set(labels, count)
+
     def render(self) -> http.Answer:
         """Return the metrics in the text format of Prometheus."""
         content, headers = aioprometheus.renderer.render(self.registry, [])
--- a/hyssopfold/transport/gossip.py
+++ b/hyssopfold/transport/gossip.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
+from collections.abc import Mapping
 import errno
 import functools
 import logging
@@ -19,6 +20,7 @@
 from hyssopfold.core.membership import spread
 from hyssopfold.transport import auth
 from hyssopfold.transport import datagram_wire
+from hyssopfold.transport import traffic
 
 logger = logging.getLogger(__name__)
 
@@ -70,6 +72,8 @@
         ](_QUEUE)
         # Kept beyond a lease: one that is silent may still be reached.
         self._addresses: dict[str, str] = {}
+        self._news = trio.Event()
+        self._traffic = traffic.Traffic(myself, self.directory)
 
     @property
     def _core(self) -> spread.Spread:
@@ -115,6 +119,11 @@
         ]
         return live if len(live) > 1 else known
 
+    @property
+    def sent_bytes(self) -> Mapping[tuple[str, str], int]:
+        """Return the bytes of datagrams sent, by purpose and distance."""
+        return self._traffic.sent_bytes
+
     @property
     def ready(self) -> bool:
         """Return whether it is known who is there."""
@@ -136,6 +145,7 @@
                 self._addresses[name] = held.gossip_address
             address = self._addresses.get(name)
             if address is not None:
+                self._traffic.count(address, "placement", data)
                 self._queue(address, data)
 
     def _queue(self, address: str, data: bytes) -> None:
@@ -146,12 +156,20 @@
             logger.warning(logs.Event("datagram-dropped", to=address))
 
     def _carry(self, effects: Iterable[spread.Send | spread.Changed]) -> None:
+        datagram: messages.Datagram | None = None
+        encoded: list[bytes] = []
         for effect in effects:
             if isinstance(effect, spread.Send):
-                for data in datagram_wire.encode(effect.datagram):
+                if effect.datagram is not datagram:
+                    datagram = effect.datagram
+                    encoded = datagram_wire.encode(datagram)
+                for data in encoded:
+                    self._traffic.count(effect.address, effect.purpose, data)
                     self._queue(effect.address, data)
             else:
                 logger.info(logs.Event("member-changed", **effect._asdict()))
+        if self._core.has_news:
+            self._news.set()
 
     async def run(self) -> None:
         """Own the socket; send each period and take in what comes.
@@ -173,6 +191,7 @@
                 nursery.start_soon(self._receive, sock)
                 nursery.start_soon(self._send, sock)
                 nursery.start_soon(self._tick)
+                nursery.start_soon(self._flush)
 
     async def _receive(self, sock: trio.socket.SocketType) -> None:
         while True:
@@ -211,6 +230,14 @@
             self._carry(self._core.tick(trio.current_time()))
             await trio.sleep(PERIOD_S)
 
+    async def _flush(self) -> None:
+        """Send news in batches."""
+        while True:
+            await self._news.wait()
+            await trio.sleep(spread.BATCH_S)
+            self._news = trio.Event()
+            self._carry(self._core.flush(trio.current_time()))
+
     async def _send(self, sock: trio.socket.SocketType) -> None:
         async for address, data in self._outbox:
             host, _, port = address.rpartition(":")
--- a/tests/support/fake_gossip.py
+++ b/tests/support/fake_gossip.py
@@ -1,5 +1,6 @@
 """Cores of gossip joined by a fake network, in virtual time."""
 
+import collections
 import heapq
 import itertools
 import random
@@ -13,28 +14,39 @@
 _UDP_BYTES = 28
 
 
-def _instance(number, regions):
-    name = f"entry-{number:03d}"
+def _instance(number, regions, domains=1, control=0):
+    role = "control" if number < control else "entry"
+    host = f"10.0.{number // 250}.{number % 250}"
+    domain = number % (regions * domains)
     return messages.Instance(
-        name, "entry", f"10.0.{number // 250}.{number % 250}:7201",
-        f"10.0.{number // 250}.{number % 250}:7221",
-        f"r{number % regions}", "d", "ready", 1_760_000_000_000 + number,
-        0, 7, 0.0,
+        f"entry-{number:03d}", role, f"{host}:7201", f"{host}:7221",
+        f"r{domain % regions}", f"d{domain}" if domains > 1 else "d", "ready",
+        1_760_000_000_000 + number, 0, 7, 0.0,
     )  # fmt: skip
 
 
 def _server(number, regions):
     return messages.Server(
-        f"server-{number:04d}", "ledger", f"10.9.0.{number}:80",
+        f"server-{number:04d}", "ledger",
+        f"10.9.{number // 250}.{number % 250}:80",
         f"r{number % regions}", "d", 3, 330, "ready", 1_760_000_000_000,
         0, 1.0,
     )  # fmt: skip
 
 
 class FakeGossip:
-    """Instances, and servers that announce themselves each second."""
-
-    def __init__(self, seed, instances, regions, servers):
+    """Instances, and servers that announce themselves each second.
+
+    Args:
+        seed: Seed of everything random.
+        instances: How many start, all at once.
+        regions: Regions that they and the servers are spread over.
+        servers: How many announce themselves.
+        domains: Failure domains of a region.
+        control: How many are control instances, which servers announce to.
+    """
+
+    def __init__(self, seed, instances, regions, servers, domains=1, control=0):
         self.rng = random.Random(seed)
         self.now = 0.0
         self.loss = self.doubling = 0.0
@@ -45,6 +57,10 @@
         self.cut = set()
         self.sent_bytes = 0
         self.sent = 0
+        self.far_bytes = 0
+        self.received_bytes = collections.Counter()
+        self.domains, self.control = domains, control
+        self._flush_at = {}
         self._queue = []
         self._order = itertools.count()
         self._next_tick = 0.0
@@ -53,6 +69,7 @@
             _instance(number, regions).gossip_address
             for number in range(min(3, instances))
         )
+        self._regions_at = {}
         for _ in range(instances):
             self.start()
         names = list(self.nodes)
@@ -66,12 +83,16 @@
                 for name in names
                 if self.nodes[name].myself.region == word.region
             ]
+            if control:
+                near = names[:control]
             self.told[word.server_id] = near[number // regions % len(near)]
         self.silent = set()
 
     def start(self):
         """Start a fresh instance; return its name."""
-        me = _instance(next(self._numbers), self.regions)
+        number = next(self._numbers)
+        me = _instance(number, self.regions, self.domains, self.control)
+        self._regions_at[me.gossip_address] = me.region
         rng = random.Random(self.rng.random())
         known = directory.Directory(LEASE_S)
         self.nodes[me.name] = spread.Spread(
@@ -95,7 +116,12 @@
             for data in datagram_wire.encode(effect.datagram):
                 self.sent += 1
                 self.sent_bytes += len(data) + _UDP_BYTES
+                mine = self.nodes[name].myself.region
+                if self._regions_at.get(effect.address) != mine:
+                    self.far_bytes += len(data) + _UDP_BYTES
                 self._send(name, effect.address, data)
+        if self.nodes[name].has_news:
+            self._flush_at.setdefault(name, self.now + spread.BATCH_S)
 
     def _send(self, name, address, data):
         if self.rng.random() < self.loss:
@@ -127,21 +153,32 @@
         }
         while True:
             due = self._queue[0][0] if self._queue else until + 1
-            if min(due, self._next_tick) > until:
+            flush = min(self._flush_at.values(), default=until + 1)
+            if min(due, flush, self._next_tick) > until:
                 break
-            if self._next_tick <= due:
-                self.now = self._next_tick
-                self._next_tick += spread.PERIOD_S
-                self._tick()
+            if min(flush, self._next_tick) <= due:
+                self.now = min(flush, self._next_tick)
+                self._pass_time()
                 continue
             self.now, _, sender, address, data = heapq.heappop(self._queue)
             to = by_address.get(address)
             if to is None or to in self.dead or (sender, to) in self.cut:
                 continue
+            self.received_bytes[to] += len(data) + _UDP_BYTES
             datagram = datagram_wire.decode(data)
             self.carry(to, self.nodes[to].receive(datagram, self.now))
         self.now = until
 
+    def _pass_time(self):
+        for name, at in list(self._flush_at.items()):
+            if at <= self.now:
+                del self._flush_at[name]
+                if name not in self.dead:
+                    self.carry(name, self.nodes[name].flush(self.now))
+        if self._next_tick <= self.now:
+            self._next_tick += spread.PERIOD_S
+            self._tick()
+
     def _tick(self):
         if round(self.now / spread.PERIOD_S) % 2 == 0:
             for server_id in self.servers:
