Let control instances hold the first questions of a starting entry

An entry without tables asked a control instance every 0.14 to 0.2 s for a strong answer, each a read through a majority: before the first configuration 185 entries made 1,100 such calls a second. Now control holds the question for a second until there are tables, and the pause to the next doubles with each question under way (0.4, 0.8, 1.6 s); a failure or an empty answer brings the next after 0.2 s. An entry asks about twice a second; when tables come they are pushed at once, not found by the next question.

--- a/hyssopfold/core/distribution/follower.py
+++ b/hyssopfold/core/distribution/follower.py
@@ -13,8 +13,11 @@
 HEDGE_S = 0.25
 # A hint overtakes the push it speaks of by up to a round trip between regions.
 HINT_DELAY_S = (0.1, 0.25)
-# One that holds nothing yet refuses every caller: it asks more often.
+# One that holds nothing yet refuses every caller: it asks more often, and lets
+# the control instances hold its questions until there are tables. The time to
+# the next question doubles with each that is under way.
 FIRST_HEDGE_S = 0.2
+FIRST_HOLD_S = 1.0
 MAX_BACKOFF_S = 5.0
 BACKOFF_FACTOR = 1.5
 QUICK_ASKS = 8
@@ -179,6 +182,7 @@
         if event.strong:
             known_at = max(known_at, call.began)
         if self.revision == 0:
+            self._ask_soon(now)
             self._vouch(call, event, known_at, effects)
         else:
             self._take(call.source, event.update, known_at, effects)
@@ -303,6 +307,12 @@
         call = self._calls.pop(event.call, None)
         if call is not None and call.kind == "watch":
             self._delay_watch(now)
+        self._ask_soon(now)
+
+    def _ask_soon(self, now: float) -> None:
+        """Ask the next source soon when one has failed at the start."""
+        if not self.revision:
+            self._next_ask = min(self._next_ask, now + FIRST_HEDGE_S)
 
     def _delay_watch(self, now: float) -> None:
         self._next_watch = now + WATCH_RETRY_S * self._rng.uniform(0.5, 1.0)
@@ -351,8 +361,9 @@
             return
         self._asks += 1
         effects.append(self._ask(self._next_source(), "fetch", now))
-        hedge_s = HEDGE_S if self.revision else FIRST_HEDGE_S
-        delay = hedge_s * BACKOFF_FACTOR ** max(0, self._asks - QUICK_ASKS)
+        delay = HEDGE_S * BACKOFF_FACTOR ** max(0, self._asks - QUICK_ASKS)
+        if not self.revision:
+            delay = FIRST_HEDGE_S * 2 ** len(self._calls)
         jitter = self._rng.uniform(0.7, 1.0)
         self._next_ask = now + min(delay, MAX_BACKOFF_S) * jitter
 
@@ -374,6 +385,8 @@
     def _ask(self, source: str, kind: str, now: float) -> messages.Ask:
         self._count += 1
         wait_s = self._timing.hold_s if kind == "watch" else 0.0
+        if not self.revision:
+            wait_s = min(FIRST_HOLD_S, self._timing.hold_s)
         margin_s = WATCH_MARGIN_S if kind == "watch" else FETCH_TIMEOUT_S
         timeout_s = wait_s + margin_s
         self._calls[self._count] = _Call(source, kind, now, now + timeout_s)
