Load only a daemon's own parts; adapters in place of faces

Cause: faces.py named the parts of both daemons, so that an entry loaded the control instance, consensus, storage and granting of slots. Now application.py loads the parts of the daemon it runs, entry_parts.py the granting only where it is chosen, and the platform's command its own adapter. 'Faces' become adapters, the field's word; the wiring of a control instance moves to control_parts.py beside entry_parts.py.

'requests-cut' is logged by the listener that cuts.

--- a/hyssopfold/application.py
+++ b/hyssopfold/application.py
@@ -7,41 +7,28 @@
 import random
 import signal
 from typing import Any
+from typing import TYPE_CHECKING
 
 import trio
 
-from hyssopfold import entry_parts
-from hyssopfold import faces as faces_module
 from hyssopfold import http
-from hyssopfold import identity
 from hyssopfold import log_output
 from hyssopfold import logs
-from hyssopfold import metrics
 from hyssopfold import reloading
 from hyssopfold import security
 from hyssopfold import serving
 from hyssopfold import settings
 from hyssopfold import settings_source
 from hyssopfold import supervisor
-from hyssopfold.control import api
-from hyssopfold.control import hearing
-from hyssopfold.control import instance as control_instance
-from hyssopfold.control import slot_votes
-from hyssopfold.core.consensus import messages as consensus_messages
-from hyssopfold.core.consensus import node as consensus_node
-from hyssopfold.core.distribution import history
-from hyssopfold.entry import leaving
-from hyssopfold.storage import folder
-from hyssopfold.storage import records
-from hyssopfold.transport import consensus_wire
-from hyssopfold.transport import gossip
-from hyssopfold.transport import poll_wire
-from hyssopfold.transport import publisher
 from hyssopfold.transport import rpc
 
+if TYPE_CHECKING:
+    from hyssopfold.control import adapters as control_adapters
+    from hyssopfold.entry import adapters as entry_adapters
+
 logger = logging.getLogger(__name__)
 
-Child = entry_parts.Child
+Child = tuple[str, Callable[[], Awaitable[None]]]
 
 
 def _configure_logs(
@@ -55,128 +42,33 @@
     )
 
 
-def _listed(cfg: settings.ControlSettings) -> list[consensus_messages.Endpoint]:
-    """Return the control instances to form with, or to find others through.
-
-    Where they find each other, an instance is named by its address: that is
-    all that others know of it, and one that comes back there blank takes the
-    place of the one that was.
-    """
-    if cfg.control:
-        return [consensus_messages.Endpoint(*one) for one in cfg.control]
-    return [
-        consensus_messages.Endpoint(address, address)
-        for address in cfg.control_seeds
-    ]
-
-
-def _register(
-    cfg: settings.ControlSettings,
-    kept: records.MemberRecords,
-    rng: random.Random,
-) -> consensus_node.Node:
-    who, durable = kept.open(cfg.rpc_address)
-    return consensus_node.Node(
-        who,
-        _listed(cfg),
-        durable,
-        rng,
-        cfg.round_timeout_s,
-        cfg.edit_timeout_s,
-        cfg.first_start,
-        0 if cfg.control else cfg.voters,
-        cfg.region,
-    )
-
-
 async def run_control(
     cfg: settings.ControlSettings,
-    faces: faces_module.ControlFaces = faces_module.OUR_CONTROL_FACES,
+    adapters: "control_adapters.ControlAdapters | None" = None,
     source: settings_source.Source | None = None,
 ) -> None:
     """Run a control instance until it is told to stop."""
+    # Each daemon loads its own parts only: loading is most of a start.
+    from hyssopfold import control_parts
+    from hyssopfold.control import adapters as control_adapters
+    from hyssopfold.storage import folder
+
     _configure_logs(cfg)
-    rng = random.Random()
+    adapters = adapters or control_adapters.OUR_ADAPTERS
     with folder.DataFolder(cfg.data_folder) as data:
-        voter = cfg.name if cfg.control else cfg.rpc_address
-        kept = records.MemberRecords(data, voter, rng.getrandbits)
-        shared = security.load(cfg, rng)
-        links = shared.links
-        member = control_instance.Instance(
-            _register(cfg, kept, rng),
-            kept,
-            functools.partial(rpc.Client, links=links),
-            cfg.edit_timeout_s,
-        )
-        confirmations = publisher.Confirmations(member.confirm)
-        publish = publisher.Publisher(
-            history.History(), confirmations.age_s, confirmations.confirm
-        )
-        publish.publish(member.register.revision, member.register.value)
-        member.listeners.append(publish.publish)
-        spread = gossip.Gossip(
-            identity.myself(cfg, "control"),
-            cfg.gossip_seeds,
-            cfg.lease_s,
-            links.keyring,
-            rng,
-        )
-        votes = slot_votes.SlotVotes(
-            identity.member(spread.myself), data, spread
-        )
-        member.listeners.append(
-            lambda revision, _: spread.update_self(revision=revision)
-        )
-        meter = metrics.Metrics(cfg.name)
-        operators = api.Api(
-            member, spread, meter, shared.operators, shared.announcers
-        )
-        parts = faces_module.ControlParts(
-            operators,
-            member,
-            operators.orders,
-            hearing.Hearing(member, spread, confirmations),
-            spread,
-        )
-        _follow_settings(cfg, source, shared.reloader, spread.set_seeds)
-        handlers: dict[rpc.Method, rpc.Handler] = {
-            consensus_wire.DELIVER: member.deliver,
-            poll_wire.POLL: publish.poll,
-        }
-        children: list[Child] = [
-            ("member", member.run),
-            ("gossip", spread.run),
-            ("slot-votes", votes.run),
-            ("confirmations", confirmations.run),
-            ("reloading", shared.reloader.run),
-            (
-                "rpc",
-                functools.partial(rpc.serve, cfg.rpc_address, handlers, links),
-            ),
-        ]
+        control = control_parts.Control(cfg, adapters, data)
+        reloader = control.shared.reloader
+        _follow_settings(cfg, source, reloader, control.spread.set_seeds)
         await _run_daemon(
             cfg,
-            _with_metrics(
-                cfg, {cfg.http_address: faces.operators(parts)}, operators
-            ),
-            children,
-            rng,
+            control.apps,
+            control.children(),
+            control.rng,
             _stop_at_once,
-            shared,
+            control.shared,
         )
 
 
-def _with_metrics(
-    cfg: settings.ControlSettings | settings.EntrySettings,
-    apps: dict[str, http.App],
-    own: http.App,
-) -> dict[str, http.App]:
-    """Add the address of the metrics, if there is one of their own."""
-    if cfg.metrics_address:
-        apps[cfg.metrics_address] = own
-    return apps
-
-
 def _follow_settings(
     cfg: settings.ControlSettings | settings.EntrySettings,
     source: settings_source.Source | None,
@@ -196,26 +88,27 @@
 
 async def run_entry(
     cfg: settings.EntrySettings,
-    faces: faces_module.EntryFaces = faces_module.OUR_ENTRY_FACES,
+    adapters: "entry_adapters.EntryAdapters | None" = None,
     source: settings_source.Source | None = None,
 ) -> None:
     """Run an entry until it is told to stop and its requests are done."""
+    # Each daemon loads its own parts only: loading is most of a start.
+    from hyssopfold import entry_parts
+    from hyssopfold.entry import adapters as entry_adapters
+
     output = _configure_logs(cfg)
-    entry = entry_parts.Entry(cfg, faces, output)
+    adapters = adapters or entry_adapters.OUR_ADAPTERS
+    entry = entry_parts.Entry(cfg, adapters, output)
     _follow_settings(cfg, source, entry.shared.reloader, entry.spread.set_seeds)
-    apps = {cfg.http_address: faces.callers(entry.parts)}
-    if cfg.lookup_address:
-        apps[cfg.lookup_address] = faces.lookups(entry.parts)
-    if cfg.probe_address:
-        apps[cfg.probe_address] = faces.probes(entry.parts)
-    _with_metrics(cfg, apps, entry.parts.app)
     listener = serving.Listener(
-        apps[cfg.http_address], cfg.limits, entry.parts.forward.runs_beside
+        entry.apps[cfg.http_address],
+        cfg.limits,
+        entry.parts.forward.runs_beside,
     )
     leave = entry.leave(listener)
     await _run_daemon(
         cfg,
-        apps,
+        entry.apps,
         entry.children(),
         entry.rng,
         leave.run,
@@ -328,7 +221,7 @@
                     logger.info(logs.Event("stop-asked", signal=name))
                     nursery.start_soon(leave_and_stop)
                 elif cfg.stop_second_signal == "cut":
-                    leaving.cut(listener, f"second {name}")
+                    listener.cut(f"second {name}")
                     stop.event.set()
                 else:
                     logger.info(logs.Event("second-signal-ignored"))
--- /dev/null
+++ b/hyssopfold/control_parts.py
@@ -0,0 +1,145 @@
+"""The parts of a control instance, wired."""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+import functools
+import random
+
+from hyssopfold import http
+from hyssopfold import identity
+from hyssopfold import metrics
+from hyssopfold import security
+from hyssopfold import settings
+from hyssopfold.control import adapters as control_adapters
+from hyssopfold.control import api
+from hyssopfold.control import hearing
+from hyssopfold.control import instance
+from hyssopfold.control import slot_votes
+from hyssopfold.core.consensus import messages
+from hyssopfold.core.consensus import node
+from hyssopfold.core.distribution import history
+from hyssopfold.storage import folder
+from hyssopfold.storage import records
+from hyssopfold.transport import consensus_wire
+from hyssopfold.transport import gossip
+from hyssopfold.transport import poll_wire
+from hyssopfold.transport import publisher
+from hyssopfold.transport import rpc
+
+Child = tuple[str, Callable[[], Awaitable[None]]]
+
+
+class Control:
+    """The parts of a control instance, wired.
+
+    Args:
+        cfg: Its settings.
+        adapters: How it is spoken to.
+        data: Its data folder, open.
+    """
+
+    def __init__(
+        self,
+        cfg: settings.ControlSettings,
+        adapters: control_adapters.ControlAdapters,
+        data: folder.DataFolder,
+    ) -> None:
+        self.cfg = cfg
+        self.rng = random.Random()
+        self.shared = security.load(cfg, self.rng)
+        links = self.shared.links
+        self._member = self._open_member(data)
+        self._confirmations = publisher.Confirmations(self._member.confirm)
+        self._publisher = publisher.Publisher(
+            history.History(),
+            self._confirmations.age_s,
+            self._confirmations.confirm,
+        )
+        held = self._member.register
+        self._publisher.publish(held.revision, held.value)
+        self.spread = gossip.Gossip(
+            identity.myself(cfg, "control"),
+            cfg.gossip_seeds,
+            cfg.lease_s,
+            links.keyring,
+            self.rng,
+        )
+        self._votes = slot_votes.SlotVotes(
+            identity.member(self.spread.myself), data, self.spread
+        )
+        self._member.listeners += [
+            self._publisher.publish,
+            lambda revision, _: self.spread.update_self(revision=revision),
+        ]
+        self.operators = api.Api(
+            self._member,
+            self.spread,
+            metrics.Metrics(cfg.name),
+            self.shared.operators,
+            self.shared.announcers,
+        )
+        self.apps: dict[str, http.App] = {
+            cfg.http_address: adapters.operators(self._outside())
+        }
+        if cfg.metrics_address:
+            self.apps[cfg.metrics_address] = self.operators
+
+    def _open_member(self, data: folder.DataFolder) -> instance.Instance:
+        cfg = self.cfg
+        voter = cfg.name if cfg.control else cfg.rpc_address
+        kept = records.MemberRecords(data, voter, self.rng.getrandbits)
+        who, durable = kept.open(cfg.rpc_address)
+        register = node.Node(
+            who,
+            _listed(cfg),
+            durable,
+            self.rng,
+            cfg.round_timeout_s,
+            cfg.edit_timeout_s,
+            cfg.first_start,
+            0 if cfg.control else cfg.voters,
+            cfg.region,
+        )
+        connect = functools.partial(rpc.Client, links=self.shared.links)
+        return instance.Instance(register, kept, connect, cfg.edit_timeout_s)
+
+    def _outside(self) -> control_adapters.ControlParts:
+        return control_adapters.ControlParts(
+            self.operators,
+            self._member,
+            self.operators.orders,
+            hearing.Hearing(self._member, self.spread, self._confirmations),
+            self.spread,
+        )
+
+    def children(self) -> list[Child]:
+        """Return the tasks of the control instance."""
+        handlers: dict[rpc.Method, rpc.Handler] = {
+            consensus_wire.DELIVER: self._member.deliver,
+            poll_wire.POLL: self._publisher.poll,
+        }
+        serve = functools.partial(
+            rpc.serve, self.cfg.rpc_address, handlers, self.shared.links
+        )
+        return [
+            ("member", self._member.run),
+            ("gossip", self.spread.run),
+            ("slot-votes", self._votes.run),
+            ("confirmations", self._confirmations.run),
+            ("reloading", self.shared.reloader.run),
+            ("rpc", serve),
+        ]
+
+
+def _listed(cfg: settings.ControlSettings) -> list[messages.Endpoint]:
+    """Return the control instances to form with, or to find others through.
+
+    Where they find each other, an instance is named by its address: that is
+    all that others know of it, and one that comes back there blank takes the
+    place of the one that was.
+    """
+    if cfg.control:
+        return [messages.Endpoint(*one) for one in cfg.control]
+    return [
+        messages.Endpoint(address, address) for address in cfg.control_seeds
+    ]
--- a/hyssopfold/entry/leaving.py
+++ b/hyssopfold/entry/leaving.py
@@ -80,12 +80,4 @@
         if after is stop.Phase.DRAINING:
             self._listener.close_idle(IDLE_BEFORE_CLOSE_S, now)
         if self._steps.cut:
-            cut(self._listener, "stop_max_s is over")
-
-
-def cut(listener: serving.Listener, reason: str) -> None:
-    """Close every connection, and say in the log what that cuts."""
-    logger.warning(
-        logs.Event("requests-cut", reason=reason, requests=listener.requests)
-    )
-    listener.cut_all()
+            self._listener.cut("stop_max_s is over")
--- a/hyssopfold/entry_parts.py
+++ b/hyssopfold/entry_parts.py
@@ -5,10 +5,11 @@
 import functools
 import random
 import time
+from typing import TYPE_CHECKING
 
 import trio
 
-from hyssopfold import faces as faces_module
+from hyssopfold import http
 from hyssopfold import identity
 from hyssopfold import log_output
 from hyssopfold import metrics
@@ -17,11 +18,11 @@
 from hyssopfold import settings
 from hyssopfold.core.attempts import claims as core_claims
 from hyssopfold.core.balancing import local
-from hyssopfold.core.balancing import node
 from hyssopfold.core.balancing import subset
 from hyssopfold.core.distribution import follower
 from hyssopfold.core.draining import stop as core_stop
 from hyssopfold.core.membership import messages
+from hyssopfold.entry import adapters as entry_adapters
 from hyssopfold.entry import adoption
 from hyssopfold.entry import app as entry_app
 from hyssopfold.entry import blocks
@@ -32,7 +33,6 @@
 from hyssopfold.entry import local_placement
 from hyssopfold.entry import lookups
 from hyssopfold.entry import pacing
-from hyssopfold.entry import placement
 from hyssopfold.entry import proxy
 from hyssopfold.entry import status as entry_status
 from hyssopfold.entry import steering
@@ -41,6 +41,9 @@
 from hyssopfold.transport import poll_wire
 from hyssopfold.transport import rpc
 
+if TYPE_CHECKING:
+    from hyssopfold.entry import placement
+
 Child = tuple[str, Callable[[], Awaitable[None]]]
 
 
@@ -49,14 +52,14 @@
 
     Args:
         cfg: Its settings.
-        faces: How it is spoken to.
+        adapters: How it is spoken to.
         output: Where its log goes.
     """
 
     def __init__(
         self,
         cfg: settings.EntrySettings,
-        faces: faces_module.EntryFaces,
+        adapters: entry_adapters.EntryAdapters,
         output: log_output.BoundedHandler,
     ) -> None:
         self.cfg = cfg
@@ -94,7 +97,8 @@
             rpc.Clients(self.shared.links),
             core_claims.Table(),
         )
-        self.parts = self._outside(faces)
+        self.parts = self._outside(adapters)
+        self.apps = self._apps(adapters)
 
     def _configuration(self) -> configuration.Configuration:
         cfg, links = self.cfg, self.shared.links
@@ -113,13 +117,17 @@
 
     def _placement(
         self,
-    ) -> placement.Placement | local_placement.LocalPlacement:
+    ) -> "placement.Placement | local_placement.LocalPlacement":
         cfg = self.cfg
         if cfg.placement == "local":
             chooser = local.Chooser(cfg.name, cfg.region)
             return local_placement.LocalPlacement(
                 chooser, self.spread, self.rng
             )
+        # Only entries that grant slots to each other load what that takes.
+        from hyssopfold.core.balancing import node
+        from hyssopfold.entry import placement
+
         return placement.Placement(
             node.Node(
                 node.Config(
@@ -144,8 +152,8 @@
         return subset.share(most, server.slots, entries)
 
     def _outside(
-        self, faces: faces_module.EntryFaces
-    ) -> faces_module.EntryParts:
+        self, adapters: entry_adapters.EntryAdapters
+    ) -> entry_adapters.EntryParts:
         cfg = self.cfg
         look_up = lookups.Lookups(
             cfg.region,
@@ -167,7 +175,7 @@
             rng=self.rng,
             callers=proxy.Callers(
                 cfg.max_body_bytes,
-                faces.headers,
+                adapters.headers,
                 cfg.retry_share,
                 cfg.shared_retry_reserve,
                 cfg.log_lines_per_s,
@@ -186,7 +194,21 @@
             self.shared.announcers,
             self.output,
         )
-        return faces_module.EntryParts(app, forward, look_up)
+        return entry_adapters.EntryParts(app, forward, look_up)
+
+    def _apps(
+        self, adapters: entry_adapters.EntryAdapters
+    ) -> dict[str, http.App]:
+        """Return what is served, by address."""
+        cfg = self.cfg
+        apps = {cfg.http_address: adapters.callers(self.parts)}
+        if cfg.lookup_address:
+            apps[cfg.lookup_address] = adapters.lookups(self.parts)
+        if cfg.probe_address:
+            apps[cfg.probe_address] = adapters.probes(self.parts)
+        if cfg.metrics_address:
+            apps[cfg.metrics_address] = self.parts.app
+        return apps
 
     async def keep_state(self) -> None:
         """Become ready, then follow the tables and who is there."""
--- a/hyssopfold/serving/listening.py
+++ b/hyssopfold/serving/listening.py
@@ -94,8 +94,11 @@
             if conn.is_idle() and conn.idle_since + idle_s <= now:
                 conn.end()
 
-    def cut_all(self) -> None:
-        """Close every connection, whatever is under way on it."""
+    def cut(self, reason: str) -> None:
+        """Close every connection, and say in the log what that cuts."""
+        logger.warning(
+            logs.Event("requests-cut", reason=reason, requests=self.requests)
+        )
         for conn in list(self._open):
             conn.end()
 
--- a/tests/steps/entry/leaving_steps.py
+++ b/tests/steps/entry/leaving_steps.py
@@ -9,6 +9,7 @@
 
 from hyssopfold.core.draining import stop
 from hyssopfold.entry import leaving
+from hyssopfold.serving import listening
 from tests.support import datapath
 
 TTL_S = 0.2
@@ -48,8 +49,8 @@
     context.spread = _FakeSpread()
     context.placement = _FakePlacement()
     context.lines = _Lines()
-    leaving.logger.addHandler(context.lines)
-    context.add_cleanup(leaving.logger.removeHandler, context.lines)
+    listening.logger.addHandler(context.lines)
+    context.add_cleanup(listening.logger.removeHandler, context.lines)
 
 
 def _run(context, step):
@@ -165,7 +166,7 @@
         await trio.sleep(0.05)
         nursery.start_soon(leave.run)
         await trio.sleep(0.05)
-        leaving.cut(path.listener, "second SIGTERM")
+        path.listener.cut("second SIGTERM")
         return await datapath.read_all(stream)
 
     _run(context, step)
