Let an entry save up the retries that its requests earned in 10 s

The reserve of all is divided by 62 entries, and what requests earn (a tenth of a retry each) was dropped beyond it, though most entries use none of theirs at a time.

Change: beyond its part of the reserve an entry keeps what was earned in the last 10 s. Then no 10 s see more than the reserves and a tenth of the requests of that time and of the 10 s before, that is, a fifth of the larger; the operators' bound is a fifth and twice the reserves.

--- a/hyssopfold/core/attempts/attempt.py
+++ b/hyssopfold/core/attempts/attempt.py
@@ -93,7 +93,7 @@
     def start(self, now: float) -> Effects:
         """Begin: ask for a slot."""
         self.expect(Phase.NEW)
-        self._budget.earn()
+        self._budget.earn(now)
         self._deadline = now + self.request.limit_s
         self.phase = Phase.ACQUIRING
         return (messages.Acquire((), self._deadline),)
