Tell near entries which servers are busy; casting at size in the model

Cause: an entry of 62 sends a server a request every few seconds and knows its load from its own answers alone; most servers that refused were chosen with load_age_s=never.

Change: an answer that tells of a server without a free slot goes within 0.1 s to four entries of the failure domain on each side, in a ring by name. For 2 s it decides between an object's two servers, for 0.5 s also whether there is room.

Tried in the model and not taken: more objects at home, drawing between two servers, a running mean of loads (docs/design/overload.md).

--- a/bench/emulator/__main__.py
+++ b/bench/emulator/__main__.py
@@ -25,6 +25,7 @@
     slow: tuple[float, float],
     tell_s: float,
     burst: float,
+    busy: int,
 ) -> dict[str, float]:
     """Return the worth of one play."""
     held = world.World(
@@ -39,6 +40,8 @@
     if burst > 1:
         held.burst(burst, BURST_SPAN_S)
         held.evacuate(f"{list(held.site.entries)[-1]}-0", EMPTY_SPAN_S)
+    if busy:
+        held.tell_busy(local_placement.BUSY_BATCH_S, busy)
     if tell_s:
         held.tell_silent(tell_s)
     held.run(seconds)
@@ -62,6 +65,12 @@
     show_default=True,
     help="How often entries tell each other who is silent; 0 for never.",
 )
+@click.option(
+    "--busy",
+    default=local_placement.TOLD_EACH_SIDE,
+    show_default=True,
+    help="Entries on each side that are told of busy servers; 0 for none.",
+)
 @click.option(
     "--burst",
     default=1.0,
@@ -76,6 +85,7 @@
     slow: tuple[float, float],
     tell_s: float,
     burst: float,
+    busy: int,
 ) -> None:
     """Print a row for each site and load: means over the seeds."""
     with futures.ProcessPoolExecutor() as pool:
@@ -83,7 +93,15 @@
             for load in map(float, loads.split(",")):
                 jobs = [
                     pool.submit(
-                        play, site, load, seed, seconds, slow, tell_s, burst
+                        play,
+                        site,
+                        load,
+                        seed,
+                        seconds,
+                        slow,
+                        tell_s,
+                        burst,
+                        busy,
                     )
                     for seed in range(seeds)
                 ]
--- a/bench/emulator/sites.py
+++ b/bench/emulator/sites.py
@@ -144,7 +144,35 @@
     ),
 )
 
+# The castings, several times as large: a pool that long and short requests share.
+LARGE_CASTING = Site(
+    "large-casting",
+    {"dakar": 20, "thies": 21, "stlouis": 21},
+    0.008,
+    0.0009,
+    0.012,
+    0.55,
+    (
+        Kind("browse", "ann", 556, 1.104, 0.64, 5.3, 1.2, 1, 2, 90, True),
+        Kind("book", "res", 196, 1.392, 0.857, 6.4, 1.45, 2, 1, 40, False),
+        Kind("status", "can", 174, 2.688, 1.52, 12.0, 5.0, 1, 2, 40, True),
+        Kind("search", "can", 153, 0.432, 0.271, 2.1, 2.0, 2, 1, 40, True),
+    ),
+    (
+        Pool("ann", {"dakar": 7, "thies": 17, "stlouis": 17}, 9, 30, 6.8),
+        Pool("res", {"dakar": 3, "thies": 7, "stlouis": 9}, 9, 30, 6.8),
+        Pool("can", {"dakar": 6, "thies": 15, "stlouis": 16}, 9, 30, 6.8),
+    ),
+)
+
 SITES = {
     site.name: site
-    for site in (MARKET, SHOPS, CASTING, LARGE_MARKET, LARGE_SHOPS)
+    for site in (
+        MARKET,
+        SHOPS,
+        CASTING,
+        LARGE_MARKET,
+        LARGE_SHOPS,
+        LARGE_CASTING,
+    )
 }
--- a/bench/emulator/world.py
+++ b/bench/emulator/world.py
@@ -9,6 +9,7 @@
 from typing import NamedTuple
 
 from bench.emulator import sites
+from hyssopfold.core.balancing import load_reports
 from hyssopfold.core.balancing import local
 from hyssopfold.core.balancing import messages
 from hyssopfold.core.membership import messages as membership
@@ -22,6 +23,8 @@
 # Spread of the work of one request around its mean (log-normal).
 SPREAD = 0.15
 LATE_SHARE = 0.2
+# Failure domains of a region.
+DOMAINS = 2
 PERIOD_S = 36.0
 
 
@@ -183,6 +186,38 @@
                     entry.hear(f"{region}-{number}", silent, self.now)
         self.at(self.now + period_s, self._tell, region, period_s)
 
+    def tell_busy(self, batch_s: float, each_side: int) -> None:
+        """Let entries of a failure domain tell their neighbours of loads."""
+        for region, entries in self.site.entries.items():
+            for number in range(entries):
+                self.at(
+                    self.rng.random() * batch_s,
+                    self._tell_busy, region, number, batch_s, each_side,
+                )  # fmt: skip
+
+    def _tell_busy(
+        self, region: str, number: int, batch_s: float, each_side: int
+    ) -> None:
+        entries = self.entries[region]
+        loads = entries[number].take_busy()
+        if loads:
+            # Entries are dealt out to the failure domains in turn.
+            mates = range(number % DOMAINS, len(entries), DOMAINS)
+            names = [f"{one:04d}" for one in mates]
+            told = load_reports.neighbours(f"{number:04d}", names, each_side)
+            for name in told:
+                self.at(
+                    self.now + self.site.zone_s,
+                    self._hear_busy, entries[int(name)], loads,
+                )  # fmt: skip
+        self.at(
+            self.now + batch_s,
+            self._tell_busy, region, number, batch_s, each_side,
+        )  # fmt: skip
+
+    def _hear_busy(self, entry: Any, loads: Any) -> None:
+        entry.hear_loads(loads, self.now)
+
     def _make_servers(self) -> None:
         for pool in self.site.pools:
             words = []
@@ -190,7 +225,7 @@
                 for number in range(count):
                     name = f"{pool.name}-{region}-{number}"
                     word = membership.Server(
-                        name, pool.name, name, region, f"{region}-{number % 2}",
+                        name, pool.name, name, region, f"{region}-{number % DOMAINS}",
                         pool.slots, 300, "ready", 1, 1, 0.0,
                     )  # fmt: skip
                     words.append(word)
--- a/hyssopfold/core/balancing/local.py
+++ b/hyssopfold/core/balancing/local.py
@@ -22,6 +22,7 @@
 from hyssopfold.core.balancing import affinity
 from hyssopfold.core.balancing import allowance
 from hyssopfold.core.balancing import estimates
+from hyssopfold.core.balancing import load_reports
 from hyssopfold.core.balancing import messages
 from hyssopfold.core.balancing import whereabouts
 from hyssopfold.core.membership import messages as membership
@@ -107,7 +108,8 @@
     """A server, why it was taken, and its load as a multiple of its slots.
 
     `expected_s` is the time until the answer, `wait_s` the part of it in the
-    server's queue.
+    server's queue; `ordered_s` is that time by older reports too, which decide
+    between servers but refuse nothing.
     """
 
     server: membership.Server
@@ -115,6 +117,7 @@
     load: float
     expected_s: float = 0.0
     wait_s: float = 0.0
+    ordered_s: float = 0.0
 
 
 class Chooser:
@@ -134,6 +137,7 @@
         self._by_key: dict[int, str] = {}
         self._estimates = estimates.Estimates()
         self._whereabouts = whereabouts.Whereabouts()
+        self._reports = load_reports.LoadReports()
 
     def choose(
         self, req: messages.Request, view: View
@@ -269,7 +273,7 @@
             self._expected(req, one, is_known, now)
             for one, is_known in zip(found, known, strict=True)
         ]
-        return sorted(choices, key=lambda one: one.expected_s)
+        return sorted(choices, key=lambda one: one.ordered_s)
 
     def _expected(
         self,
@@ -281,11 +285,18 @@
         load = self._load(server, now)
         kind = estimates.Kind(req.route, server.region)
         run_s = self._estimates.run_s(kind, req.goal_s, is_known)
-        wait_s = self._estimates.wait_s(
+        wait_s = self._wait_s(req, server, load)
+        told = self._load(server, now, load_reports.CHOICE_S)
+        ordered_s = run_s + self._wait_s(req, server, told)
+        reason = "affinity" if wait_s == 0 else "affinity-wait"
+        return _Choice(server, reason, load, run_s + wait_s, wait_s, ordered_s)
+
+    def _wait_s(
+        self, req: messages.Request, server: membership.Server, load: float
+    ) -> float:
+        return self._estimates.wait_s(
             req.pool, load * server.slots, server.slots, req.goal_s
         )
-        reason = "affinity" if wait_s == 0 else "affinity-wait"
-        return _Choice(server, reason, load, run_s + wait_s, wait_s)
 
     def _least_loaded(
         self,
@@ -332,14 +343,28 @@
             return False
         return seen.cold_until > view.now or view.is_cold(server_id)
 
-    def _load(self, server: membership.Server, now: float) -> float:
-        """Return a server's requests as a multiple of its slots."""
+    def _load(
+        self,
+        server: membership.Server,
+        now: float,
+        told_s: float = load_reports.ROOM_S,
+    ) -> float:
+        """Return a server's requests as a multiple of its slots.
+
+        Args:
+            server: The server.
+            now: The time.
+            told_s: How old another entry's report may be.
+        """
         seen = self._met(server, now)
         known = float(seen.in_flight)
         if now - seen.reported_at <= REPORT_S:
             since = seen.in_flight - seen.in_flight_then
             known = max(known, seen.reported + since)
-        return known / max(1, server.slots)
+        told = self._reports.requests(
+            server.server_id, seen.reported_at, seen.in_flight, now - told_s
+        )
+        return max(known, told) / max(1, server.slots)
 
     def learn(
         self, grant: messages.Grant, done: messages.Done, now: float
@@ -378,6 +403,8 @@
                 reported_at=now,
                 in_flight_then=seen.in_flight,
             )
+            key = life_key(server_id, seen.incarnation)
+            self._reports.note(key, done.load)
         if done.kind != "cancelled":
             seen = _judged(seen, done, warm_up_s, now)
         self._seen[server_id] = seen
@@ -410,6 +437,23 @@
             and self._accusations.accuse(server_id, sender, now)
         )
 
+    @property
+    def has_busy(self) -> bool:
+        """Return whether there are busy servers to tell others of."""
+        return self._reports.has_busy
+
+    def take_busy(self) -> tuple[tuple[int, int], ...]:
+        """Return the busy servers, by `life_key`, and their requests, once."""
+        return self._reports.take_busy()
+
+    def hear_loads(self, loads: Iterable[tuple[int, int]], now: float) -> None:
+        """Take in which servers another entry found busy just now."""
+        for key, requests in loads:
+            server_id = self._by_key.get(key)
+            if server_id is not None:
+                in_flight = self._seen[server_id].in_flight
+                self._reports.hear(server_id, requests, in_flight, now)
+
     def in_flight(self) -> dict[str, int]:
         """Return the requests under way by server."""
         return {
@@ -422,6 +466,7 @@
         """Drop the servers that are gone and have nothing under way."""
         self._allowance.forget(known)
         self._whereabouts.forget(known)
+        self._reports.forget(known)
         for server_id in self._seen.keys() - set(known):
             if not self._seen[server_id].in_flight:
                 del self._seen[server_id]
--- a/hyssopfold/core/balancing/messages.py
+++ b/hyssopfold/core/balancing/messages.py
@@ -79,6 +79,12 @@
     slots: int
 
 
+class Busy(NamedTuple):
+    """Servers, by their lives, that told so many requests in their answers."""
+
+    loads: tuple[tuple[int, int], ...]
+
+
 class Silent(NamedTuple):
     """Message: servers at which the sender's requests wait in vain.
 
@@ -261,6 +267,7 @@
     | Release
     | Sync
     | Silent
+    | Busy
 )
 
 
--- a/hyssopfold/entry/local_placement.py
+++ b/hyssopfold/entry/local_placement.py
@@ -9,6 +9,7 @@
 from hyssopfold import logs
 from hyssopfold import tables
 from hyssopfold.core.balancing import accusations
+from hyssopfold.core.balancing import load_reports
 from hyssopfold.core.balancing import local
 from hyssopfold.core.balancing import messages
 from hyssopfold.core.membership import messages as membership
@@ -22,6 +23,10 @@
 TELL_S = 0.5
 # Entries that are told each time, drawn anew: bounds what a large region costs.
 MAX_TOLD = 24
+# How long loads of busy servers are gathered before they are told, and to how
+# many entries of the failure domain on each side of this one.
+BUSY_BATCH_S = 0.1
+TOLD_EACH_SIDE = 4
 # Servers named in one datagram, of 5 bytes each; a region has no more at once.
 MAX_NAMED = 200
 
@@ -49,6 +54,8 @@
         # Names of the entries that serve callers, made once a change.
         self._entries: tuple[membership.Instance, ...] = ()
         self._names: tuple[str, ...] = ()
+        self._neighbours: tuple[str, ...] = ()
+        self._is_busy = trio.Event()
 
     async def acquire(
         self, req: messages.Request, pool: tables.Pool
@@ -71,14 +78,27 @@
         if entries is not self._entries:
             self._entries = entries
             self._names = tuple(one.name for one in entries)
+            self._neighbours = self._find_neighbours()
         return self._names
 
+    def _find_neighbours(self) -> tuple[str, ...]:
+        me = self._spread.myself
+        near = [
+            one.name
+            for one in self._entries
+            if one.region == me.region
+            and one.failure_domain == me.failure_domain
+        ]
+        return load_reports.neighbours(me.name, near, TOLD_EACH_SIDE)
+
     def release(self, grant: messages.Grant, done: messages.Done) -> None:
         """Take in how an attempt ended."""
         warm_up_s = self._warm_up_s.get(grant.server.pool, 0.0)
         now = trio.current_time()
         self._chooser.learn(grant, done, now)
         self._chooser.done(grant.server.server_id, done, warm_up_s, now)
+        if self._chooser.has_busy:
+            self._is_busy.set()
 
     def in_flight(self) -> dict[str, int]:
         """Return the requests under way by server."""
@@ -96,6 +116,7 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._tidy)
             nursery.start_soon(self._tell)
+            nursery.start_soon(self._tell_busy)
             nursery.start_soon(self._hear)
 
     async def _tidy(self) -> None:
@@ -120,24 +141,37 @@
             told = self._rng.sample(near, min(MAX_TOLD, len(near)))
             self._spread.post_all(told, messages.Silent(silent[:MAX_NAMED]))
 
+    async def _tell_busy(self) -> None:
+        """Tell a few near entries of servers at which requests wait."""
+        while True:
+            await self._is_busy.wait()
+            await trio.sleep(BUSY_BATCH_S)
+            self._is_busy = trio.Event()
+            loads = self._chooser.take_busy()[:MAX_NAMED]
+            self._spread.post_all(self._neighbours, messages.Busy(loads))
+
     async def _hear(self) -> None:
         parcel: datagram_wire.Parcel
         async for parcel in self._spread.parcels:
-            if isinstance(parcel.message, messages.Silent):
-                now = trio.current_time()
-                keys = parcel.message.keys
-                for one in self._chooser.hear(parcel.sender, keys, now):
-                    logger.info(
-                        logs.Event(
-                            "server-silent",
-                            server=one,
-                            by=parcel.sender,
-                            others=accusations.ACCUSERS,
-                            held_s=accusations.ACCUSED_S,
-                        )
+            match parcel.message:
+                case messages.Silent(keys):
+                    self._hear_silent(parcel.sender, keys)
+                case messages.Busy(loads):
+                    self._chooser.hear_loads(loads, trio.current_time())
+                case _:
+                    # Sent by an entry with another way of placing requests.
+                    logger.warning(
+                        logs.Event("parcel-dropped", sender=parcel.sender)
                     )
-            else:
-                # Sent by an entry with another way of placing requests.
-                logger.warning(
-                    logs.Event("parcel-dropped", sender=parcel.sender)
+
+    def _hear_silent(self, sender: str, keys: tuple[int, ...]) -> None:
+        for one in self._chooser.hear(sender, keys, trio.current_time()):
+            logger.info(
+                logs.Event(
+                    "server-silent",
+                    server=one,
+                    by=sender,
+                    others=accusations.ACCUSERS,
+                    held_s=accusations.ACCUSED_S,
                 )
+            )
--- a/hyssopfold/transport/datagram_wire.py
+++ b/hyssopfold/transport/datagram_wire.py
@@ -30,6 +30,7 @@
     8: placement.Release,
     9: placement.Sync,
     10: placement.Silent,
+    11: placement.Busy,
 }
 _KINDS = {kind: number for number, kind in _PLACEMENT.items()}
 
