--- a/bench/capacity/membership.py
+++ b/bench/capacity/membership.py
@@ -11,6 +11,7 @@
 
 from bench.capacity import slopes
 from hyssopfold.core.membership import directory
+from hyssopfold.core.membership import effects as effects_module
 from hyssopfold.core.membership import messages
 from hyssopfold.core.membership import spread
 from hyssopfold.transport import datagram_wire
@@ -115,13 +116,14 @@
         for node in self.nodes.values():
             effects = node.tick(self.now)
             self.lapsed += sum(
-                isinstance(one, spread.Changed) and one.state == "lease-ended"
+                isinstance(one, effects_module.Changed)
+                and one.state == "lease-ended"
                 for one in effects
             )
             queue += effects
         while queue:
             effect = queue.pop()
-            if not isinstance(effect, spread.Send):
+            if not isinstance(effect, effects_module.Send):
                 continue
             for data in datagram_wire.encode(effect.datagram):
                 self.sent += 1
--- /dev/null
+++ b/hyssopfold/core/membership/composer.py
@@ -0,0 +1,57 @@
+"""Datagrams of an instance, with its own word and others' as they are held."""
+
+from collections.abc import Sequence
+
+from hyssopfold.core.membership import directory
+from hyssopfold.core.membership import messages
+
+# Records in one datagram: compressed, some 1,000 bytes.
+MAX_RECORDS = 32
+
+
+class Composer:
+    """Make datagrams.
+
+    Args:
+        myself: This instance's own word; replaced when it changes.
+        known: Directory of the words.
+    """
+
+    def __init__(
+        self, myself: messages.Instance, known: directory.Directory
+    ) -> None:
+        self.myself = myself
+        self._known = known
+
+    def empty(self) -> messages.Datagram:
+        """Return a datagram that brings the revision alone."""
+        return messages.Datagram(self.myself.name, self.myself.revision, (), ())
+
+    def introduction(self) -> messages.Datagram:
+        """Return a datagram with this instance's own word."""
+        return self.empty()._replace(instances=(self.myself,))
+
+    def datagrams(self, keys: Sequence[str]) -> list[messages.Datagram]:
+        """Return datagrams with the words of some members."""
+        return [
+            self._with_words(keys[at : at + MAX_RECORDS])
+            for at in range(0, len(keys), MAX_RECORDS)
+        ]
+
+    def _with_words(self, keys: Sequence[str]) -> messages.Datagram:
+        """Return a datagram with some words, and this instance's own.
+
+        Who has not heard of a server's monitor does not take the server in.
+        """
+        instances = [self.myself]
+        servers = []
+        for key in keys:
+            instance = self._known.instances.get(key)
+            server = self._known.servers.get(key)
+            if instance is not None and key != self.myself.name:
+                instances.append(instance)
+            if server is not None:
+                servers.append(server)
+        return self.empty()._replace(
+            instances=tuple(instances), servers=tuple(servers)
+        )
--- a/hyssopfold/transport/gossip.py
+++ b/hyssopfold/transport/gossip.py
@@ -15,7 +15,9 @@
 from hyssopfold import errors
 from hyssopfold import logs
 from hyssopfold.core.balancing import messages as placement
+from hyssopfold.core.membership import broadcasts
 from hyssopfold.core.membership import directory
+from hyssopfold.core.membership import effects as effects_module
 from hyssopfold.core.membership import messages
 from hyssopfold.core.membership import spread
 from hyssopfold.transport import auth
@@ -155,11 +157,11 @@
             # Lost like on the wire; whoever waits for it asks again.
             logger.warning(logs.Event("datagram-dropped", to=address))
 
-    def _carry(self, effects: Iterable[spread.Send | spread.Changed]) -> None:
+    def _carry(self, effects: Iterable[effects_module.Effect]) -> None:
         datagram: messages.Datagram | None = None
         encoded: list[bytes] = []
         for effect in effects:
-            if isinstance(effect, spread.Send):
+            if isinstance(effect, effects_module.Send):
                 if effect.datagram is not datagram:
                     datagram = effect.datagram
                     encoded = datagram_wire.encode(datagram)
@@ -234,7 +236,7 @@
         """Send news in batches."""
         while True:
             await self._news.wait()
-            await trio.sleep(spread.BATCH_S)
+            await trio.sleep(broadcasts.BATCH_S)
             self._news = trio.Event()
             self._carry(self._core.flush(trio.current_time()))
 
--- a/tests/support/fake_gossip.py
+++ b/tests/support/fake_gossip.py
@@ -5,7 +5,9 @@
 import itertools
 import random
 
+from hyssopfold.core.membership import broadcasts
 from hyssopfold.core.membership import directory
+from hyssopfold.core.membership import effects as effects_module
 from hyssopfold.core.membership import messages
 from hyssopfold.core.membership import spread
 from hyssopfold.transport import datagram_wire
@@ -111,7 +113,7 @@
     def carry(self, name, effects):
         """Send what an instance wants sent, through the wire's codec."""
         for effect in effects:
-            if not isinstance(effect, spread.Send):
+            if not isinstance(effect, effects_module.Send):
                 continue
             for data in datagram_wire.encode(effect.datagram):
                 self.sent += 1
@@ -121,7 +123,7 @@
                     self.far_bytes += len(data) + _UDP_BYTES
                 self._send(name, effect.address, data)
         if self.nodes[name].has_news:
-            self._flush_at.setdefault(name, self.now + spread.BATCH_S)
+            self._flush_at.setdefault(name, self.now + broadcasts.BATCH_S)
 
     def _send(self, name, address, data):
         if self.rng.random() < self.loss:
