--- a/tests/steps/platform/wire_steps.py
+++ b/tests/steps/platform/wire_steps.py
@@ -88,6 +88,8 @@
 readiness_addr = "10.1.0.35:8140"
 directory = "10.1.0.35:8143"
 control = "10.1.0.35:8146"
+[limits]
+cpu_share = 0.86
 """
 
 
@@ -253,6 +255,8 @@
     assert cfg.gossip_seeds == ("10.1.0.37:7660", "10.2.0.30:7660")
     assert cfg.stop_serve_s < cfg.stop_max_s < 6
     assert (cfg.retry_share, cfg.shared_retry_reserve) == (0.1, 28)
+    # One per cent of the 0.86 of a core that the machine has.
+    assert cfg.log_lines_per_s == 172
 
 
 @then("a control instance forms only at the first start")
