--- a/tests/core/balancing/load_reports.feature
+++ b/tests/core/balancing/load_reports.feature
@@ -15,9 +15,9 @@
     Then a request for "role" is <outcome>
 
     Examples:
-      | age | effect                 | outcome |
+      | age | effect                   | outcome |
       | 0.3 | refuses what is hopeless | refused |
-      | 0.7 | refuses nothing        | sent    |
+      | 0.7 | refuses nothing          | sent    |
 
   Scenario: an answer of its own is newer than what was told before
     Given an entry that has met 4 servers of 5 slots
