Log whom a failure domain suspects

A suspicion changes whom look-ups name and who relays news; member-changed state=suspected now says so at each instance. One comment on how a value was chosen goes.

--- a/hyssopfold/core/membership/beats.py
+++ b/hyssopfold/core/membership/beats.py
@@ -96,14 +96,20 @@
         self._suspected.add(name)
         return messages.Suspicion(name, held.incarnation, held.beats)
 
-    def suspect(self, told: messages.Suspicion) -> None:
-        """Take in another's suspicion, unless a newer sign of life came."""
+    def suspect(self, told: messages.Suspicion) -> bool:
+        """Take in another's suspicion, unless a newer sign of life came.
+
+        Returns:
+            Whether the instance was not suspected before and is now.
+        """
         held = self._counts.get(told.name)
         if held is None or held.incarnation != told.incarnation:
-            return
+            return False
         newer = (held.beats - told.beats) & _COUNT_MASK
-        if not 0 < newer < _HALF:
-            self._suspected.add(told.name)
+        if 0 < newer < _HALF or told.name in self._suspected:
+            return False
+        self._suspected.add(told.name)
+        return True
 
     def is_suspected(self, name: str) -> bool:
         """Return whether no sign of life came since an instance was suspected."""
--- a/hyssopfold/core/membership/spread.py
+++ b/hyssopfold/core/membership/spread.py
@@ -29,9 +29,7 @@
 # How long a server holds whose monitor is silent: it announces itself each
 # second, and another instance takes over as monitor.
 HANDOVER_S = 5.0
-# Share of an instance's lease after which it is named to callers no more. A
-# sign of life takes a third of that to reach all: in a minute of calm among 12
-# instances nobody is suspected, with half the lease somebody is.
+# Share of an instance's lease after which it is named to callers no more.
 SUSPECT_SHARE = 0.6
 # How long it is remembered that a server is gone: by then all know.
 GONE_S = 60.0
@@ -276,9 +274,9 @@
         for server in datagram.servers:
             effects += self._take_server(server, now)
         self._beats.learn(self.known)
-        for suspicion in datagram.suspects:
-            if suspicion.name != self.myself.name:
-                self._beats.suspect(suspicion)
+        for told in datagram.suspects:
+            if told.name != self.myself.name and self._beats.suspect(told):
+                effects.append(self._suspected(told.name))
         fresh += self._beats.merge(datagram.beats, now)
         self._was_fed = self._was_fed or bool(datagram.beats)
         lease_s = self.instance_lease_s()
@@ -450,6 +448,7 @@
         effects = self._broadcasts.repeat_alarms(now) + self._keep_servers(now)
         suspects = self._suspicions.find(now)
         effects += self._broadcasts.suspect(suspects, now)
+        effects += [self._suspected(one.name) for one in suspects]
         effects += [
             effects_module.Changed(_name(word), word.region, "lease-ended")
             for word in self.known.expire(now)
@@ -458,6 +457,11 @@
         self._beats.learn(self.known)
         return effects + self._gossip(now)
 
+    def _suspected(self, name: str) -> effects_module.Changed:
+        held = self.known.instances.get(name)
+        region = held.region if held is not None else ""
+        return effects_module.Changed(name, region, "suspected")
+
     def _keep_servers(self, now: float) -> Effects:
         alive = {one.name: one for one in self.known.instances.words()}
         for one in alive.values():
