Say in logs and metrics which servers are taken for cold

member-changed carries cold_left_s, routing-decision says cold=, the gauge hyssop_pool_cold_servers counts per pool what an entry was told. No decision changes.

--- a/hyssopfold/core/balancing/local.py
+++ b/hyssopfold/core/balancing/local.py
@@ -157,7 +157,8 @@
             return found
         server, load = found.server, found.load
         seen = self._met(server, view.now)
-        if self._is_cold(seen, server.server_id, view):
+        is_cold = self._is_cold(seen, server.server_id, view)
+        if is_cold:
             self._allowance.take(server.server_id)
         since = seen.waits_since if seen.in_flight else view.now
         self._seen[server.server_id] = seen._replace(
@@ -173,6 +174,7 @@
             load_age_s=age_s,
             expected_s=found.expected_s,
             asked=req,
+            is_cold=is_cold,
         )
 
     def _pool(self, name: str, view: View) -> "_Pool":
--- a/hyssopfold/core/balancing/messages.py
+++ b/hyssopfold/core/balancing/messages.py
@@ -51,7 +51,8 @@
     is what the choice took the server's load for, as a multiple of its slots,
     and `load_age_s` the age of the server's own word of it in seconds.
     `expected_s` is the time until the answer that it was made for, and `asked`
-    the request that it answers, where the choice learns from its end.
+    the request that it answers, where the choice learns from its end. `is_cold`
+    tells that the server was taken for cold.
     """
 
     server: membership.Server
@@ -62,6 +63,7 @@
     load_age_s: float = NEVER_S
     expected_s: float = 0.0
     asked: Request | None = None
+    is_cold: bool = False
 
 
 class Refused(NamedTuple):
--- a/hyssopfold/core/membership/effects.py
+++ b/hyssopfold/core/membership/effects.py
@@ -20,11 +20,15 @@
 
 
 class Changed(NamedTuple):
-    """Effect: log what became of a member."""
+    """Effect: log what became of a member.
+
+    `cold_left_s` is how much longer a server says that it stays cold.
+    """
 
     member: str
     region: str
     state: str
+    cold_left_s: float = 0.0
 
 
 Effect = Send | Changed
--- a/hyssopfold/core/membership/spread.py
+++ b/hyssopfold/core/membership/spread.py
@@ -196,9 +196,7 @@
         word = server._replace(monitor=self.myself.name)
         if not self.known.servers.update(server.server_id, word, now):
             return []
-        changed = effects_module.Changed(
-            server.server_id, server.region, server.state
-        )
+        changed = _changed(server)
         if server.state == "ready":
             self._broadcasts.add_news(server.server_id)
             return [changed]
@@ -306,11 +304,7 @@
         if server.state == "gone" and self._vouch(server, now):
             # Its monitor lost it, but it goes on announcing itself here.
             return []
-        return [
-            effects_module.Changed(
-                server.server_id, server.region, server.state
-            )
-        ]
+        return [_changed(server)]
 
     def _vouch(self, server: messages.Server, now: float) -> bool:
         """Become a server's monitor if it announces itself here."""
@@ -561,6 +555,15 @@
         return peers
 
 
+def _changed(server: messages.Server) -> effects_module.Changed:
+    return effects_module.Changed(
+        server.server_id,
+        server.region,
+        server.state,
+        round(server.cold_left_s, 3),
+    )
+
+
 def _name(word: messages.Server | messages.Instance) -> str:
     return word.server_id if isinstance(word, messages.Server) else word.name
 
--- a/hyssopfold/entry/app.py
+++ b/hyssopfold/entry/app.py
@@ -121,6 +121,8 @@
             ready = held.ready_servers(pool.name)
             labels = {"pool": pool.name}
             meter.slots.set(labels, sum(server.slots for server in ready))
+            cold = sum(held.is_cold(one.server_id, now) for one in ready)
+            meter.cold_servers.set(labels, cold)
             busy = sum(in_flight.get(s.server_id, 0) for s in ready)
             meter.in_flight.set(labels, busy)
             left = self._proxy.budget_of(pool.name).left
--- a/hyssopfold/entry/carrier.py
+++ b/hyssopfold/entry/carrier.py
@@ -428,6 +428,7 @@
             load_age_s=answers.shown_age(grant.load_age_s),
             expected_s=round(grant.expected_s, 4),
             lease_left_s=round(lease_s, 3),
+            cold=grant.is_cold,
             attempt=len(effect.tried) + 1,
             budget_left=round(budget_left, 1),
             left_s=round(effect.deadline - now, 4),
--- a/hyssopfold/metrics.py
+++ b/hyssopfold/metrics.py
@@ -80,6 +80,12 @@
             const_labels=labels,
             registry=self.registry,
         )
+        self.cold_servers = aioprometheus.collectors.Gauge(
+            "hyssop_pool_cold_servers",
+            "Ready servers of a pool that this entry was told are cold",
+            const_labels=labels,
+            registry=self.registry,
+        )
         self.in_flight = aioprometheus.collectors.Gauge(
             "hyssop_pool_in_flight",
             "Requests of this entry under way in a pool",
--- a/tests/core/balancing/local.feature
+++ b/tests/core/balancing/local.feature
@@ -178,3 +178,4 @@
     And 1 s pass for the local entry
     And 1 requests for object "book" are placed locally
     Then they all went to the first server of "book"
+    And they were placed as at a cold server
--- a/tests/steps/core/balancing/local_steps.py
+++ b/tests/steps/core/balancing/local_steps.py
@@ -154,6 +154,11 @@
     assert set(_went_to(context)) == {_order(context, key)[0]}
 
 
+@then("they were placed as at a cold server")
+def _(context):
+    assert all(one.is_cold for one in context.local_answers)
+
+
 @then('they all went to the second server of "{key}"')
 def _(context, key):
     assert set(_went_to(context)) == {_order(context, key)[1]}
