--- /dev/null
+++ b/tests/support/local_entries.py
@@ -0,0 +1,115 @@
+"""Entries that choose servers by themselves, wired but not run."""
+
+import collections
+import random
+
+import trio
+
+from hyssopfold import entry_parts
+from hyssopfold import log_output
+from hyssopfold import settings
+from hyssopfold import state
+from hyssopfold import tables
+from hyssopfold.core.balancing import messages
+from hyssopfold.core.membership import messages as membership
+from hyssopfold.core.steering import regions
+from hyssopfold.entry import adapters
+
+DOMAINS = ("dar-1", "dar-2")
+TABLES = """
+pools: [{{name: ledger, slots: 9, cold_rate: {rate}, warm_up_s: 3}}]
+routes: [{{name: pay, path_prefix: /, pool: ledger}}]
+"""
+SETTINGS = """
+name: {name}
+region: dar
+failure_domain: dar-1
+http_address: 127.0.0.1:{port}
+gossip_address: 127.0.0.1:{port}
+placement: local
+control_seeds: ["127.0.0.1:7100"]
+"""
+_OBJECTS = 40
+_RUN_S = 0.3
+
+
+class LocalEntries:
+    """Entries with the same tables, and the servers that they know.
+
+    Must be made within a trio run.
+
+    Args:
+        count: Number of entries.
+        each: Servers in each failure domain.
+        rate: Requests a second that one bears while it is cold.
+    """
+
+    def __init__(self, count, each, rate):
+        self.state = state.State(tables.parse(TABLES.format(rate=rate)))
+        self.revision = 0
+        self.sent = collections.defaultdict(list)
+        self.refused = 0
+        self._rng = random.Random(1)
+        self._running = collections.deque()
+        self.entries = [self._entry(number) for number in range(count)]
+        self._introduce()
+        for number in range(each * len(DOMAINS)):
+            self._add_server(number)
+        self.install(())
+
+    def _entry(self, number):
+        text = SETTINGS.format(name=f"entry-{number}", port=7300 + number)
+        cfg = settings.parse_entry(text, "test")
+        return entry_parts.Entry(
+            cfg, adapters.OUR_ADAPTERS, log_output.BoundedHandler(1)
+        )
+
+    def _introduce(self):
+        words = [one.spread.myself for one in self.entries]
+        for one in self.entries:
+            for word in words:
+                word = word._replace(state="ready", sequence=word.sequence + 1)
+                one.known.instances.update(word.name, word, 0.0)
+
+    def _add_server(self, number):
+        word = membership.Server(
+            f"s{number}", "ledger", f"10.0.0.{number}:80", "dar",
+            DOMAINS[number % len(DOMAINS)], 9, 390, "ready", 1, 1, 0.0,
+        )  # fmt: skip
+        for one in self.entries:
+            one.known.servers.update(word.server_id, word, 1e9)
+
+    def install(self, evacuated):
+        """Put a revision in force at all entries."""
+        self.revision += 1
+        held = self.state._replace(evacuated=evacuated)
+        for one in self.entries:
+            one.config.install(self.revision, state.encode(held))
+
+    async def place(self, rate, seconds):
+        """Place requests for objects at random, at one entry after another."""
+        for number in range(round(rate * seconds)):
+            await trio.sleep(1 / rate)
+            self._end_requests()
+            await self._place_one(self.entries[number % len(self.entries)])
+
+    async def _place_one(self, entry):
+        held = entry.config.snapshot.held
+        dar = (messages.Region("dar", False),)
+        req = messages.Request(
+            "r", "ledger", regions.allowed(dar, (), held.evacuated), 0, 1e9, (),
+            f"pay {self._rng.randrange(_OBJECTS)}", 0.25, "pay",
+        )  # fmt: skip
+        pool = entry.config.snapshot.tables.pool("ledger")
+        grant = await entry.place.acquire(req, pool)
+        if isinstance(grant, messages.Refused):
+            self.refused += 1
+            return
+        now = trio.current_time()
+        self.sent[grant.server].append(now)
+        self._running.append((now + _RUN_S, entry, grant))
+
+    def _end_requests(self):
+        while self._running and self._running[0][0] <= trio.current_time():
+            _, entry, grant = self._running.popleft()
+            entry.place.release(grant, messages.Done("answered", _RUN_S))
