Take servers of a failure domain that gets work again for cold

Callers saw failed status checks and searches when an evacuation ended: a backend server got 18 requests in one second while it was cold (15.2 are borne), and crashed.

Cause: an entry takes a server for warm until it is told otherwise, also one to which it sent nothing for seconds. The word of coldness is the server's own announcement; it is lost, or waits for a control instance that does not answer, as easily as any other.

Change: an entry that sees a failure domain leave the evacuated ones takes its servers for cold for the pool's warm_up_s from then on, before it places a request there. A server's own word that reaches beyond that moment is believed in its place. This needs no message, so that none can be lost.

Ruled out: limiting by the closed domains of each request, which drains close for a part of the requests only; a health request to each server, which costs one more request a server and entry, and can be lost as well.

--- a/hyssopfold/core/balancing/local.py
+++ b/hyssopfold/core/balancing/local.py
@@ -83,7 +83,7 @@
     """What an entry knows when it chooses: the pool, its servers, the time.
 
     `servers` is the same object until one of them changes. `is_cold` tells
-    whether a server says that it is cold, `cold_rate` and `warm_up_s` are the
+    whether a server is to be taken for cold, `cold_rate` and `warm_up_s` are the
     pool's, `entries` the names of those that serve callers.
     """
 
--- a/hyssopfold/core/membership/directory.py
+++ b/hyssopfold/core/membership/directory.py
@@ -159,9 +159,13 @@
             self._cold_until[server.server_id] = until
         return news
 
+    def cold_until(self, server_id: str) -> float:
+        """Return until when a server says that it is cold; 0 if it does not."""
+        return self._cold_until.get(server_id, 0.0)
+
     def is_cold(self, server_id: str, now: float) -> bool:
         """Return whether a server says that it is cold."""
-        return self._cold_until.get(server_id, 0.0) > now
+        return self.cold_until(server_id) > now
 
     def expire(self, now: float) -> list[messages.Server | messages.Instance]:
         """Drop and return all whose lease has ended."""
--- a/hyssopfold/entry/local_placement.py
+++ b/hyssopfold/entry/local_placement.py
@@ -1,5 +1,7 @@
 """Slots that an entry chooses by itself, from what it knows of the servers."""
 
+from collections.abc import Callable
+from collections.abc import Collection
 from collections.abc import Iterable
 import logging
 import random
@@ -12,6 +14,7 @@
 from hyssopfold.core.balancing import load_reports
 from hyssopfold.core.balancing import local
 from hyssopfold.core.balancing import messages
+from hyssopfold.core.balancing import reopened
 from hyssopfold.core.membership import messages as membership
 from hyssopfold.transport import datagram_wire
 from hyssopfold.transport import gossip
@@ -38,6 +41,7 @@
         chooser: Decisions of this entry.
         spread: Knows the servers and entries, and carries what is told to these.
         rng: Draws the entries that are told.
+        evacuated: Returns the failure domains that are evacuated now.
     """
 
     def __init__(
@@ -45,11 +49,14 @@
         chooser: local.Chooser,
         spread: gossip.Gossip,
         rng: random.Random,
+        evacuated: Callable[[], Collection[str]],
     ) -> None:
         self._chooser = chooser
         self._spread = spread
         self._directory = spread.directory
         self._rng = rng
+        self._evacuated = evacuated
+        self._reopened = reopened.Reopened(spread.directory)
         self._warm_up_s: dict[str, float] = {}
         # Names of the entries that serve callers, made once a change.
         self._entries: tuple[membership.Instance, ...] = ()
@@ -62,10 +69,12 @@
     ) -> messages.Grant | messages.Refused:
         """Return a server, or why there is none; at once."""
         now = trio.current_time()
-        known = self._directory
+        self._note_reopened(now)
         view = local.View(
-            known.ready_servers(pool.name),
-            lambda server_id: known.is_cold(server_id, now),
+            self._directory.ready_servers(pool.name),
+            lambda server_id: self._reopened.is_cold(
+                server_id, pool.warm_up_s, now
+            ),
             pool.cold_rate,
             pool.warm_up_s,
             self._entry_names(),
@@ -73,6 +82,11 @@
         )
         return self._chooser.choose(req, view)
 
+    def _note_reopened(self, now: float) -> None:
+        """Notice a change before the first request that it concerns is placed."""
+        for domain in self._reopened.note(self._evacuated(), now):
+            logger.info(logs.Event("domain-reopened", domain=domain))
+
     def _entry_names(self) -> tuple[str, ...]:
         entries = self._directory.ready_entries()
         if entries is not self._entries:
--- a/hyssopfold/entry_parts.py
+++ b/hyssopfold/entry_parts.py
@@ -122,7 +122,10 @@
         if cfg.placement == "local":
             chooser = local.Chooser(cfg.name, cfg.region)
             return local_placement.LocalPlacement(
-                chooser, self.spread, self.rng
+                chooser,
+                self.spread,
+                self.rng,
+                lambda: self.config.snapshot.held.evacuated,
             )
         # Only entries that grant slots to each other load what that takes.
         from hyssopfold.core.balancing import node
--- a/tests/support/local_entries.py
+++ b/tests/support/local_entries.py
@@ -65,10 +65,12 @@
         )
 
     def _introduce(self):
-        words = [one.spread.myself for one in self.entries]
+        words = [
+            word._replace(state="ready", sequence=word.sequence + 1)
+            for word in (one.spread.myself for one in self.entries)
+        ]
         for one in self.entries:
             for word in words:
-                word = word._replace(state="ready", sequence=word.sequence + 1)
                 one.known.instances.update(word.name, word, 0.0)
 
     def _add_server(self, number):
