Do not let a late announcement make a cold server warm

Same cause as the flood after an evacuation: a server taken for warm by a word from before it was cold. An announcement that arrives late at an instance which had not heard the server itself, but had been told of its coldness by gossip, cleared that: note_cold ran before the check of order. Entries that servers announce themselves to would then send at the full rate.

The check of order comes first now. The scenario failed before (the instance took the server for warm) and passes.

--- a/hyssopfold/core/membership/spread.py
+++ b/hyssopfold/core/membership/spread.py
@@ -187,7 +187,9 @@
             # A word that was on its way when the server was dismissed.
             server = server._replace(state="leaving")
         settled = self._announced.take(server, now)
-        cold_again = self.known.note_cold(server, now)
+        # Another instance may have told already what the server said later.
+        is_late = held is not None and announced.is_newer(held, server)
+        cold_again = not is_late and self.known.note_cold(server, now)
         vouched = held is not None and self._vouched(held, server, settled)
         if held is not None and vouched and not cold_again:
             if held.monitor == self.myself.name:
--- a/tests/core/membership/spread.feature
+++ b/tests/core/membership/spread.feature
@@ -36,6 +36,11 @@
       | its own instance    |
       | another instance    |
 
+  Scenario: an announcement that arrives late does not make a server warm
+    When a server becomes cold for 3 s, and all know
+    And what it said before arrives late at another instance
+    Then every instance takes it for cold
+
   Scenario: a server that falls silent is gone everywhere
     When a server falls silent
     Then within 8 s no instance takes the server for ready
--- a/tests/steps/core/membership/many_steps.py
+++ b/tests/steps/core/membership/many_steps.py
@@ -95,12 +95,7 @@
 def _(context, seconds):
     gossip = context.gossip
     gossip.run(seconds)
-    warm = [
-        name
-        for name, node in gossip.live().items()
-        if not node.known.is_cold(ONE, gossip.now)
-    ]
-    assert not warm, warm
+    assert gossip.cold_at(ONE) == list(gossip.live())
 
 
 @when("half of the instances of one failure domain die")
--- a/tests/steps/core/membership/spread_steps.py
+++ b/tests/steps/core/membership/spread_steps.py
@@ -231,3 +231,33 @@
                 if one.is_suspect(other, gossip.now)
             ]
             assert not suspects, (gossip.now, name, suspects)
+
+
+@when("a server becomes cold for {seconds:d} s, and all know")
+def _(context, seconds):
+    gossip = context.gossip
+    context.word_before = gossip.servers[ONE]
+    gossip.chill(ONE, seconds)
+    gossip.run(0.5)
+    assert gossip.cold_at(ONE) == list(gossip.live())
+
+
+@when("what it said before arrives late at another instance")
+def _(context):
+    gossip = context.gossip
+    other = next(name for name in gossip.live() if name != gossip.told[ONE])
+    effects = gossip.nodes[other].announce(context.word_before, gossip.now)
+    gossip.carry(other, effects)
+
+
+@then("every instance takes it for cold")
+def _(context):
+    gossip = context.gossip
+    assert gossip.cold_at(ONE) == list(gossip.live())
+
+
+@then("for {seconds:d} s no instance takes it for cold")
+def _(context, seconds):
+    for _ in range(seconds * 10):
+        context.gossip.run(0.1)
+        assert not context.gossip.cold_at(ONE), context.gossip.cold_at(ONE)
--- a/tests/support/fake_gossip.py
+++ b/tests/support/fake_gossip.py
@@ -196,6 +196,14 @@
         for name, node in self.live().items():
             self.carry(name, node.tick(self.now))
 
+    def cold_at(self, server_id):
+        """Return the live instances that take a server for cold."""
+        return [
+            name
+            for name, node in self.live().items()
+            if node.known.is_cold(server_id, self.now)
+        ]
+
     def ready_at(self, server_id):
         """Return the live instances that take a server for ready."""
         found = []
