Tell for how long a server stays cold from now on, not from when it said so

Found while looking for the cause of the flood elsewhere, the same confusion in the other direction: a word of coldness was passed on with the seconds of when it was said. An entry that restarted took every server whose last change was a cold spell for cold for 3 s, and sent it next to nothing, while callers of a restarted entry meet its emptiest seconds anyway. A repeated word would have lengthened the spell as well.

Datagrams tell the seconds that are left when they are made. The scenario failed before (a fresh instance took a server for cold 10 s after its spell) and passes.

--- a/hyssopfold/core/membership/broadcasts.py
+++ b/hyssopfold/core/membership/broadcasts.py
@@ -113,7 +113,7 @@
         now: float,
     ) -> Sends:
         sends: Sends = []
-        for datagram in self._made.datagrams(keys):
+        for datagram in self._made.datagrams(keys, now):
             sends += self._send(datagram, purpose, relays, now)
         return sends
 
--- a/hyssopfold/core/membership/composer.py
+++ b/hyssopfold/core/membership/composer.py
@@ -31,14 +31,16 @@
         """Return a datagram with this instance's own word."""
         return self.empty()._replace(instances=(self.myself,))
 
-    def datagrams(self, keys: Sequence[str]) -> list[messages.Datagram]:
-        """Return datagrams with the words of some members."""
+    def datagrams(
+        self, keys: Sequence[str], now: float
+    ) -> list[messages.Datagram]:
+        """Return datagrams with the words of some members, as of now."""
         return [
-            self._with_words(keys[at : at + MAX_RECORDS])
+            self._with_words(keys[at : at + MAX_RECORDS], now)
             for at in range(0, len(keys), MAX_RECORDS)
         ]
 
-    def _with_words(self, keys: Sequence[str]) -> messages.Datagram:
+    def _with_words(self, keys: Sequence[str], now: float) -> messages.Datagram:
         """Return a datagram with some words, and this instance's own.
 
         Who has not heard of a server's monitor does not take the server in.
@@ -51,7 +53,8 @@
             if instance is not None and key != self.myself.name:
                 instances.append(instance)
             if server is not None:
-                servers.append(server)
+                left_s = max(0.0, self._known.cold_until(key) - now)
+                servers.append(server._replace(cold_left_s=left_s))
         return self.empty()._replace(
             instances=tuple(instances), servers=tuple(servers)
         )
--- a/hyssopfold/core/membership/spread.py
+++ b/hyssopfold/core/membership/spread.py
@@ -367,7 +367,7 @@
         if datagram.want:
             return self._tell_all(asker, now)
         if datagram.buckets:
-            return self._answer_comparison(asker, datagram)
+            return self._answer_comparison(asker, datagram, now)
         if datagram.digest in (
             messages.NO_DIGEST,
             self.known.digests.whole(),
@@ -384,7 +384,7 @@
         return [effects_module.Send(asker, question, "compare")]
 
     def _answer_comparison(
-        self, asker: str, datagram: messages.Datagram
+        self, asker: str, datagram: messages.Datagram, now: float
     ) -> Effects:
         """Tell what is known in the buckets that differ.
 
@@ -401,7 +401,7 @@
             for key in self.known.digests.keys(number)
         ]
         answers = self._made.datagrams(
-            keys[: composer.MAX_RECORDS * MAX_ANSWERS]
+            keys[: composer.MAX_RECORDS * MAX_ANSWERS], now
         )
         if datagram.compare:
             last = answers.pop() if answers else self._made.empty()
@@ -426,7 +426,7 @@
         keys = [one.name for one in self.known.instances.words()]
         keys += [one.server_id for one in self.known.servers.words()]
         answers = self._made.datagrams(
-            keys[: MAX_WANTED * composer.MAX_RECORDS]
+            keys[: MAX_WANTED * composer.MAX_RECORDS], now
         )
         return [
             effects_module.Send(
--- a/tests/core/membership/spread.feature
+++ b/tests/core/membership/spread.feature
@@ -41,6 +41,15 @@
     And what it said before arrives late at another instance
     Then every instance takes it for cold
 
+  Scenario: a fresh instance is not told of a cold spell that is over
+    Every server that had been cold in its life got next to nothing from an
+    entry for the first seconds after it had restarted.
+
+    When a server becomes cold for 3 s, and all know
+    And the servers announce themselves for 10 s
+    And a fresh instance starts
+    Then for 2 s no instance takes it for cold
+
   Scenario: a server that falls silent is gone everywhere
     When a server falls silent
     Then within 8 s no instance takes the server for ready
