Let an entry that knows of no other take no larger part of a cold server's rate

Same class as the flood after an evacuation: what an entry does not know was taken for the favourable case. The rate was divided by the number of holders known; an entry cut off from all others is its only holder and took the whole. Two such entries beside the two real holders: more than the 20 requests in one second that a server bearing 10 a second is to get.

Each holder takes one of HOLDERS parts now, also when it knows of no other.

--- a/hyssopfold/core/balancing/allowance.py
+++ b/hyssopfold/core/balancing/allowance.py
@@ -3,9 +3,8 @@
 A cold server crashes under a rate that a warm one bears, and no entry sees
 what the others send. So a few entries, drawn by rendezvous hashing, hold the
 whole allowance of a server between them, each as a token bucket. In any
-second they send at most the rate plus one request each; an entry that does
-not know of another one draws itself too often, never by more than it is cut
-off from.
+second they send at most the rate plus one request each. An entry that does
+not know of another one draws itself too often, but takes no larger part.
 """
 
 from collections.abc import Collection
@@ -62,7 +61,7 @@
         holders = self._drawn(server_id, entries)
         if self._name not in holders:
             return False
-        held = self._filled(server_id, rate * MARGIN / len(holders), now)
+        held = self._filled(server_id, rate * MARGIN / HOLDERS, now)
         self._buckets[server_id] = held
         return held.tokens >= 1
 
--- a/tests/core/balancing/local.feature
+++ b/tests/core/balancing/local.feature
@@ -111,6 +111,12 @@
       | 8       |
       | 80      |
 
+  Scenario: entries that are cut off from all others do not flood a cold server
+    Given 8 local entries that know a cold server bearing 10 a second
+    And the 2 that rank last for it know of no other entry
+    When all of them place as many requests as they may for 3 s
+    Then in no second did the cold server get more than 20 requests
+
   Scenario: an evacuated failure domain gets nothing, whatever the object
     Given 6 local servers of 3 slots
     When 300 requests for 100 objects are placed locally with "dar-1" closed
--- a/tests/steps/core/balancing/local_steps.py
+++ b/tests/steps/core/balancing/local_steps.py
@@ -217,6 +217,13 @@
     context.local_servers = [_server(1, 1000)]
     context.local_names = [f"e{n}" for n in range(count)]
     context.local_entries = [local.Chooser(one) for one in context.local_names]
+    context.local_cut_off = ()
+
+
+@given("the {count:d} that rank last for it know of no other entry")
+def _(context, count):
+    ranked = affinity.alike("s1", context.local_names)
+    context.local_cut_off = ranked[-count:]
 
 
 @when("all of them place as many requests as they may for {seconds:d} s")
@@ -224,10 +231,10 @@
     context.local_sent = []
     for _ in range(seconds * 100):
         context.local_now += 0.01
-        for chooser in context.local_entries:
-            view = _view(
-                context, cold={"s1"}, entries=tuple(context.local_names)
-            )
+        names = tuple(context.local_names)
+        for name, chooser in zip(names, context.local_entries, strict=True):
+            known = (name,) if name in context.local_cut_off else names
+            view = _view(context, cold={"s1"}, entries=known)
             for _ in range(3):
                 answer = chooser.choose(_request("book"), view)
                 if isinstance(answer, messages.Grant):
