Soak: let the broken policy take the whole allowance again

The scenario's entries each take a cold server's whole allowance for theirs. That an entry which knows of no other takes half of it now made the broken policy milder than what the scenario says, and the soak no longer saw it. Each takes one of one parts: the same requests a second as before.

--- a/tests/steps/bench/soak/soak_steps.py
+++ b/tests/steps/bench/soak/soak_steps.py
@@ -34,6 +34,7 @@
         return (held._name,)
 
     _break(context, allowance.Allowance, "_drawn", drawn_alone)
+    _break(context, allowance, "HOLDERS", 1)
 
 
 @when('a soak plays "{site}" with seed {seed:d}')
