Take apart the choice of servers: what an entry has seen of each

Nothing decides otherwise; the features of choices pass as they were, one of them counts calls of Sightings.meet in place of Chooser._met.

--- a/hyssopfold/core/balancing/local.py
+++ b/hyssopfold/core/balancing/local.py
@@ -16,7 +16,6 @@
 import itertools
 import math
 from typing import NamedTuple
-import zlib
 
 from hyssopfold.core.balancing import accusations
 from hyssopfold.core.balancing import affinity
@@ -24,6 +23,7 @@
 from hyssopfold.core.balancing import estimates
 from hyssopfold.core.balancing import load_reports
 from hyssopfold.core.balancing import messages
+from hyssopfold.core.balancing import sightings
 from hyssopfold.core.balancing import whereabouts
 from hyssopfold.core.membership import messages as membership
 
@@ -42,43 +42,10 @@
 # the way between regions. More would fill a region that has few servers for
 # its callers.
 HOME_WEIGHT = 5.0
-# A report of load is worth nothing once what ran then is done.
-REPORT_S = 2.0
-# Failures to connect, or failed answers in a row, after which a server gets
-# nothing for a while; doubled each time, up to the most.
-FAILURES = 3
-FIRST_REST_S = 1.0
-MAX_REST_S = 8.0
-# A server is silent when requests wait at it and no answer came for so many
-# times the latency goal: dead without a sign, or slow beyond use. It gets
-# nothing until it answers, or none of them waits any more.
-SILENT_GOALS = 2.0
-USUAL_GOAL_S = 0.5
-# One whose address belongs to another server now: its lease ends by then.
-ELSEWHERE_REST_S = 4.0
-# A server that refused for want of room gets nothing for so long: about the
-# time in which one of its requests ends.
-SHED_REST_S = 0.1
 # When all are loaded, callers should come back once some requests are done.
 RETRY_AFTER_S = 0.15
 
 
-class _Seen(NamedTuple):
-    """What this entry knows of a server beside its announcement."""
-
-    incarnation: int
-    in_flight: int = 0
-    reported: float = 0.0
-    reported_at: float = -math.inf
-    in_flight_then: int = 0
-    waits_since: float = -math.inf
-    goal_s: float = USUAL_GOAL_S
-    failures: int = 0
-    rests: int = 0
-    resting_until: float = -math.inf
-    cold_until: float = -math.inf
-
-
 class View(NamedTuple):
     """What an entry knows when it chooses: the pool, its servers, the time.
 
@@ -130,11 +97,10 @@
 
     def __init__(self, name: str, region: str = "") -> None:
         self._region = region
-        self._seen: dict[str, _Seen] = {}
+        self._seen = sightings.Sightings()
         self._pools: dict[str, _Pool] = {}
         self._allowance = allowance.Allowance(name)
         self._accusations = accusations.Accusations()
-        self._by_key: dict[int, str] = {}
         self._estimates = estimates.Estimates()
         self._whereabouts = whereabouts.Whereabouts()
         self._reports = load_reports.LoadReports()
@@ -156,16 +122,10 @@
         if isinstance(found, messages.Refused):
             return found
         server, load = found.server, found.load
-        seen = self._met(server, view.now)
+        seen = self._seen.sent(server, req.goal_s, view.now)
         is_cold = self._is_cold(seen, server.server_id, view)
         if is_cold:
             self._allowance.take(server.server_id)
-        since = seen.waits_since if seen.in_flight else view.now
-        self._seen[server.server_id] = seen._replace(
-            in_flight=seen.in_flight + 1,
-            waits_since=since,
-            goal_s=req.goal_s or USUAL_GOAL_S,
-        )
         age_s = min(messages.NEVER_S, view.now - seen.reported_at)
         return messages.Grant(
             server,
@@ -198,23 +158,6 @@
         self._pools[name] = held
         return held
 
-    def _met(self, server: membership.Server, now: float) -> "_Seen":
-        seen = self._seen.get(server.server_id)
-        if seen is not None and seen.incarnation >= server.incarnation:
-            return seen
-        in_flight = 0
-        if seen is not None:
-            # What is said of its former life, still on its way, counts no more.
-            in_flight = seen.in_flight
-            former = life_key(server.server_id, seen.incarnation)
-            self._by_key.pop(former, None)
-        key = life_key(server.server_id, server.incarnation)
-        self._by_key[key] = server.server_id
-        seen = self._seen[server.server_id] = _Seen(
-            server.incarnation, in_flight=in_flight, waits_since=now
-        )
-        return seen
-
     def _by_object(
         self,
         req: messages.Request,
@@ -327,10 +270,10 @@
     def _is_open(self, server: membership.Server, view: View) -> bool:
         """Return whether a server takes requests as far as is known here."""
         server_id = server.server_id
-        seen = self._met(server, view.now)
+        seen = self._seen.meet(server, view.now)
         if seen.resting_until > view.now:
             return False
-        if _is_silent(seen, view.now) or self._accusations.is_accused(
+        if seen.is_silent(view.now) or self._accusations.is_accused(
             server_id, view.now
         ):
             return False
@@ -340,7 +283,9 @@
             server_id, view.cold_rate, view.entries, view.now
         )
 
-    def _is_cold(self, seen: _Seen, server_id: str, view: View) -> bool:
+    def _is_cold(
+        self, seen: sightings.Sighting, server_id: str, view: View
+    ) -> bool:
         if not view.cold_rate:
             return False
         return seen.cold_until > view.now or view.is_cold(server_id)
@@ -358,15 +303,11 @@
             now: The time.
             told_s: How old another entry's report may be.
         """
-        seen = self._met(server, now)
-        known = float(seen.in_flight)
-        if now - seen.reported_at <= REPORT_S:
-            since = seen.in_flight - seen.in_flight_then
-            known = max(known, seen.reported + since)
+        seen = self._seen.meet(server, now)
         told = self._reports.requests(
             server.server_id, seen.reported_at, seen.in_flight, now - told_s
         )
-        return max(known, told) / max(1, server.slots)
+        return max(seen.requests(now), told) / max(1, server.slots)
 
     def learn(
         self, grant: messages.Grant, done: messages.Done, now: float
@@ -393,35 +334,18 @@
         self, server_id: str, done: messages.Done, warm_up_s: float, now: float
     ) -> None:
         """Take in how a request ended."""
-        seen = self._seen.get(server_id)
-        if seen is None:
-            return
-        seen = seen._replace(in_flight=max(0, seen.in_flight - 1))
-        if done.kind in ("answered", "shed"):
-            seen = seen._replace(waits_since=now)
-        if done.load is not None:
-            seen = seen._replace(
-                reported=float(done.load.running + done.load.waiting),
-                reported_at=now,
-                in_flight_then=seen.in_flight,
-            )
-            key = life_key(server_id, seen.incarnation)
+        self._seen.done(server_id, done, warm_up_s, now)
+        key = self._seen.key_of(server_id)
+        if done.load is not None and key is not None:
             self._reports.note(key, done.load)
-        if done.kind != "cancelled":
-            seen = _judged(seen, done, warm_up_s, now)
-        self._seen[server_id] = seen
 
     def silent(self, now: float) -> tuple[int, ...]:
-        """Return the servers, by `life_key`, at which requests wait in vain.
+        """Return the lives of servers at which requests wait in vain.
 
         Each of many entries sends a server few requests, and would else learn
         by its own losses that none is answered.
         """
-        return tuple(
-            life_key(server_id, seen.incarnation)
-            for server_id, seen in self._seen.items()
-            if _is_silent(seen, now)
-        )
+        return self._seen.silent(now)
 
     def hear(
         self, sender: str, silent: Iterable[int], now: float
@@ -431,7 +355,7 @@
         Returns:
             Servers that get nothing more, by this and others' word.
         """
-        known = (self._by_key.get(key) for key in silent)
+        known = (self._seen.server_of(key) for key in silent)
         return tuple(
             server_id
             for server_id in known
@@ -445,43 +369,28 @@
         return self._reports.has_busy
 
     def take_busy(self) -> tuple[tuple[int, int], ...]:
-        """Return the busy servers, by `life_key`, and their requests, once."""
+        """Return the lives of busy servers and their requests, once."""
         return self._reports.take_busy()
 
     def hear_loads(self, loads: Iterable[tuple[int, int]], now: float) -> None:
         """Take in which servers another entry found busy just now."""
+        in_flight = self._seen.in_flight()
         for key, requests in loads:
-            server_id = self._by_key.get(key)
+            server_id = self._seen.server_of(key)
             if server_id is not None:
-                in_flight = self._seen[server_id].in_flight
-                self._reports.hear(server_id, requests, in_flight, now)
+                mine = in_flight.get(server_id, 0)
+                self._reports.hear(server_id, requests, mine, now)
 
     def in_flight(self) -> dict[str, int]:
         """Return the requests under way by server."""
-        return {
-            server_id: seen.in_flight
-            for server_id, seen in self._seen.items()
-            if seen.in_flight
-        }
+        return self._seen.in_flight()
 
     def forget(self, known: Collection[str]) -> None:
         """Drop the servers that are gone and have nothing under way."""
         self._allowance.forget(known)
         self._whereabouts.forget(known)
         self._reports.forget(known)
-        for server_id in self._seen.keys() - set(known):
-            if not self._seen[server_id].in_flight:
-                del self._seen[server_id]
-        self._accusations.forget(self._seen.keys())
-        self._by_key = {
-            life_key(server_id, seen.incarnation): server_id
-            for server_id, seen in self._seen.items()
-        }
-
-
-def life_key(server_id: str, incarnation: int) -> int:
-    """Return what stands for one life of a server between entries."""
-    return zlib.crc32(f"{server_id} {incarnation}".encode())
+        self._accusations.forget(self._seen.forget(known))
 
 
 def _closed_domains(req: messages.Request) -> dict[str, set[str]]:
@@ -499,7 +408,7 @@
         return False
     patience = PATIENCE[min(req.priority, len(PATIENCE) - 1)]
     in_all_s = req.waited_s + choice.expected_s
-    goal_s = req.goal_s or USUAL_GOAL_S
+    goal_s = req.goal_s or sightings.USUAL_GOAL_S
     return choice.load < 1 or in_all_s <= patience * goal_s
 
 
@@ -521,34 +430,3 @@
     if domains is None or server.failure_domain in domains:
         return False
     return server.server_id not in req.avoid
-
-
-def _is_silent(seen: _Seen, now: float) -> bool:
-    """Return whether requests wait at a server that answers none."""
-    waits_s = now - seen.waits_since
-    return seen.in_flight > 0 and waits_s > seen.goal_s * SILENT_GOALS
-
-
-def _judged(
-    seen: _Seen, done: messages.Done, warm_up_s: float, now: float
-) -> _Seen:
-    if done.elsewhere:
-        return seen._replace(resting_until=now + ELSEWHERE_REST_S)
-    if done.kind == "shed":
-        return seen._replace(resting_until=now + SHED_REST_S)
-    if done.good:
-        return seen._replace(failures=0, rests=max(0, seen.rests - 1))
-    failures = seen.failures + 1
-    if done.reached and failures < FAILURES:
-        return seen._replace(failures=failures)
-    rest_s = min(MAX_REST_S, FIRST_REST_S * 2.0**seen.rests)
-    until = now + rest_s
-    # One that takes no connection has ended; it comes back cold, and its own
-    # word of that may come later than its first request.
-    cold_until = until + warm_up_s if not done.reached else seen.cold_until
-    return seen._replace(
-        failures=0,
-        rests=seen.rests + 1,
-        resting_until=until,
-        cold_until=cold_until,
-    )
--- a/tests/steps/core/balancing/load_reports_steps.py
+++ b/tests/steps/core/balancing/load_reports_steps.py
@@ -10,6 +10,7 @@
 from hyssopfold.core.balancing import load_reports
 from hyssopfold.core.balancing import local
 from hyssopfold.core.balancing import messages
+from hyssopfold.core.balancing import sightings
 from hyssopfold.core.membership import messages as membership
 
 _OPEN = (messages.Region("dakar", False),)
@@ -36,7 +37,7 @@
 
 
 def _life(name):
-    return local.life_key(name, 1)
+    return sightings.life_key(name, 1)
 
 
 def _order(context, key):
--- a/tests/steps/core/balancing/local_steps.py
+++ b/tests/steps/core/balancing/local_steps.py
@@ -10,6 +10,7 @@
 from hyssopfold.core.balancing import affinity
 from hyssopfold.core.balancing import local
 from hyssopfold.core.balancing import messages
+from hyssopfold.core.balancing import sightings
 from hyssopfold.core.membership import messages as membership
 
 _OPEN = (messages.Region("dar", False),)
@@ -373,14 +374,14 @@
 
 @when('{count:d} requests for object "{key}" are placed and answered locally')
 def _(context, count, key):
-    met = local.Chooser._met
+    meet = sightings.Sightings.meet
     context.local_looked_at = set()
 
-    def noting(chooser, server, now):
+    def noting(seen, server, now):
         context.local_looked_at.add(server.server_id)
-        return met(chooser, server, now)
+        return meet(seen, server, now)
 
-    with mock.patch.object(local.Chooser, "_met", noting):
+    with mock.patch.object(sightings.Sightings, "meet", noting):
         for _ in range(count):
             _meet_first(context, key)
 
