--- a/tests/platform/wire.feature
+++ b/tests/platform/wire.feature
@@ -19,6 +19,18 @@
       | addr     | "nowhere"   |
       | sequence | -1          |
 
+  Scenario Outline: a heartbeat without a field names no server
+    One that does not say whether its server is cold would make it warm.
+
+    Given a platform heartbeat without "<field>"
+    Then the platform's body is refused for "<field>"
+
+    Examples:
+      | field       |
+      | cold_left_s |
+      | version     |
+      | sequence    |
+
   Scenario: a configuration is read and handed back as it was sent
     Given a platform configuration of version "00000007" on base "00000005"
     Then it is an edit of version 7 on base 5
--- a/tests/steps/platform/wire_steps.py
+++ b/tests/steps/platform/wire_steps.py
@@ -108,6 +108,11 @@
     context.beat = {**BEAT, field: json.loads(value)}
 
 
+@given('a platform heartbeat without "{field}"')
+def _(context, field):
+    context.beat = {key: BEAT[key] for key in BEAT if key != field}
+
+
 @then("it announces a server with its own start, count and failure domain")
 def _(context):
     server = _server(context.beat)
