--- a/hyssopfold/core/membership/spread.py
+++ b/hyssopfold/core/membership/spread.py
@@ -8,10 +8,12 @@
 from hyssopfold.core.membership import announced
 from hyssopfold.core.membership import beats
 from hyssopfold.core.membership import broadcasts
+from hyssopfold.core.membership import comparison
 from hyssopfold.core.membership import composer
 from hyssopfold.core.membership import directory
 from hyssopfold.core.membership import effects as effects_module
 from hyssopfold.core.membership import messages
+from hyssopfold.core.membership import monitoring
 from hyssopfold.core.membership import neighbours
 from hyssopfold.core.membership import suspicion as suspicion_module
 
@@ -20,21 +22,10 @@
 SPREAD_S = 3.0
 SPARE_ROUNDS = 4
 ROUNDS_PER_DOUBLING = 2
-# Datagrams of records in one answer to a comparison.
-MAX_ANSWERS = 4
-# Comparisons that an instance starts in one period when hashes differ.
-MAX_COMPARISONS = 2
 # Control instances that are asked to tell all of a new or changed instance.
 INTRODUCERS = 2
-# How long a server holds whose monitor is silent: it announces itself each
-# second, and another instance takes over as monitor.
-HANDOVER_S = 5.0
 # Share of an instance's lease after which it is named to callers no more.
 SUSPECT_SHARE = 0.6
-# How long it is remembered that a server is gone: by then all know.
-GONE_S = 60.0
-# How long servers hold when nothing is heard from their region at all.
-CUT_OFF_HOLD_S = 30.0
 # A fresh process that hears no one goes on alone after this time.
 ALONE_S = 2.0
 WANT_EVERY_S = 0.5
@@ -90,13 +81,19 @@
             self._neighbours,
             lambda name, at: not self.is_suspect(name, at),
         )
-        self._comparisons_left = MAX_COMPARISONS
+        self._comparison = comparison.Comparison(self._made, known, rng)
+        self._monitoring = monitoring.Monitoring(
+            myself.name,
+            known,
+            self._announced,
+            lease_s,
+            self._broadcasts.add_news,
+        )
         # Whether signs of life came in the period.
         self._was_fed = True
         self._wanted_at = -math.inf
         self._wanted: dict[str, set[int]] = {}
         self._whole = False
-        self._region_heard: dict[str, float] = {}
         self._answered: dict[str, float] = {}
         self._note_self(now)
 
@@ -304,22 +301,12 @@
             return []
         self.known.note_cold(server, now)
         if server.state == "gone":
-            self._renew(server.server_id, now, GONE_S)
-        if server.state == "gone" and self._vouch(server, now):
+            self._renew(server.server_id, now, monitoring.GONE_S)
+        if server.state == "gone" and self._monitoring.vouch(server, now):
             # Its monitor lost it, but it goes on announcing itself here.
             return []
         return [_changed(server)]
 
-    def _vouch(self, server: messages.Server, now: float) -> bool:
-        """Become a server's monitor if it announces itself here."""
-        word = self._announced.newer(server, now)
-        if word is None:
-            return False
-        word = word._replace(monitor=self.myself.name)
-        if self.known.servers.update(server.server_id, word, now):
-            self._broadcasts.add_news(server.server_id)
-        return True
-
     def _is_credible(self, instance: messages.Instance, sender: str) -> bool:
         name = instance.name
         if name == self.myself.name:
@@ -367,49 +354,15 @@
         if datagram.want:
             return self._tell_all(asker, now)
         if datagram.buckets:
-            return self._answer_comparison(asker, datagram, now)
+            return self._comparison.answer(
+                asker, datagram.buckets, datagram.compare, now
+            )
         if datagram.digest in (
             messages.NO_DIGEST,
             self.known.digests.whole(),
         ):
             return []
-        return self._ask_comparison(asker)
-
-    def _ask_comparison(self, asker: str) -> Effects:
-        if not self._comparisons_left:
-            return []
-        self._comparisons_left -= 1
-        mine = self.known.digests.packed()
-        question = self._made.empty()._replace(buckets=mine, compare=True)
-        return [effects_module.Send(asker, question, "compare")]
-
-    def _answer_comparison(
-        self, asker: str, datagram: messages.Datagram, now: float
-    ) -> Effects:
-        """Tell what is known in the buckets that differ.
-
-        The asker may be the one that knows more: the last datagram brings the
-        hashes here, by which it answers once.
-        """
-        differing = self.known.digests.differing(datagram.buckets)
-        if not differing:
-            return []
-        self._rng.shuffle(differing)
-        keys = [
-            key
-            for number in differing
-            for key in self.known.digests.keys(number)
-        ]
-        answers = self._made.datagrams(
-            keys[: composer.MAX_RECORDS * MAX_ANSWERS], now
-        )
-        if datagram.compare:
-            last = answers.pop() if answers else self._made.empty()
-            mine = self.known.digests.packed()
-            answers.append(last._replace(buckets=mine))
-        return [
-            effects_module.Send(asker, answer, "compare") for answer in answers
-        ]
+        return self._comparison.ask(asker)
 
     def _address(self, datagram: messages.Datagram) -> str | None:
         for instance in datagram.instances:
@@ -439,7 +392,7 @@
 
     def tick(self, now: float) -> Effects:
         """Spread; due each `PERIOD_S`."""
-        self._comparisons_left = MAX_COMPARISONS
+        self._comparison.renew()
         me = self.myself
         self.known.instances.renew(me.name, now, self._lease_s)
         self._beats.advance(me.name, me.incarnation, now)
@@ -461,70 +414,13 @@
         return effects_module.Changed(name, region, "suspected")
 
     def _keep_servers(self, now: float) -> Effects:
-        alive = {one.name: one for one in self.known.instances.words()}
-        for one in alive.values():
-            self._region_heard[one.region] = now
-        effects: Effects = []
-        gone: list[str] = []
-        for server in list(self.known.servers.words()):
-            if server.state == "gone":
-                continue
-            if server.monitor == self.myself.name:
-                if self._watch(server, now):
-                    gone.append(server.server_id)
-                    effects.append(
-                        effects_module.Changed(
-                            server.server_id, server.region, "gone"
-                        )
-                    )
-            elif server.monitor in alive:
-                self._renew(server.server_id, now, HANDOVER_S)
-            elif server.monitor:
-                self._without_monitor(server, now)
-        return effects + self._broadcasts.alarm(gone, now)
-
-    def _watch(self, server: messages.Server, now: float) -> bool:
-        """Return whether a server is gone: it no longer announces itself."""
-        silent_s = self._announced.silent_s(server.server_id, now)
-        if silent_s < self._lease_s:
-            self._renew(server.server_id, now, self._lease_s)
-            return False
-        # Many that fall silent here at once show that this instance is cut
-        # off from them, rather than that all of them died: hold them.
-        held = silent_s < CUT_OFF_HOLD_S
-        if held and self._mostly_silent(server.region, now):
-            self._renew(server.server_id, now, HANDOVER_S)
-            return False
-        word = self._announced.get(server.server_id) or server
-        word = word._replace(state="gone", monitor=self.myself.name)
-        self.known.servers.update(server.server_id, word, now)
-        self._renew(server.server_id, now, GONE_S)
-        return True
-
-    def _mostly_silent(self, region: str, now: float) -> bool:
-        mine = [
-            server.server_id
-            for server in self.known.servers.words()
-            if server.monitor == self.myself.name
-            and server.region == region
-            and server.state == "ready"
-        ]
-        silent = [
-            key
-            for key in mine
-            if self._announced.silent_s(key, now) >= self._lease_s / 2
+        gone = self._monitoring.keep(now)
+        effects: Effects = [
+            effects_module.Changed(server.server_id, server.region, "gone")
+            for server in gone
         ]
-        return len(mine) >= 3 and len(silent) * 2 > len(mine)
-
-    def _without_monitor(self, server: messages.Server, now: float) -> None:
-        if self._vouch(server, now):
-            return
-        # Nothing at all is heard from its region: it is cut off, or lost as
-        # a whole. An empty pool would refuse what could still be served.
-        last = self._region_heard.get(server.region, -math.inf)
-        silent_s = now - last
-        if 0 < silent_s < CUT_OFF_HOLD_S:
-            self._renew(server.server_id, now, HANDOVER_S)
+        keys = [server.server_id for server in gone]
+        return effects + self._broadcasts.alarm(keys, now)
 
     def _gossip(self, now: float) -> Effects:
         datagram = self._signs_of_life(now)._replace(
