Let a control instance's task start again while it has something to send

Its member task had failed once (why is not known: the lines were cut) and was started again; run() repairs the disk before it opens the senders' nursery, and what the repair made it send to an instance that it had not sent to yet started a sender in the nursery of the run before: 'RuntimeError: Nursery is closed to new arrivals'. Each of five restarts failed alike, and the supervisor gave up.

Outboxes own their nursery for as long as they run; what is sent at any other time is lost, as the wire may lose it.

--- a/hyssopfold/control/instance.py
+++ b/hyssopfold/control/instance.py
@@ -169,8 +169,7 @@
             await self._mend()
         self._ran = True
         try:
-            async with trio.open_nursery() as nursery:
-                self._outboxes.start_in(nursery)
+            async with self._outboxes.running():
                 while True:
                     await self._handle(await self._next_event())
         finally:
--- a/hyssopfold/control/outboxes.py
+++ b/hyssopfold/control/outboxes.py
@@ -1,6 +1,8 @@
 """Queues of messages to the other control instances, one for each address."""
 
+from collections.abc import AsyncIterator
 from collections.abc import Callable
+import contextlib
 import logging
 from typing import Any
 from typing import NamedTuple
@@ -50,10 +52,17 @@
         self._queues: dict[str, trio.MemorySendChannel[_Item]] = {}
         self._nursery: trio.Nursery | None = None
 
-    def start_in(self, nursery: trio.Nursery) -> None:
-        """Run the senders in `nursery` from now on."""
-        self._nursery = nursery
-        self._queues.clear()
+    @contextlib.asynccontextmanager
+    async def running(self) -> AsyncIterator[None]:
+        """Run the senders; what is sent at any other time is lost."""
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            try:
+                yield
+            finally:
+                self._nursery = None
+                self._queues.clear()
+                nursery.cancel_scope.cancel()
 
     def send(self, to: messages.Endpoint, message: messages.Message) -> None:
         """Queue a message; a full queue loses it, as the wire may."""
