End the process on a broken invariant also when a nursery wraps the error

A child's nursery wraps an error of its tasks in an exception group, so that supervise did not see an InvariantError of the member task: it was restarted up to five times and voted on from the state that is broken, which the comment there says must not be.

Groups are looked into now.

--- a/hyssopfold/supervisor.py
+++ b/hyssopfold/supervisor.py
@@ -18,6 +18,17 @@
 MAX_BACKOFF_S = 5.0
 
 
+def _is_final(exc: Exception) -> bool:
+    """Return whether a restart cannot help, or must not be tried.
+
+    It cannot free a port that another process holds, and must not let a member
+    vote on from a state that is broken. A child's nursery wraps such errors.
+    """
+    if isinstance(exc, ExceptionGroup):
+        return any(_is_final(inner) for inner in exc.exceptions)
+    return isinstance(exc, (errors.PortBusyError, errors.InvariantError))
+
+
 async def supervise(
     name: str,
     child: Callable[[], Awaitable[None]],
@@ -40,11 +51,9 @@
         try:
             await child()
             return
-        except (errors.PortBusyError, errors.InvariantError):
-            # Restarting cannot free a port that another process holds, and
-            # must not let a member vote on from a state that is broken.
-            raise
         except Exception as exc:
+            if _is_final(exc):
+                raise
             now = trio.current_time()
             failures = [at for at in failures if now - at < WINDOW_S] + [now]
             logger.exception(
--- a/tests/steps/supervisor_steps.py
+++ b/tests/steps/supervisor_steps.py
@@ -37,6 +37,31 @@
     assert context.starts == context.expected, context.starts
 
 
+@when("a task of a supervised child finds an invariant broken")
+def _(context):
+    context.starts = 0
+
+    async def child():
+        context.starts += 1
+        async with trio.open_nursery():
+            raise errors.InvariantError("one value for one revision")
+
+    clock = trio.testing.MockClock(autojump_threshold=0)
+    context.ended = ""
+    try:
+        trio.run(
+            supervisor.supervise, "x", child, random.Random(1), clock=clock
+        )
+    except (errors.HyssopError, BaseExceptionGroup) as exc:
+        context.ended = repr(exc)
+
+
+@then("the supervised child was not restarted")
+def _(context):
+    assert context.starts == 1, context.starts
+    assert "one value for one revision" in context.ended, context.ended
+
+
 def _run(context, main):
     with contextlib.redirect_stderr(io.StringIO()) as printed:
         try:
