Read: count answers about one ballot alone

One member then failed and failed again until its process ended.

Cause: a read asks the others which ballot they accepted last and takes it for chosen when a majority names the one that this member holds. It compared each answer with what the member held when the answer came, but kept the count: one answer for the ballot of before, one for a ballot accepted in between, and the member itself made three of five for a ballot that two held. The reader told 'chosen' to all and 'accepted' to the edit's operator; the other proposer had a majority without it and chose its own edit under the same revision. The member that learned both broke 'one value for one revision'.

A query is about the ballot held when it began; when another is accepted meanwhile, the read goes on as a round.

--- a/hyssopfold/core/consensus/proposer.py
+++ b/hyssopfold/core/consensus/proposer.py
@@ -56,10 +56,13 @@
 
 
 class _Query:
-    """Answers gathered by a read that writes nothing."""
+    """Answers about one ballot, gathered by a read that writes nothing."""
 
-    def __init__(self, number: int, expires: float) -> None:
+    def __init__(
+        self, number: int, ballot: messages.Ballot, expires: float
+    ) -> None:
         self.number = number
+        self.ballot = ballot
         self.expires = expires
         self.same: set[str] = set()
         self.answered: set[str] = set()
@@ -217,7 +220,8 @@
 
     def _begin_query(self, now: float, effects: Effects) -> None:
         self._queries += 1
-        query = _Query(self._queries, now + self._round_timeout_s)
+        expires = now + self._round_timeout_s
+        query = _Query(self._queries, self._replica.accepted, expires)
         self._query = query
         for voter in self._replica.register.voters():
             if voter.id != self._replica.id:
@@ -241,16 +245,21 @@
         query = self._query
         if query is None or answer.number != query.number:
             return
+        if self._replica.accepted != query.ballot:
+            # Who answered that it holds the ballot of before says nothing of
+            # the one accepted since: both counted as one make no majority.
+            self._escalate(now)
+            return
         query.answered.add(sender)
         register = self._replica.register
-        if answer.accepted == self._replica.accepted:
+        if answer.accepted == query.ballot:
             query.same.add(sender)
         if quorums.satisfied(register, query.same):
-            self._note_chosen(self._replica.accepted, register, effects)
+            self._note_chosen(query.ballot, register, effects)
             self._finish(messages.ReadDone(register), effects)
             return
         asked = {voter.id for voter in register.voters()}
-        if answer.accepted > self._replica.accepted or asked <= query.answered:
+        if answer.accepted > query.ballot or asked <= query.answered:
             self._escalate(now)
 
     def _escalate(self, now: float) -> None:
