Tell in the log which requests are the same one, and which server crashed

Observability for the incident of requests that crash servers, before any decision changes. Two things were missing to tell its hypotheses apart:

- whether two requests are the same one: their ids differ and their paths are not logged. ended carries a fingerprint of method, host, target, credentials, length and the first 64 KB of the body.
- whether a server ended or lost one answer: both read 'Server disconnected'.
When a connection breaks under a request that may run, the entry opens one connection to the server; refused, it logs server-crashed and counts hyssop_crashed_requests_total.

The digest of claims on idempotency keys is the same function now. Stand-ins have the fault 'crash'.

--- a/hyssopfold/entry/carrier.py
+++ b/hyssopfold/entry/carrier.py
@@ -23,6 +23,7 @@
 from hyssopfold.core.membership import messages as membership
 from hyssopfold.core.steering import regions
 from hyssopfold.entry import answers
+from hyssopfold.entry import crash_checks
 from hyssopfold.entry import exchange as exchange_module
 from hyssopfold.entry import pacing
 from hyssopfold.entry import steering
@@ -113,6 +114,8 @@
         self._grant: messages.Grant | None = None
         self._granted_at = 0.0
         self._answer_by = trio.CancelScope()
+        # Whether the connection of the attempt broke.
+        self._is_broken = False
         self._told_dropped = False
         self._short: bytes | None = None
         self._begun: list[bytes] = []
@@ -233,6 +236,7 @@
             self._body(server) if exchange.has_body else None,
         )
         self._answer_by = trio.CancelScope(deadline=effect.deadline)
+        self._is_broken = False
         try:
             with self._answer_by:
                 self._answering = await self._parts.upstream.send(
@@ -240,6 +244,7 @@
                 )
                 await self._read_short()
         except upstream.LostError as exc:
+            self._is_broken = True
             return events.Lost(str(exc))
         except exchange_module.BodyTooLargeError:
             return events.Lost("body too large")
@@ -327,6 +332,7 @@
             async for part in self._stream:
                 await self._pass_on(server, part, length)
         except upstream.LostError as exc:
+            self._is_broken = True
             return events.Lost(str(exc))
         # The slot and the connection are free before the caller can send its
         # next request.
@@ -365,6 +371,8 @@
         done = self._done(kind, answering)
         self._parts.placement.release(grant, done)
         self._log_attempt(grant, done, answering)
+        if kind == "failed":
+            self._check_server(grant.server)
         if answering is None:
             return
         if kind == "answered":
@@ -372,6 +380,17 @@
         else:
             await self._parts.upstream.drop(answering)
 
+    def _check_server(self, server: membership.Server) -> None:
+        """Let it be checked whether a server crashed under this request."""
+        fingerprint = self._exchange.fingerprint
+        may_run = self._machine.last_sent is events.Sent.MAYBE_SENT
+        if self._is_broken and may_run and fingerprint:
+            self._parts.upstream.checks.suspect(
+                crash_checks.Broken(
+                    server, fingerprint, self._exchange.request_id
+                )
+            )
+
     def _done(
         self, kind: str, answering: upstream.Answering | None
     ) -> messages.Done:
--- a/hyssopfold/entry/claims.py
+++ b/hyssopfold/entry/claims.py
@@ -2,7 +2,6 @@
 
 from collections import defaultdict
 from collections.abc import Callable
-import hashlib
 import logging
 from typing import Any
 from typing import NamedTuple
@@ -16,6 +15,7 @@
 from hyssopfold.core.membership import directory
 from hyssopfold.core.membership import messages
 from hyssopfold.entry import exchange as exchange_module
+from hyssopfold.entry import fingerprints
 from hyssopfold.transport import claims_wire
 from hyssopfold.transport import rpc
 
@@ -26,7 +26,6 @@
 MAX_KEY_BYTES = 255
 _QUEUE = 1_000
 _BATCH = 500
-_WHO = (b"authorization", b"cookie", b"x-api-key")
 
 
 class _Settling(NamedTuple):
@@ -245,18 +244,15 @@
 def _digest(exchange: exchange_module.Exchange, key: bytes) -> bytes:
     """Return the claim's id: two callers may use the same key."""
     parts = [exchange.host.encode("latin-1"), key]
-    parts += [exchange.header(name) or b"" for name in _WHO]
-    return _hash(parts)
+    parts += [exchange.header(name) or b"" for name in fingerprints.CREDENTIALS]
+    return fingerprints.digest(parts)
 
 
 def _fingerprint(exchange: exchange_module.Exchange) -> bytes:
     length = exchange.header(b"content-length") or b""
-    return _hash([exchange.method.encode(), exchange.target(), length])
-
-
-def _hash(parts: list[bytes]) -> bytes:
-    sized = b"".join(b"%d:%s" % (len(part), part) for part in parts)
-    return hashlib.blake2b(sized, digest_size=16).digest()
+    return fingerprints.digest(
+        [exchange.method.encode(), exchange.target(), length]
+    )
 
 
 _WAIT_S = 1.0
--- a/hyssopfold/entry/connections.py
+++ b/hyssopfold/entry/connections.py
@@ -38,6 +38,10 @@
     """No connection could be opened: nothing was sent."""
 
 
+class RefusedError(NotOpenedError):
+    """Nothing accepts connections at the address."""
+
+
 class Stream(httpcore.AsyncNetworkStream):
     """A socket that knows whether any byte of a request left.
 
@@ -213,6 +217,17 @@
         """Close a connection whose request was cancelled or went wrong."""
         await self._close(conn)
 
+    async def refuses(self, address: str) -> bool:
+        """Return whether nothing accepts connections at an address now."""
+        try:
+            conn = await self._open(address)
+        except RefusedError:
+            return True
+        except NotOpenedError:
+            return False
+        await self._close(conn)
+        return False
+
     async def sweep(self) -> None:
         """Close connections idle for too long, for ever."""
         while True:
@@ -256,6 +271,8 @@
             self._count[address] -= 1
             if sock is not None:
                 sock.close()
+            if isinstance(exc, ConnectionRefusedError):
+                raise RefusedError(f"connect: {exc!r}") from exc
             if isinstance(exc, OSError | trio.TooSlowError):
                 raise NotOpenedError(f"connect: {exc!r}") from exc
             raise
--- a/hyssopfold/entry/exchange.py
+++ b/hyssopfold/entry/exchange.py
@@ -8,10 +8,11 @@
 from hyssopfold import serving
 from hyssopfold.entry import configuration
 from hyssopfold.entry import dialect as dialect_module
+from hyssopfold.entry import fingerprints
 
 MAX_BODY_BYTES = 16 * 1024**3
 # A payment or an order is shorter; keeping it lets it be sent again.
-KEPT_BODY_BYTES = 64 * 1024
+KEPT_BODY_BYTES = fingerprints.MAX_BODY_BYTES
 
 _HOP_BY_HOP = frozenset(
     (
@@ -91,6 +92,7 @@
         self._kept: list[bytes] = []
         self._whole = False
         self._max_body_bytes = max_body_bytes
+        self._print = fingerprints.Fingerprint(self._identity())
 
     def _take_id(self) -> str:
         """Return the caller's own id of the request, if it counts here."""
@@ -105,6 +107,21 @@
         """Return the object that the request concerns, if it names one."""
         return self.dialect.object_of(self.headers)
 
+    def _identity(self) -> list[bytes]:
+        """Return what the heads of two equal requests have in common."""
+        names = (b"host", b"content-length", *fingerprints.CREDENTIALS)
+        headers = [self.header(name) or b"" for name in names]
+        return [self.method.encode(), self.target(), *headers]
+
+    @property
+    def fingerprint(self) -> bytes:
+        """Return the digest that equal requests share; empty if not known.
+
+        It takes the body, or as much of it as is looked at.
+        """
+        is_known = self._whole or not self.has_body or self._print.is_full
+        return self._print.value() if is_known else b""
+
     def header(self, name: bytes) -> bytes | None:
         """Return the first header called `name`."""
         return self._by_name.get(name)
@@ -161,6 +178,7 @@
                 raise BodyTooLargeError
             self._whole = not message.get("more_body", False)
             if part:
+                self._print.add(part)
                 self._keep(part, size)
                 yield part
 
--- a/hyssopfold/entry/proxy.py
+++ b/hyssopfold/entry/proxy.py
@@ -232,6 +232,7 @@
             ahead=place.ahead if place is not None else 0,
             behind_s=round(behind_s, 4),
             goal_s=goal_s,
+            fingerprint=exchange.fingerprint.hex(),
         )
         in_time = not goal_s or took_s <= goal_s
         good = exchange.outcome == "answered" and in_time
--- a/hyssopfold/entry/upstream.py
+++ b/hyssopfold/entry/upstream.py
@@ -8,6 +8,7 @@
 
 from hyssopfold.core.membership import messages
 from hyssopfold.entry import connections
+from hyssopfold.entry import crash_checks
 
 STALL_S = 60.0
 _FAILURES = (
@@ -43,10 +44,14 @@
 
     Args:
         pool: Keeps the connections.
+        checks: Checks servers whose connections broke.
     """
 
-    def __init__(self, pool: connections.Pool) -> None:
+    def __init__(
+        self, pool: connections.Pool, checks: crash_checks.CrashChecks
+    ) -> None:
         self.pool = pool
+        self.checks = checks
 
     async def send(
         self,
--- a/hyssopfold/entry_parts.py
+++ b/hyssopfold/entry_parts.py
@@ -29,6 +29,7 @@
 from hyssopfold.entry import claims
 from hyssopfold.entry import configuration
 from hyssopfold.entry import connections
+from hyssopfold.entry import crash_checks
 from hyssopfold.entry import leaving
 from hyssopfold.entry import local_placement
 from hyssopfold.entry import lookups
@@ -80,8 +81,9 @@
         self.connected = connections.Pool(
             self._bound, cfg.proven_connection_s, cfg.connect_timeout_s
         )
-        self.servers = upstream.Upstream(self.connected)
         self.meter = metrics.Metrics(cfg.name)
+        self.checks = crash_checks.CrashChecks(self.connected, self.meter)
+        self.servers = upstream.Upstream(self.connected, self.checks)
         self.clients = blocks.Blocks(cfg.client_blocks)
         self.steer = steering.Steering(
             cfg.region,
@@ -253,6 +255,7 @@
             ("state", self.keep_state),
             ("reloading", self.shared.reloader.run),
             ("connections", self.connected.sweep),
+            ("crash-checks", self.checks.run),
             ("claims", self.claimed.run),
         ]
         if self.cfg.rpc_address:
--- a/hyssopfold/metrics.py
+++ b/hyssopfold/metrics.py
@@ -50,6 +50,12 @@
             const_labels=labels,
             registry=self.registry,
         )
+        self.crashes = aioprometheus.collectors.Counter(
+            "hyssop_crashed_requests_total",
+            "Requests of this entry under which a server crashed, by pool",
+            const_labels=labels,
+            registry=self.registry,
+        )
         self.log_lines_left_out = aioprometheus.collectors.Gauge(
             "hyssop_log_lines_left_out",
             "Log lines not written since the start, for want of room",
--- a/hyssopfold/standin/server.py
+++ b/hyssopfold/standin/server.py
@@ -1,6 +1,7 @@
 """Stand-in backend server: slots, service times, faults, a ledger of runs."""
 
 from collections import Counter
+from collections.abc import Callable
 import logging
 import random
 import time
@@ -54,6 +55,10 @@
     ledger: str = ""
 
 
+def _not_serving() -> None:
+    """Do nothing: there is nothing to end."""
+
+
 class Server:
     """Answer requests as a backend server would, and as a bad one.
 
@@ -81,12 +86,15 @@
         self.cancelled: Counter[str] = Counter()
         self.most_running = 0
         self.open: set[wire.Connection] = set()
+        # Ends serving at once; set while it serves.
+        self._crash: Callable[[], None] = _not_serving
         self.last_headers: dict[bytes, bytes] = {}
 
     async def serve(self, stop: trio.Event, grace_s: float = 0.0) -> None:
         """Serve until `stop` is set and, for `grace_s`, what is in flight."""
         listeners = await http.listen(self._options.address)
         async with trio.open_nursery() as nursery:
+            self._crash = nursery.cancel_scope.cancel
             async with trio.open_nursery() as accepting:
 
                 async def accept() -> None:
@@ -141,6 +149,9 @@
             await trio.sleep_forever()
         size = await conn.read_body()
         await self._run(conn, req, fault)
+        if fault == "crash":
+            self._crash()
+            await trio.sleep_forever()
         body = {
             "server": self._options.server_id,
             "method": req.method,
--- a/hyssopfold/standin/wire.py
+++ b/hyssopfold/standin/wire.py
@@ -23,6 +23,7 @@
     (
         "die",
         "reset",
+        "crash",
         "silent",
         "late",
         "crossed",
--- /dev/null
+++ b/tests/entry/crash_checks.feature
@@ -0,0 +1,18 @@
+Feature: whether a server crashed or lost one answer
+
+  # Guards against taking a lost answer for the end of a server, or the reverse.
+  Scenario Outline: a connection breaks by <fault>
+    Given the data path over 2 stand-ins
+    When the data path gets <method> with the fault "<fault>@s1"
+    And the data path's checks are done
+    Then the data path counts <crashes> crashed requests
+
+    Examples:
+      | method | fault      | crashes |
+      | GET    | crash      | 1       |
+      | POST   | crash      | 1       |
+      | GET    | die        | 0       |
+      | GET    | reset      | 0       |
+      | POST   | die        | 0       |
+      | GET    | cut-length | 0       |
+      | GET    | shed       | 0       |
--- a/tests/steps/entry/proxy_steps.py
+++ b/tests/steps/entry/proxy_steps.py
@@ -4,6 +4,7 @@
 from behave import then
 from behave import when
 import trio
+import trio.testing
 
 from tests.support import datapath
 
@@ -122,6 +123,26 @@
     context.script.append(step)
 
 
+@when("the data path's checks are done")
+def _(context):
+    async def step(path):
+        await trio.testing.wait_all_tasks_blocked(0.05)
+
+    context.script.append(step)
+
+
+@then("the data path counts {count:d} crashed requests")
+def _(context, count):
+    drive(context)
+    text = context.path.meter.render().body.decode()
+    found = [
+        float(line.split()[-1])
+        for line in text.splitlines()
+        if line.startswith("hyssop_crashed_requests_total")
+    ]
+    assert sum(found) == count, text
+
+
 @then('the data path answers {status:d} with outcome "{outcome}"')
 def _(context, status, outcome):
     drive(context)
--- a/tests/support/datapath.py
+++ b/tests/support/datapath.py
@@ -23,6 +23,7 @@
 from hyssopfold.entry import claims
 from hyssopfold.entry import configuration
 from hyssopfold.entry import connections
+from hyssopfold.entry import crash_checks
 from hyssopfold.entry import proxy
 from hyssopfold.entry import upstream
 from hyssopfold.standin import server as standin_server
@@ -230,13 +231,14 @@
         self.claims = (entries or FakeEntries([name])).claims[name]
         self.pool = connections.Pool(lambda server: 40)
         self.meter = metrics.Metrics("test")
+        self.checks = crash_checks.CrashChecks(self.pool, self.meter)
         self.config = FakeConfiguration()
         self.proxy = proxy.Proxy(
             self.config,
             FakeSteering(),
             self.placement,
             pacer or FakePacer(),
-            upstream.Upstream(self.pool),
+            upstream.Upstream(self.pool, self.checks),
             self.meter,
             claimed=self.claims,
             here=proxy.Here("dar", known),
@@ -270,6 +272,7 @@
                 for standin in self.owned:
                     nursery.start_soon(standin.serve, trio.Event())
                 nursery.start_soon(self.claims.run)
+                nursery.start_soon(self.checks.run)
                 await nursery.start(self._serve)
                 try:
                     yield self
