Hold back requests under which three servers crashed

What callers saw: one read came again and again, at any entry, and ended 25 to 33 servers of a pool of 20; payments that ran beside it failed with 502, a third of all reads was refused for want of servers.

Cause: an entry files what it learns of a crash under the server alone and forgets the request with its answer. Each repeat, and each retry within it, is a new request to it and to all others. The class: a failure is counted against the worker, and never against the work that it was given.

Now a broken connection under a request that may run is followed by one connection attempt: refused, the server crashed, and the life of the server is counted for the request's fingerprint. Reports are two growing sets, so they may be lost, late or doubled. One crash is told to three instances by rendezvous hashing, from the second on to all by gossip, repaired by comparing hashes. From the third on entries refuse the request as not run, before each attempt. A request that was answered by a server is cleared, since requests that run beside the guilty one lose their servers too. One entry tries it again after a minute and after ten.

--- a/bench/capacity/placement.py
+++ b/bench/capacity/placement.py
@@ -60,7 +60,7 @@
 
     def wire(self, message: messages.Message) -> messages.Message:
         """Pass a message through the codec."""
-        data = datagram_wire.encode_placement("entry-001", message)
+        data = datagram_wire.encode_message("entry-001", message)
         self.bytes += len(data) + _UDP_BYTES
         self.messages += 1
         parcel = datagram_wire.decode(data)
--- a/bench/local_choice.py
+++ b/bench/local_choice.py
@@ -57,7 +57,7 @@
     data = b""
     for _ in range(rounds):
         message = messages.Silent(keys)
-        data = datagram_wire.encode_placement("entry-1", message)
+        data = datagram_wire.encode_message("entry-1", message)
         parcel = datagram_wire.decode(data)
         assert isinstance(parcel, datagram_wire.Parcel)
         chooser.hear("entry-1", keys, 0.0)
--- a/hyssopfold/cmd/explain.py
+++ b/hyssopfold/cmd/explain.py
@@ -83,6 +83,7 @@
         "tables-behind": "no route matched, and newer tables were on the way",
         "no-route": f"no route matches at version {_version(of)}",
         "deadline-passed": f"no server took it in time, {_last(of)}",
+        "quarantined": f"several servers of {pool} crashed under it before",
         "attempt-failed": f"each attempt failed without a run, {_detail(of)}",
     }
     reason = reasons.get(error, refused.get("detail", error))
--- a/hyssopfold/control_parts.py
+++ b/hyssopfold/control_parts.py
@@ -21,6 +21,7 @@
 from hyssopfold.storage import folder
 from hyssopfold.storage import records
 from hyssopfold.transport import consensus_wire
+from hyssopfold.transport import crash_reports
 from hyssopfold.transport import gossip
 from hyssopfold.transport import poll_wire
 from hyssopfold.transport import publisher
@@ -64,6 +65,7 @@
             links.keyring,
             self.rng,
         )
+        self._crashes = crash_reports.CrashReports(self.spread, self.rng)
         self._votes = slot_votes.SlotVotes(
             identity.member(self.spread.myself), data, self.spread
         )
@@ -125,6 +127,7 @@
             ("member", self._member.run),
             ("gossip", self.spread.run),
             ("slot-votes", self._votes.run),
+            ("crash-reports", self._crashes.run),
             ("confirmations", self._confirmations.run),
             ("reloading", self.shared.reloader.run),
             ("rpc", serve),
--- a/hyssopfold/entry/answers.py
+++ b/hyssopfold/entry/answers.py
@@ -65,6 +65,11 @@
 def refusal(effect: events.Refuse, pool: str) -> http.Refusal:
     """Return what the caller of a request without an answer is told."""
     wait_s = effect.retry_after_s
+    if effect.error == "quarantined":
+        remedy = f"mend the servers of pool {pool}: several crashed under it"
+        return http.Refusal(
+            503, effect.error, effect.outcome.value, remedy, wait_s
+        )
     status = 504 if effect.error == "deadline-passed" else 502
     if effect.outcome is events.Outcome.UNKNOWN:
         remedy = "look whether it took effect before sending it again"
--- a/hyssopfold/entry/carrier.py
+++ b/hyssopfold/entry/carrier.py
@@ -36,6 +36,8 @@
 BULK_BYTES = 256 * 1024
 SHORT_ANSWER_BYTES = 64 * 1024
 SERVER_FAILURE = 500
+# When the caller of a request that is held back may ask again.
+QUARANTINED_RETRY_S = 60.0
 
 
 class Placement(Protocol):
@@ -53,6 +55,19 @@
         """Return the requests under way by server."""
 
 
+class Quarantine(Protocol):
+    """Requests that are held back since servers crashed under them."""
+
+    def knows(self, head: bytes) -> bool:
+        """Return whether a request with this head may be held back."""
+
+    def holds(self, fingerprint: bytes) -> bool:
+        """Return whether a request must not be sent to any server now."""
+
+    def answered(self, fingerprint: bytes) -> None:
+        """Take in that a request was answered."""
+
+
 class Parts(NamedTuple):
     """What carrying a request takes, the same for all requests.
 
@@ -65,6 +80,7 @@
     placement: Placement
     pacer: pacing.Pacer
     upstream: upstream.Upstream
+    quarantine: Quarantine
     meter: metrics.Metrics
     budget_of: Callable[[str], budget.Budget]
     refuse: Callable[[exchange_module.Exchange, http.Refusal], Awaitable[None]]
@@ -177,6 +193,8 @@
         refused = messages.Refused("deadline-passed", attempt.RETRY_AFTER_S)
         answer: messages.Grant | messages.Refused = refused
         with trio.move_on_at(effect.deadline):
+            if await self._is_held():
+                return events.NoSlot("quarantined", QUARANTINED_RETRY_S)
             for avoid in self._avoid(effect.tried):
                 req = self._wanted(effect, avoid)
                 answer = await parts.placement.acquire(req, pool)
@@ -191,6 +209,17 @@
         self._log_grant(answer, effect)
         return events.Granted(answer.server.server_id)
 
+    async def _is_held(self) -> bool:
+        """Return whether the request is held back.
+
+        Its body is waited for only where the head is that of such a request.
+        """
+        held, exchange = self._parts.quarantine, self._exchange
+        if not held.knows(exchange.fingerprint_head):
+            return False
+        await exchange.read_ahead()
+        return held.holds(exchange.fingerprint)
+
     def _avoid(self, tried: tuple[str, ...]) -> list[tuple[str, ...]]:
         """Return what to avoid: failure domains tried, else servers tried."""
         if not tried:
@@ -370,6 +399,8 @@
         answering, self._answering = self._answering, None
         done = self._done(kind, answering)
         self._parts.placement.release(grant, done)
+        if done.good:
+            self._parts.quarantine.answered(self._exchange.fingerprint)
         self._log_attempt(grant, done, answering)
         if kind == "failed":
             self._check_server(grant.server)
--- a/hyssopfold/entry/crash_checks.py
+++ b/hyssopfold/entry/crash_checks.py
@@ -6,6 +6,7 @@
 
 import logging
 from typing import NamedTuple
+from typing import Protocol
 
 import trio
 
@@ -27,18 +28,30 @@
     request_id: str
 
 
+class Reports(Protocol):
+    """What keeps count of crashes."""
+
+    def crashed(self, server: messages.Server, fingerprint: bytes) -> None:
+        """Take in that a server crashed under a request."""
+
+
 class CrashChecks:
     """Ask servers for a new connection after one of them broke.
 
     Args:
         connected: Opens the connections.
+        reports: Told of each crash, and of the request under it.
         meter: Counts the crashes.
     """
 
     def __init__(
-        self, connected: connections.Pool, meter: metrics.Metrics
+        self,
+        connected: connections.Pool,
+        reports: Reports,
+        meter: metrics.Metrics,
     ) -> None:
         self._connected = connected
+        self._reports = reports
         self._meter = meter
         self._inbox, self._broken = trio.open_memory_channel[Broken](_QUEUE)
 
@@ -71,3 +84,4 @@
                 pool=server.pool,
             )
         )
+        self._reports.crashed(server, broken.fingerprint)
--- a/hyssopfold/entry/exchange.py
+++ b/hyssopfold/entry/exchange.py
@@ -91,6 +91,8 @@
         self.dropped = False
         self._kept: list[bytes] = []
         self._whole = False
+        # Bytes of the body that came.
+        self._size = 0
         self._max_body_bytes = max_body_bytes
         self._print = fingerprints.Fingerprint(self._identity())
 
@@ -109,7 +111,7 @@
 
     def _identity(self) -> list[bytes]:
         """Return what the heads of two equal requests have in common."""
-        names = (b"host", b"content-length", *fingerprints.CREDENTIALS)
+        names = (b"host", *fingerprints.CREDENTIALS)
         headers = [self.header(name) or b"" for name in names]
         return [self.method.encode(), self.target(), *headers]
 
@@ -119,8 +121,16 @@
 
         It takes the body, or as much of it as is looked at.
         """
-        is_known = self._whole or not self.has_body or self._print.is_full
-        return self._print.value() if is_known else b""
+        return self._print.value() if self._is_recognised else b""
+
+    @property
+    def fingerprint_head(self) -> bytes:
+        """Return the part of the fingerprint that the head alone decides."""
+        return self._print.head
+
+    @property
+    def _is_recognised(self) -> bool:
+        return self._whole or not self.has_body or self._print.is_full
 
     def header(self, name: bytes) -> bytes | None:
         """Return the first header called `name`."""
@@ -155,6 +165,31 @@
         value = self.header(b"content-length")
         return int(value) if value is not None else None
 
+    async def read_ahead(self) -> None:
+        """Read as much of the body as the fingerprint takes, and keep it.
+
+        Raises:
+            CallerGoneError: when it will never be whole.
+            BodyTooLargeError: when it is longer than allowed.
+        """
+        while not self._is_recognised:
+            part = await self._read()
+            if part:
+                self._kept.append(part)
+
+    async def _read(self) -> bytes:
+        """Return the next part of the body; the last one may be empty."""
+        message = await self.receive()
+        if message["type"] != "http.request":
+            raise CallerGoneError
+        part: bytes = message.get("body", b"")
+        self._size += len(part)
+        if self._size > self._max_body_bytes:
+            raise BodyTooLargeError
+        self._whole = not message.get("more_body", False)
+        self._print.add(part)
+        return part
+
     async def body(self) -> AsyncIterator[bytes]:
         """Yield the request's body as it comes, from its beginning.
 
@@ -167,23 +202,14 @@
         """
         for part in self._kept:
             yield part
-        size = sum(map(len, self._kept))
         while not self._whole:
-            message = await self.receive()
-            if message["type"] != "http.request":
-                raise CallerGoneError
-            part = message.get("body", b"")
-            size += len(part)
-            if size > self._max_body_bytes:
-                raise BodyTooLargeError
-            self._whole = not message.get("more_body", False)
+            part = await self._read()
             if part:
-                self._print.add(part)
-                self._keep(part, size)
+                self._keep(part)
                 yield part
 
-    def _keep(self, part: bytes, size: int) -> None:
-        if size <= KEPT_BODY_BYTES:
+    def _keep(self, part: bytes) -> None:
+        if self._size <= KEPT_BODY_BYTES:
             self._kept.append(part)
         else:
             self.dropped = True
--- a/hyssopfold/entry/fingerprints.py
+++ b/hyssopfold/entry/fingerprints.py
@@ -5,16 +5,18 @@
 
 # What tells one caller from another.
 CREDENTIALS = (b"authorization", b"cookie", b"x-api-key")
-# Longer bodies are told apart by their first bytes and their stated length.
+# The first bytes of a fingerprint are those of the head alone.
+HEAD_BYTES = 8
+# Longer bodies are told apart by their first bytes alone.
 MAX_BODY_BYTES = 64 * 1024
 
-_DIGEST_BYTES = 16
+_BODY_DIGEST_BYTES = 8
 
 
-def digest(parts: Iterable[bytes]) -> bytes:
+def digest(parts: Iterable[bytes], size: int = 16) -> bytes:
     """Return one digest of some parts, whatever bytes are in them."""
     sized = b"".join(b"%d:%s" % (len(part), part) for part in parts)
-    return hashlib.blake2b(sized, digest_size=_DIGEST_BYTES).digest()
+    return hashlib.blake2b(sized, digest_size=size).digest()
 
 
 class Fingerprint:
@@ -25,7 +27,8 @@
     """
 
     def __init__(self, head: Iterable[bytes]) -> None:
-        self._hash = hashlib.blake2b(digest(head), digest_size=_DIGEST_BYTES)
+        self.head = digest(head, HEAD_BYTES)
+        self._hash = hashlib.blake2b(digest_size=_BODY_DIGEST_BYTES)
         self._room = MAX_BODY_BYTES
 
     def add(self, part: bytes) -> None:
@@ -40,5 +43,5 @@
         return not self._room
 
     def value(self) -> bytes:
-        """Return the digest of what was taken in."""
-        return self._hash.digest()
+        """Return the digests of the head and of what was taken in."""
+        return self.head + self._hash.digest()
--- a/hyssopfold/entry/placement.py
+++ b/hyssopfold/entry/placement.py
@@ -9,6 +9,7 @@
 
 from hyssopfold import logs
 from hyssopfold import tables
+from hyssopfold.core.attempts import quarantine
 from hyssopfold.core.balancing import messages
 from hyssopfold.core.balancing import node
 from hyssopfold.transport import datagram_wire
@@ -98,7 +99,9 @@
     async def _receive(self) -> None:
         parcel: datagram_wire.Parcel
         async for parcel in self._spread.parcels:
-            self._handle(node.Received(parcel.sender, parcel.message))
+            # Comes on a channel of its own.
+            if not isinstance(parcel.message, quarantine.Told):
+                self._handle(node.Received(parcel.sender, parcel.message))
 
     def _handle(self, event: node.Event) -> None:
         for effect in self._core.handle(event, trio.current_time()):
--- a/hyssopfold/entry/proxy.py
+++ b/hyssopfold/entry/proxy.py
@@ -39,6 +39,13 @@
     known: directory.Directory
 
 
+class Guards(NamedTuple):
+    """What may keep a request from running, wherever it is to go."""
+
+    claimed: claims.Claims
+    quarantine: carrier.Quarantine
+
+
 class Callers(NamedTuple):
     """How callers are served: the headers in use, limits, retries for them.
 
@@ -67,7 +74,7 @@
         pacer: Room on the links between regions.
         servers: Connections to the servers.
         meter: Metrics of this process.
-        claimed: Claims on idempotency keys.
+        guards: Claims on idempotency keys, and the quarantine.
         here: Where this entry is, and whom it knows.
         rng: Spreads the times at which refused callers come back.
         callers: How they are served.
@@ -82,7 +89,7 @@
         servers: upstream.Upstream,
         meter: metrics.Metrics,
         *,
-        claimed: claims.Claims,
+        guards: Guards,
         here: Here,
         rng: random.Random,
         callers: Callers = USUAL_CALLERS,
@@ -95,6 +102,7 @@
             place,
             pacer,
             servers,
+            guards.quarantine,
             meter,
             self.budget_of,
             self.refuse,
@@ -106,7 +114,7 @@
         self._config = config
         self._meter = meter
         self._rng = rng
-        self._claims = claimed
+        self._claims = guards.claimed
 
     @property
     def log_lines_left_out(self) -> int:
--- a/hyssopfold/entry_parts.py
+++ b/hyssopfold/entry_parts.py
@@ -38,6 +38,7 @@
 from hyssopfold.entry import status as entry_status
 from hyssopfold.entry import steering
 from hyssopfold.entry import upstream
+from hyssopfold.transport import crash_reports
 from hyssopfold.transport import gossip
 from hyssopfold.transport import poll_wire
 from hyssopfold.transport import rpc
@@ -82,7 +83,14 @@
             self._bound, cfg.proven_connection_s, cfg.connect_timeout_s
         )
         self.meter = metrics.Metrics(cfg.name)
-        self.checks = crash_checks.CrashChecks(self.connected, self.meter)
+        self.crashes = crash_reports.CrashReports(
+            self.spread,
+            self.rng,
+            lambda table: self.meter.quarantined.set({}, table.held),
+        )
+        self.checks = crash_checks.CrashChecks(
+            self.connected, self.crashes, self.meter
+        )
         self.servers = upstream.Upstream(self.connected, self.checks)
         self.clients = blocks.Blocks(cfg.client_blocks)
         self.steer = steering.Steering(
@@ -175,7 +183,7 @@
             pacing.Pacer(cfg.region, self.config, self.known),
             self.servers,
             self.meter,
-            claimed=self.claimed,
+            guards=proxy.Guards(self.claimed, self.crashes),
             here=proxy.Here(cfg.region, self.known),
             rng=self.rng,
             callers=proxy.Callers(
@@ -256,6 +264,7 @@
             ("reloading", self.shared.reloader.run),
             ("connections", self.connected.sweep),
             ("crash-checks", self.checks.run),
+            ("crash-reports", self.crashes.run),
             ("claims", self.claimed.run),
         ]
         if self.cfg.rpc_address:
--- a/hyssopfold/metrics.py
+++ b/hyssopfold/metrics.py
@@ -56,6 +56,12 @@
             const_labels=labels,
             registry=self.registry,
         )
+        self.quarantined = aioprometheus.collectors.Gauge(
+            "hyssop_quarantined_requests",
+            "Requests held back since servers crashed under them",
+            const_labels=labels,
+            registry=self.registry,
+        )
         self.log_lines_left_out = aioprometheus.collectors.Gauge(
             "hyssop_log_lines_left_out",
             "Log lines not written since the start, for want of room",
--- a/hyssopfold/transport/datagram_wire.py
+++ b/hyssopfold/transport/datagram_wire.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from hyssopfold.core.attempts import quarantine
 from hyssopfold.core.balancing import messages as placement
 from hyssopfold.core.membership import messages
 from hyssopfold.transport import auth
@@ -19,7 +20,8 @@
 _PACK_LEVEL = 1
 _GOSSIP = 0
 _PACKED_GOSSIP = 32
-_PLACEMENT = {
+# Messages for one task of the receiver, beside gossip.
+_KINDS = {
     1: placement.Claim,
     2: placement.Vote,
     3: placement.Resign,
@@ -31,15 +33,18 @@
     9: placement.Sync,
     10: placement.Silent,
     11: placement.Busy,
+    12: quarantine.Told,
 }
-_KINDS = {kind: number for number, kind in _PLACEMENT.items()}
+_NUMBERS = {kind: number for number, kind in _KINDS.items()}
+
+Message = placement.Message | quarantine.Told
 
 
 class Parcel(NamedTuple):
-    """A message of placement and the name of its sender."""
+    """A message for one task, and the name of its sender."""
 
     sender: str
-    message: placement.Message
+    message: Message
 
 
 def encode(datagram: messages.Datagram) -> list[bytes]:
@@ -70,9 +75,9 @@
     return encode(first) + encode(second)
 
 
-def encode_placement(sender: str, message: placement.Message) -> bytes:
-    """Return a message of placement as one datagram."""
-    number = _KINDS[type(message)]
+def encode_message(sender: str, message: Message) -> bytes:
+    """Return a message for one task as one datagram."""
+    number = _NUMBERS[type(message)]
     return bytes([number]) + msgspec.msgpack.encode((sender, message))
 
 
@@ -89,7 +94,7 @@
         number, rest = _GOSSIP, _unpack(rest)
     if number == _GOSSIP:
         return msgspec.msgpack.decode(rest, type=messages.Datagram)
-    kind: Any = _PLACEMENT.get(number)
+    kind: Any = _KINDS.get(number)
     if kind is None:
         raise msgspec.DecodeError(f"unknown kind {number}")
     sender, message = msgspec.msgpack.decode(rest, type=tuple[str, kind])
--- a/hyssopfold/transport/gossip.py
+++ b/hyssopfold/transport/gossip.py
@@ -14,7 +14,7 @@
 
 from hyssopfold import errors
 from hyssopfold import logs
-from hyssopfold.core.balancing import messages as placement
+from hyssopfold.core.attempts import quarantine
 from hyssopfold.core.membership import broadcasts
 from hyssopfold.core.membership import directory
 from hyssopfold.core.membership import effects as effects_module
@@ -32,6 +32,8 @@
 _KIND = "Datagram"
 _QUEUE = 4096
 _MAX_ADDRESSES = 2000
+# What the bytes of messages are spent on, where that is not placement.
+_PURPOSES: dict[type, str] = {quarantine.Told: "quarantine"}
 
 
 def _ignore(address: str, revision: int) -> None:
@@ -68,7 +70,11 @@
         self._outbox_in, self._outbox = trio.open_memory_channel[
             tuple[str, bytes]
         ](_QUEUE)
-        # Messages of placement that came, for the task that handles them.
+        # Messages that came, for the tasks that handle them: by their kind
+        # for those that subscribed, and all others.
+        self._inboxes: dict[
+            type, trio.MemorySendChannel[datagram_wire.Parcel]
+        ] = {}
         self._parcels_in, self.parcels = trio.open_memory_channel[
             datagram_wire.Parcel
         ](_QUEUE)
@@ -83,6 +89,14 @@
             self._started = self._spread(trio.current_time())
         return self._started
 
+    def subscribe(
+        self, kind: type
+    ) -> trio.MemoryReceiveChannel[datagram_wire.Parcel]:
+        """Return a channel on which messages of one kind come from now on."""
+        inbox, parcels = trio.open_memory_channel[datagram_wire.Parcel](_QUEUE)
+        self._inboxes[kind] = inbox
+        return parcels
+
     def announce(self, server: messages.Server) -> None:
         """Take in what a backend server says of itself, to be spread."""
         self._carry(self._core.announce(server, trio.current_time()))
@@ -131,23 +145,24 @@
         """Return whether it is known who is there."""
         return self._core.ready(trio.current_time())
 
-    def post(self, name: str, message: placement.Message) -> None:
-        """Send a message of placement to an instance; it may be lost."""
+    def post(self, name: str, message: datagram_wire.Message) -> None:
+        """Send a message to a task of an instance; it may be lost."""
         self.post_all((name,), message)
 
     def post_all(
-        self, names: Iterable[str], message: placement.Message
+        self, names: Iterable[str], message: datagram_wire.Message
     ) -> None:
-        """Send a message of placement to instances; it may be lost."""
+        """Send a message to a task of each instance; it may be lost."""
         sender = self._core.myself.name
-        data = datagram_wire.encode_placement(sender, message)
+        data = datagram_wire.encode_message(sender, message)
+        purpose = _PURPOSES.get(type(message), "placement")
         for name in names:
             held = self.directory.instances.get(name)
             if held is not None and len(self._addresses) < _MAX_ADDRESSES:
                 self._addresses[name] = held.gossip_address
             address = self._addresses.get(name)
             if address is not None:
-                self._traffic.count(address, "placement", data)
+                self._traffic.count(address, purpose, data)
                 self._queue(address, data)
 
     def _queue(self, address: str, data: bytes) -> None:
@@ -216,8 +231,9 @@
                 self._deliver(datagram)
 
     def _deliver(self, parcel: datagram_wire.Parcel) -> None:
+        inbox = self._inboxes.get(type(parcel.message), self._parcels_in)
         try:
-            self._parcels_in.send_nowait(parcel)
+            inbox.send_nowait(parcel)
         except trio.WouldBlock:
             logger.warning(logs.Event("parcel-dropped", sender=parcel.sender))
 
--- a/tests/entry/proxy.feature
+++ b/tests/entry/proxy.feature
@@ -123,3 +123,29 @@
     Given the data path over 1 stand-ins
     When the data path gets POST with the fault ""
     Then the data path counts 1 request as "answered" and none as "unknown"
+
+  # Guards against sending on, or wrongly refusing, what crashed servers before.
+  Scenario Outline: a held-back body of <size> bytes <framing> comes again <how>
+    Given the data path over 2 stand-ins
+    When the data path holds back a POST of <size> bytes, sent <framing>
+    And that POST comes again <how>
+    Then the data path answers <status> with outcome "<outcome>"
+    And the data path ran it <runs> times
+
+    Examples:
+      | size   | framing     | how                | status | outcome | runs |
+      | 0      | with length | as it was          | 503    | not-run | 0    |
+      | 100    | with length | as it was          | 503    | not-run | 0    |
+      | 100    | in chunks   | as it was          | 503    | not-run | 0    |
+      | 200000 | with length | as it was          | 503    | not-run | 0    |
+      | 200000 | in chunks   | as it was          | 503    | not-run | 0    |
+      | 100    | with length | in another framing | 503    | not-run | 0    |
+      | 100    | with length | with another body  | 200    |         | 1    |
+      | 200000 | in chunks   | with another body  | 200    |         | 1    |
+
+  # Guards against a retry of what was held back while it ran.
+  Scenario: a request that is held back as it runs is not sent again
+    Given the data path over 2 stand-ins
+    When a GET is held back as it crashes the first of two servers
+    Then the data path answers 502 with outcome "unknown"
+    And the data path ran it 1 times
--- a/tests/steps/entry/fingerprints_steps.py
+++ b/tests/steps/entry/fingerprints_steps.py
@@ -29,6 +29,8 @@
              for name, value in headers.items()}  # fmt: skip
     length = str(sum(map(len, parts))).encode()
     fields = {**_HEADERS, b"content-length": length, **named}
+    if b"transfer-encoding" in fields:
+        del fields[b"content-length"]
     scope = {
         "type": "http",
         "method": method,
@@ -75,6 +77,7 @@
     "authorization": {"authorization": b"Bearer b"},
     "body": {"parts": (b"one", b"owt")},
     "tail of 1 MB": {"parts": (b"a" * (_LONG - 1), b"b")},
+    "framing": {"transfer_encoding": b"chunked"},
     "length of 1 MB": {"parts": (b"a" * _LONG, b"b")},
 }
 
--- a/tests/steps/entry/proxy_steps.py
+++ b/tests/steps/entry/proxy_steps.py
@@ -1,5 +1,7 @@
 """Steps of entry/proxy.feature."""
 
+import collections
+
 from behave import given
 from behave import then
 from behave import when
@@ -123,6 +125,77 @@
     context.script.append(step)
 
 
+@when("the data path holds back a POST of {size:d} bytes, sent {framing}")
+def _(context, size, framing):
+    context.posted = (size, framing)
+
+    async def step(path):
+        await path.ask("POST", "/held", body=_body(*context.posted, b"a"))
+        (fingerprint,) = path.quarantine.sound
+        path.quarantine.held.add(fingerprint)
+        for one in path.standins:
+            one.ledger.clear()
+
+    context.script.append(step)
+
+
+def _body(size, framing, letter):
+    if framing == "with length":
+        return letter * size
+
+    async def parts():
+        for _ in range(0, size, 1000):
+            yield letter * min(1000, size)
+
+    return parts()
+
+
+@when("that POST comes again {how}")
+def _(context, how):
+    letter = b"b" if how == "with another body" else b"a"
+    size, framing = context.posted
+    if how == "in another framing":
+        framing = "in chunks" if framing == "with length" else "with length"
+
+    async def step(path):
+        body = _body(size, framing, letter)
+        return await path.ask("POST", "/held", body=body)
+
+    context.script.append(step)
+
+
+@when("a GET is held back as it crashes the first of two servers")
+def _(context):
+    async def step(path):
+        await path.ask("GET", "/held")
+        (fingerprint,) = path.quarantine.sound
+        for one in path.standins:
+            one.ledger.clear()
+
+        def hold(server):
+            if server.ledger:
+                path.quarantine.held.add(fingerprint)
+
+        for one in path.standins:
+            one.ledger = _Watched(one, hold)
+        return await path.ask("GET", "/held", "crash@s1")
+
+    context.script.append(step)
+
+
+class _Watched(collections.Counter):
+    """A ledger that says when something runs."""
+
+    def __init__(self, server, on_run):
+        super().__init__()
+        self._told = (server, on_run)
+
+    def __setitem__(self, key, value):
+        super().__setitem__(key, value)
+        server, on_run = self._told
+        on_run(server)
+
+
 @when("the data path's checks are done")
 def _(context):
     async def step(path):
