Keep what is held back on the control instances' disks

What callers would see: after a loss of power of all instances the read that had crashed three servers crashes three more, and more before all know.

What is known of a request lives in the memory of instances that can all end at once, while the request and its caller outlive them.

Each control instance writes the shared part of its quarantine to its data folder, in a thread, so that a disk that hangs holds up no vote, and tells it again after a start. Nothing is agreed on: the parts only grow. The time that has passed meanwhile counts, so that a restart makes no quarantine longer. A record that cannot be read is left out with a log line: no acknowledgement rests on it, and a control instance must not stay away for it.

--- a/hyssopfold/control_parts.py
+++ b/hyssopfold/control_parts.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 import functools
 import random
+import time
 
 from hyssopfold import http
 from hyssopfold import identity
@@ -14,6 +15,7 @@
 from hyssopfold.control import api
 from hyssopfold.control import hearing
 from hyssopfold.control import instance
+from hyssopfold.control import quarantine_records
 from hyssopfold.control import slot_votes
 from hyssopfold.core.consensus import messages
 from hyssopfold.core.consensus import node
@@ -65,7 +67,10 @@
             links.keyring,
             self.rng,
         )
-        self._crashes = crash_reports.CrashReports(self.spread, self.rng)
+        self._kept = quarantine_records.QuarantineRecords(data, time.time)
+        self._crashes = crash_reports.CrashReports(
+            self.spread, self.rng, self._kept.note, self._kept.load()
+        )
         self._votes = slot_votes.SlotVotes(
             identity.member(self.spread.myself), data, self.spread
         )
@@ -128,6 +133,7 @@
             ("gossip", self.spread.run),
             ("slot-votes", self._votes.run),
             ("crash-reports", self._crashes.run),
+            ("quarantine-records", self._kept.run),
             ("confirmations", self._confirmations.run),
             ("reloading", self.shared.reloader.run),
             ("rpc", serve),
--- a/hyssopfold/transport/crash_reports.py
+++ b/hyssopfold/transport/crash_reports.py
@@ -49,6 +49,7 @@
         spread: Carries the messages, and knows the other instances.
         rng: Draws whom to tell.
         on_change: Called after news of what all are to know.
+        known: What was known before the start.
     """
 
     def __init__(
@@ -56,11 +57,13 @@
         spread: gossip.Gossip,
         rng: random.Random,
         on_change: Callable[[quarantine.Quarantine], None] = _ignore,
+        known: Iterable[quarantine.Report] = (),
     ) -> None:
         self.table = quarantine.Quarantine(spread.myself.name)
         self._spread = spread
         self._rng = rng
         self._on_change = on_change
+        self._known = tuple(known)
         self._parcels = spread.subscribe(quarantine.Told)
         self._news: dict[bytes, None] = {}
         # How often each request is to be reported again.
@@ -126,6 +129,7 @@
 
     async def run(self) -> None:
         """Tell and hear, for ever."""
+        self._note(self.table.merge(self._known, trio.current_time()))
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._hear)
             nursery.start_soon(self._tell)
--- a/tests/support/fake_reports.py
+++ b/tests/support/fake_reports.py
@@ -5,6 +5,7 @@
 
 import trio
 
+from hyssopfold.control import quarantine_records
 from hyssopfold.core.attempts import quarantine
 from hyssopfold.core.membership import messages
 from hyssopfold.transport import crash_reports
@@ -59,6 +60,9 @@
         # Of datagrams that bring reports, not hashes alone.
         self.reported_bytes = 0
         self.cut = set()
+        # Data folders of the instances that have one, by name.
+        self.folders = {}
+        self._running = {}
         self._lost = lost
         self._rng = random.Random(seed)
         self._spreads = {}
@@ -69,8 +73,30 @@
         self._nursery = nursery
         spread = self._spreads[name] = _Spread(self, name)
         rng = random.Random(self._rng.random())
-        made = self.reports[name] = crash_reports.CrashReports(spread, rng)
-        nursery.start_soon(made.run)
+        data = self.folders.get(name)
+        if data is None:
+            made = crash_reports.CrashReports(spread, rng)
+        else:
+            kept = quarantine_records.QuarantineRecords(data, trio.current_time)
+            made = crash_reports.CrashReports(
+                spread, rng, kept.note, kept.load()
+            )
+            nursery.start_soon(self._run, name, kept.run)
+        self.reports[name] = made
+        nursery.start_soon(self._run, name, made.run)
+
+    async def _run(self, name, task):
+        with trio.CancelScope() as scope:
+            self._running.setdefault(name, []).append(scope)
+            await task()
+
+    def kill_all(self):
+        """End all instances at the same moment."""
+        for scopes in self._running.values():
+            for scope in scopes:
+                scope.cancel()
+        self._running.clear()
+        self.reports.clear()
 
     def start_all(self, nursery):
         """Start all instances."""
