Leave out a datagram that cannot be taken in, in place of ending the task

What would be seen: one instance tells of itself an address that is none; the gossip of every instance that hears it ends, is restarted with the same word in its directory, ends again, and after six times the process ends, everywhere.

The supervisor counts the failures of a task and restarts it, the datagram that ended it comes again, and goes to all others meanwhile.

Now a datagram that fails is logged and left out; a broken invariant still ends the process. An address that is none fails the send alone.

--- a/hyssopfold/transport/gossip.py
+++ b/hyssopfold/transport/gossip.py
@@ -225,10 +225,27 @@
                     logs.Event("bad-datagram", sender=sender, error=exc)
                 )
                 continue
+            self._handle(datagram)
+
+    def _handle(
+        self, datagram: messages.Datagram | datagram_wire.Parcel
+    ) -> None:
+        """Take a datagram in; one that fails is left out.
+
+        It goes to other instances too, and comes again after a restart: ending
+        this task by it would end all of them.
+        """
+        try:
             if isinstance(datagram, messages.Datagram):
                 self._take_in(datagram)
             else:
                 self._deliver(datagram)
+        except errors.InvariantError:
+            raise
+        except Exception:
+            logger.exception(
+                logs.Event("datagram-failed", sender=datagram.sender)
+            )
 
     def _deliver(self, parcel: datagram_wire.Parcel) -> None:
         inbox = self._inboxes.get(type(parcel.message), self._parcels_in)
@@ -262,5 +279,6 @@
             sealed = self._keyring.seal(_KIND, data)
             try:
                 await sock.sendto(sealed, (host, int(port)))
-            except OSError as exc:
+            except (OSError, ValueError, OverflowError) as exc:
+                # The last two: what an instance tells as its address is none.
                 logger.debug(logs.Event("gossip-failed", to=address, error=exc))
