Chaos: a request that crashes servers, beside all other faults

One caller sends it to entries drawn at random throughout the run; stand-ins that crash end with a status of their own and start again after a while. What is checked: from 4 s after the third crash on, entries that are not disturbed crash three more at most. Uploads cut by such a crash are excused as by a kill.

--- a/bench/chaos/__main__.py
+++ b/bench/chaos/__main__.py
@@ -11,6 +11,7 @@
 
 from bench.chaos import books
 from bench.chaos import callers
+from bench.chaos import crashes
 from bench.chaos import fleet as fleets
 from bench.chaos import layout
 from bench.chaos import relay
@@ -88,6 +89,10 @@
                 for _ in range(_UPLOADERS):
                     nursery.start_soon(people.upload)
                 nursery.start_soon(operators.race)
+                crasher = crashes.Crasher(
+                    self._fleet, self.notes, self._rng, began
+                )
+                nursery.start_soon(crasher.run)
                 for name in layout.names(layout.ENTRY):
                     nursery.start_soon(self._watch_revision, name)
                 for fault in self.faults:
@@ -166,6 +171,9 @@
         ]
         ran = books.ran_by_key(ledgers)
         self.findings += books.faults_of_payments(self.notes, ran)
+        self.findings += crashes.faults_of_crashes(
+            self.notes.crashes, self.faults
+        )
         self.findings += [f"crossed: {path}" for path in self.notes.crossed]
         for upload in self.notes.uploads:
             cut = upload.told not in (books.ANSWERED, books.NOT_RUN)
@@ -174,6 +182,10 @@
 
     def _is_excused(self, upload: books.Upload) -> bool:
         return any(
+            one.sent_s <= upload.ended_s
+            and upload.began_s <= one.sent_s + _MARGIN_S
+            for one in self.notes.crashes
+        ) or any(
             fault.kind in _EXCUSES
             and layout.role_of(fault.target) != layout.CONTROL
             and fault.at_s <= upload.ended_s
@@ -204,6 +216,8 @@
     click.echo(f"reads: {dict(notes.reads)}")
     click.echo(f"payments: {told}")
     click.echo(f"uploads: {uploads}")
+    click.echo(f"servers crashed by one request: {len(notes.crashes)}")
+    click.echo(f"answers to it: {dict(notes.crashers)}")
     click.echo(f"edits accepted: {len(notes.accepted)}")
     for finding in run.findings:
         click.echo(f"FAULT {finding}")
--- a/bench/chaos/books.py
+++ b/bench/chaos/books.py
@@ -28,6 +28,13 @@
     told: str
 
 
+class Crash(NamedTuple):
+    """A server that crashed under a request sent to `entry` then."""
+
+    sent_s: float
+    entry: str
+
+
 class Books:
     """Everything that was told in one run."""
 
@@ -38,6 +45,8 @@
         self.reads: Counter[str] = Counter()
         self.accepted: dict[str, int] = {}
         self.reverted: list[str] = []
+        self.crashes: list[Crash] = []
+        self.crashers: Counter[str] = Counter()
 
     def accept(self, change_id: str, revision: int) -> None:
         """Note that an operator was told `accepted`."""
--- a/hyssopfold/cmd/standin.py
+++ b/hyssopfold/cmd/standin.py
@@ -93,6 +93,8 @@
         nursery.start_soon(_wait_for_stop, standin, stop)
         await standin.serve(stop, 30.0)
         nursery.cancel_scope.cancel()
+    if standin.has_crashed:
+        sys.exit(standin_server.CRASHED_STATUS)
 
 
 async def _wait_for_stop(
--- a/hyssopfold/standin/server.py
+++ b/hyssopfold/standin/server.py
@@ -23,6 +23,8 @@
 ANSWER_BYTES_HEADER = b"standin-answer-bytes"
 LATE_FACTOR = 20.0
 _NOT_RUN = (b"hyssop-outcome", b"not-run")
+# Exit status of a stand-in that crashed under a request.
+CRASHED_STATUS = 70
 
 
 class Options(NamedTuple):
@@ -86,6 +88,7 @@
         self.cancelled: Counter[str] = Counter()
         self.most_running = 0
         self.open: set[wire.Connection] = set()
+        self.has_crashed = False
         # Ends serving at once; set while it serves.
         self._crash: Callable[[], None] = _not_serving
         self.last_headers: dict[bytes, bytes] = {}
@@ -150,6 +153,7 @@
         size = await conn.read_body()
         await self._run(conn, req, fault)
         if fault == "crash":
+            self.has_crashed = True
             self._crash()
             await trio.sleep_forever()
         body = {
