Do not draw whom to tell when there is nothing to tell

Each instance listed all live ones four times a second; with some 200 that is work for nothing. A request that was cleared gets a log line of its own in place of 'suspected' with no crash.

--- a/hyssopfold/transport/crash_reports.py
+++ b/hyssopfold/transport/crash_reports.py
@@ -118,13 +118,11 @@
 
     def _log(self, fingerprint: bytes) -> None:
         count = self.table.crashes(fingerprint)
-        is_held = count >= quarantine.LIMIT
+        event = "request-suspected" if count else "request-cleared"
+        if count >= quarantine.LIMIT:
+            event = "request-quarantined"
         logger.warning(
-            logs.Event(
-                "request-quarantined" if is_held else "request-suspected",
-                fingerprint=fingerprint.hex(),
-                crashed=count,
-            )
+            logs.Event(event, fingerprint=fingerprint.hex(), crashed=count)
         )
 
     async def run(self) -> None:
@@ -144,16 +142,22 @@
     async def _tell(self) -> None:
         while True:
             await trio.sleep(TELL_S * self._rng.uniform(0.5, 1.0))
-            for fingerprint in list(self._repeats):
-                self._repeats[fingerprint] -= 1
-                if not self._repeats[fingerprint]:
-                    del self._repeats[fingerprint]
-                self._tell_holders(fingerprint)
+            self._repeat()
+            if not self._news:
+                continue
             now = trio.current_time()
             news, self._news = list(self._news), {}
             reports = [self.table.report(one, now) for one in news]
             self._post(self._draw(FANOUT), reports)
 
+    def _repeat(self) -> None:
+        """Report crashes again: a datagram may be lost."""
+        for fingerprint in list(self._repeats):
+            self._repeats[fingerprint] -= 1
+            if not self._repeats[fingerprint]:
+                del self._repeats[fingerprint]
+            self._tell_holders(fingerprint)
+
     def _post(
         self,
         names: Sequence[str],
