Ask three instances at a start which requests are held back

An instance that starts knows of no request that crashed servers; it asked one other twice a second. Now three are asked each time for the first 3 s.

--- a/hyssopfold/transport/crash_reports.py
+++ b/hyssopfold/transport/crash_reports.py
@@ -24,11 +24,13 @@
 FANOUT = 4
 # How often a crash is told again to those who count it.
 REPEATS = 2
-# How often hashes are compared with one other instance: an instance that was
-# cut off knows neither that it was nor what it lacks. More often at the start.
+# How often hashes are compared, and with how many instances: one that was cut
+# off knows neither that it was nor what it lacks. At the start more is lacking.
 COMPARE_S = 1.0
-COMPARE_SOON_S = 0.5
-SOON_S = 3.0
+COMPARED = 1
+START_COMPARE_S = 0.5
+START_COMPARED = 3
+START_S = 3.0
 # Reports in one datagram, of some 100 bytes each, and datagrams in an answer.
 MAX_REPORTS = 10
 MAX_DATAGRAMS = 10
@@ -182,10 +184,11 @@
             now = trio.current_time()
             if self.table.expire(now):
                 self._on_change(self.table)
+            is_start = now - started < START_S
+            count = START_COMPARED if is_start else COMPARED
             asked = quarantine.Told((), self.table.digest, asks=True)
-            self._spread.post_all(self._draw(1), asked)
-            is_soon = now - started < SOON_S
-            period_s = COMPARE_SOON_S if is_soon else COMPARE_S
+            self._spread.post_all(self._draw(count), asked)
+            period_s = START_COMPARE_S if is_start else COMPARE_S
             await trio.sleep(period_s * self._rng.uniform(0.5, 1.0))
 
     async def _hear(self) -> None:
