Answer 413 to a held-back request whose body is too long

Its caller got a 500 with outcome 'unknown', though nothing had been sent: the body of a request with the head of a held-back one is read before a server is chosen, and the error was only expected while one is sent to. The new scenario failed with that 500 before.

--- a/hyssopfold/entry/carrier.py
+++ b/hyssopfold/entry/carrier.py
@@ -193,8 +193,11 @@
         refused = messages.Refused("deadline-passed", attempt.RETRY_AFTER_S)
         answer: messages.Grant | messages.Refused = refused
         with trio.move_on_at(effect.deadline):
-            if await self._is_held():
-                return events.NoSlot("quarantined", QUARANTINED_RETRY_S)
+            try:
+                if await self._is_held():
+                    return events.NoSlot("quarantined", QUARANTINED_RETRY_S)
+            except exchange_module.BodyTooLargeError:
+                return events.NoSlot("body too large", attempt.RETRY_AFTER_S)
             for avoid in self._avoid(effect.tried):
                 req = self._wanted(effect, avoid)
                 answer = await parts.placement.acquire(req, pool)
--- a/tests/entry/proxy.feature
+++ b/tests/entry/proxy.feature
@@ -149,3 +149,11 @@
     When a GET is held back as it crashes the first of two servers
     Then the data path answers 502 with outcome "unknown"
     And the data path ran it 1 times
+
+  # Guards against a connection cut for a body that is found too long early.
+  Scenario: a held-back POST comes again with a body that is too long
+    Given the data path over 2 stand-ins that takes bodies of 1000 bytes
+    When the data path holds back a POST of 900 bytes, sent in chunks
+    And that POST comes again with 5000 bytes
+    Then the data path answers 413 with outcome "not-run"
+    And the data path ran it 0 times
--- a/tests/steps/entry/proxy_steps.py
+++ b/tests/steps/entry/proxy_steps.py
@@ -17,6 +17,15 @@
     context.script = []
 
 
+@given(
+    "the data path over {count:d} stand-ins that takes bodies of {size:d} bytes"
+)
+def _(context, count, size):
+    context.count = count
+    context.max_body = size
+    context.script = []
+
+
 def drive(context):
     """Run the requests that the scenario has listed, once."""
     if context.script:
@@ -25,7 +34,9 @@
 
 
 async def _drive(context, script):
-    path = datapath.DataPath(context.count)
+    path = datapath.DataPath(
+        context.count, max_body=getattr(context, "max_body", 1 << 40)
+    )
     context.answers = []
     async with path.running():
         for step in script:
@@ -150,6 +161,15 @@
     return parts()
 
 
+@when("that POST comes again with {size:d} bytes")
+def _(context, size):
+    async def step(path):
+        body = _body(size, "in chunks", b"a")
+        return await path.ask("POST", "/held", body=body)
+
+    context.script.append(step)
+
+
 @when("that POST comes again {how}")
 def _(context, how):
     letter = b"b" if how == "with another body" else b"a"
