--- a/hyssopfold/core/attempts/quarantine.py
+++ b/hyssopfold/core/attempts/quarantine.py
@@ -22,8 +22,8 @@
 SHARED_FROM = 2
 # Instances that count the crashes of one request until then.
 HOLDERS = 3
-# How long a request is remembered after its last crash: one that is held back
-# by no trial, and one that may have been interrupted by chance.
+# How long a request is remembered after its last crash: one that is held
+# back, and one that may have been interrupted by chance.
 KEEP_S = 86_400.0
 KEEP_SUSPECT_S = 600.0
 # A request that is held back runs once more after so long, since servers may
@@ -38,8 +38,8 @@
 MAX_CLEARED = 8
 MAX_RECORDS = 2_000
 NO_DIGEST = -1
-
-_HEAD_BYTES = 8
+# The first bytes of a fingerprint are those of the request's head alone.
+HEAD_BYTES = 8
 
 
 class Report(NamedTuple):
@@ -213,7 +213,7 @@
             self._make_room()
         self._drop(fingerprint)
         self._records[fingerprint] = record
-        head = fingerprint[:_HEAD_BYTES]
+        head = fingerprint[:HEAD_BYTES]
         self._heads[head] = self._heads.get(head, 0) + 1
         self.digest ^= _hash(fingerprint, record)
         return True
@@ -236,7 +236,7 @@
         if record is None:
             return
         self.digest ^= _hash(fingerprint, record)
-        head = fingerprint[:_HEAD_BYTES]
+        head = fingerprint[:HEAD_BYTES]
         self._heads[head] -= 1
         if not self._heads[head]:
             del self._heads[head]
--- a/hyssopfold/entry/app.py
+++ b/hyssopfold/entry/app.py
@@ -10,7 +10,7 @@
 from hyssopfold import http
 from hyssopfold import log_output
 from hyssopfold import metrics
-from hyssopfold.entry import carrier
+from hyssopfold.entry import carrier_parts
 from hyssopfold.entry import configuration
 from hyssopfold.entry import lookups
 from hyssopfold.entry import proxy
@@ -43,7 +43,7 @@
         config: configuration.Configuration,
         spread: gossip.Gossip,
         forward: proxy.Proxy,
-        place: carrier.Placement,
+        place: carrier_parts.Placement,
         meter: metrics.Metrics,
         announcers: access.Guard,
         output: log_output.BoundedHandler,
--- a/hyssopfold/entry/carrier.py
+++ b/hyssopfold/entry/carrier.py
@@ -1,32 +1,24 @@
 """Carry out what the attempts of one request decide."""
 
 from collections.abc import AsyncIterator
-from collections.abc import Awaitable
-from collections.abc import Callable
+import functools
 import logging
 import math
-from typing import NamedTuple
-from typing import Protocol
 
-import httpcore
 import trio
 
-from hyssopfold import http
-from hyssopfold import metrics
 from hyssopfold import serving
 from hyssopfold import tables
 from hyssopfold.core.attempts import attempt
-from hyssopfold.core.attempts import budget
 from hyssopfold.core.attempts import messages as events
 from hyssopfold.core.balancing import messages
-from hyssopfold.core.membership import directory
 from hyssopfold.core.membership import messages as membership
 from hyssopfold.core.steering import regions
 from hyssopfold.entry import answers
+from hyssopfold.entry import carrier_parts
 from hyssopfold.entry import crash_checks
 from hyssopfold.entry import exchange as exchange_module
-from hyssopfold.entry import pacing
-from hyssopfold.entry import steering
+from hyssopfold.entry import relaying
 from hyssopfold.entry import upstream
 
 logger = logging.getLogger(__name__)
@@ -34,59 +26,11 @@
 # Bodies longer than this, or of unknown length, wait for room on a link
 # behind short ones.
 BULK_BYTES = 256 * 1024
-SHORT_ANSWER_BYTES = 64 * 1024
 SERVER_FAILURE = 500
 # When the caller of a request that is held back may ask again.
 QUARANTINED_RETRY_S = 60.0
 
 
-class Placement(Protocol):
-    """Slots of the servers."""
-
-    async def acquire(
-        self, req: messages.Request, pool: tables.Pool
-    ) -> messages.Grant | messages.Refused:
-        """Return a slot, or why there is none."""
-
-    def release(self, grant: messages.Grant, done: messages.Done) -> None:
-        """Give a slot back, with how the attempt ended."""
-
-    def in_flight(self) -> dict[str, int]:
-        """Return the requests under way by server."""
-
-
-class Quarantine(Protocol):
-    """Requests that are held back since servers crashed under them."""
-
-    def knows(self, head: bytes) -> bool:
-        """Return whether a request with this head may be held back."""
-
-    def holds(self, fingerprint: bytes) -> bool:
-        """Return whether a request must not be sent to any server now."""
-
-    def answered(self, fingerprint: bytes) -> None:
-        """Take in that a request was answered."""
-
-
-class Parts(NamedTuple):
-    """What carrying a request takes, the same for all requests.
-
-    `expects_silence` tells that kept connections may be dead without a sign.
-    """
-
-    region: str
-    known: directory.Directory
-    steering: steering.Steering
-    placement: Placement
-    pacer: pacing.Pacer
-    upstream: upstream.Upstream
-    quarantine: Quarantine
-    meter: metrics.Metrics
-    budget_of: Callable[[str], budget.Budget]
-    refuse: Callable[[exchange_module.Exchange, http.Refusal], Awaitable[None]]
-    expects_silence: bool = True
-
-
 class Carrier:
     """One request on its way to a server and back.
 
@@ -99,7 +43,7 @@
 
     def __init__(
         self,
-        parts: Parts,
+        parts: carrier_parts.Parts,
         exchange: exchange_module.Exchange,
         route: tables.Route,
         pool: tables.Pool,
@@ -133,10 +77,8 @@
         # Whether the connection of the attempt broke.
         self._is_broken = False
         self._told_dropped = False
-        self._short: bytes | None = None
-        self._begun: list[bytes] = []
         self._answering: upstream.Answering | None = None
-        self._stream: AsyncIterator[bytes] | None = None
+        self._relay: relaying.Relay | None = None
 
     @property
     def fate(self) -> str:
@@ -176,7 +118,7 @@
             case events.Send():
                 return await self._send(effect)
             case events.Relay():
-                return await self._relay()
+                return await self._pass_on()
             case events.CloseConnection():
                 await self._end_attempt("failed")
             case events.Refuse():
@@ -274,7 +216,7 @@
                 self._answering = await self._parts.upstream.send(
                     server, outgoing, effect.fresh, self._note_bytes_sent
                 )
-                await self._read_short()
+                await self._read_short(server)
         except upstream.LostError as exc:
             self._is_broken = True
             return events.Lost(str(exc))
@@ -284,44 +226,27 @@
             return events.Lost("no answer in time")
         return answers.began(exchange, self._answering.answer)
 
-    async def _read_short(self) -> None:
-        """Read a short answer whole before its head is passed on.
-
-        One that is cut can then be asked for again at another server, in
-        place of being passed on as cut; and it leaves in one piece.
-        """
+    async def _read_short(self, server: membership.Server) -> None:
         assert self._answering is not None
-        answer = self._answering.answer
         if not self._request.is_absolute:
             # It has begun: from here on only a stall ends it.
             self._answer_by.deadline = math.inf
-        self._short = None
-        self._begun = []
-        self._stream = upstream.parts(answer)
-        length = answers.length_of(answer)
-        if length is None and not self._dialect.unframed_answers:
-            # It may be a stream, whose parts the caller waits for.
-            return
-        if length is not None and length > SHORT_ANSWER_BYTES:
-            return
-        size = 0
-        async for part in self._stream:
-            self._begun.append(part)
-            size += len(part)
-            if size > SHORT_ANSWER_BYTES:
-                return
-        self._short = b"".join(self._begun)
+        self._relay = relaying.Relay(
+            self._answering.answer, self._exchange, self._pacer(server)
+        )
+        await self._relay.read_short()
 
     def _note_bytes_sent(self) -> None:
         self._tell(events.BytesSent())
 
     async def _body(self, server: membership.Server) -> AsyncIterator[bytes]:
+        pace = self._pacer(server)
         self._note(events.BodyBegan())
         async for part in self._exchange.body():
             if self._exchange.dropped and not self._told_dropped:
                 self._told_dropped = True
                 self._tell(events.BodyDropped())
-            await self._pace(server, part, self._exchange.length)
+            await pace(part, self._exchange.length)
             yield part
         self._note(events.BodySent())
 
@@ -330,68 +255,27 @@
             if isinstance(effect, events.AnswerBy):
                 self._answer_by.deadline = effect.deadline
 
-    async def _pace(
-        self, server: membership.Server, part: bytes, length: int | None
-    ) -> None:
-        if server.region != self._parts.region:
-            bulk = length is None or length > BULK_BYTES
-            await self._parts.pacer.take(server.region, len(part), bulk)
+    def _pacer(self, server: membership.Server) -> relaying.Pace:
+        """Return what waits for room on the link to a server."""
+        parts = self._parts
 
-    async def _relay(self) -> events.Event:
-        assert self._grant is not None
-        assert self._answering is not None
-        assert self._stream is not None
-        server, answer = self._grant.server, self._answering.answer
-        send = self._exchange.send
-        start = {
-            "type": "http.response.start",
-            "status": answer.status,
-            "headers": self._answer_headers(answer),
-        }
-        self._exchange.status = answer.status
-        length = answers.length_of(answer)
-        if self._short is not None:
-            await self._pace(server, self._short, length)
-            await self._end_attempt("answered")
-            await send(start)
-            await send({"type": "http.response.body", "body": self._short})
-            return events.AnswerEnded()
-        await send(start)
-        await send({"type": "http.response.body", "more_body": True})
+        async def pace(part: bytes, length: int | None) -> None:
+            if server.region != parts.region:
+                bulk = length is None or length > BULK_BYTES
+                await parts.pacer.take(server.region, len(part), bulk)
+
+        return pace
+
+    async def _pass_on(self) -> events.Event:
+        assert self._relay is not None
+        free = functools.partial(self._end_attempt, "answered")
         try:
-            for part in self._begun:
-                await self._pass_on(server, part, length)
-            async for part in self._stream:
-                await self._pass_on(server, part, length)
+            await self._relay.run(free)
         except upstream.LostError as exc:
             self._is_broken = True
             return events.Lost(str(exc))
-        # The slot and the connection are free before the caller can send its
-        # next request.
-        await self._end_attempt("answered")
-        await send({"type": "http.response.body", "body": b""})
         return events.AnswerEnded()
 
-    def _answer_headers(self, answer: httpcore.Response) -> http.Headers:
-        names = self._dialect
-        headers = exchange_module.end_to_end(answer.headers, names)
-        if answer.status in answers.BODILESS:
-            headers = [one for one in headers if one[0] != b"content-length"]
-        own = self._exchange.answer_headers()
-        replaced = {name for name, _ in own}
-        return [one for one in headers if one[0] not in replaced] + own
-
-    async def _pass_on(
-        self, server: membership.Server, part: bytes, length: int | None
-    ) -> None:
-        await self._pace(server, part, length)
-        message = {
-            "type": "http.response.body",
-            "body": part,
-            "more_body": True,
-        }
-        await self._exchange.send(message)
-
     async def _end_attempt(self, kind: str) -> None:
         """Give slot and connection back; close the latter unless answered."""
         grant, self._grant = self._grant, None
--- a/hyssopfold/entry/fingerprints.py
+++ b/hyssopfold/entry/fingerprints.py
@@ -3,10 +3,10 @@
 from collections.abc import Iterable
 import hashlib
 
+from hyssopfold.core.attempts import quarantine
+
 # What tells one caller from another.
 CREDENTIALS = (b"authorization", b"cookie", b"x-api-key")
-# The first bytes of a fingerprint are those of the head alone.
-HEAD_BYTES = 8
 # Longer bodies are told apart by their first bytes alone.
 MAX_BODY_BYTES = 64 * 1024
 
@@ -27,7 +27,7 @@
     """
 
     def __init__(self, head: Iterable[bytes]) -> None:
-        self.head = digest(head, HEAD_BYTES)
+        self.head = digest(head, quarantine.HEAD_BYTES)
         self._hash = hashlib.blake2b(digest_size=_BODY_DIGEST_BYTES)
         self._room = MAX_BODY_BYTES
 
--- a/hyssopfold/entry/proxy.py
+++ b/hyssopfold/entry/proxy.py
@@ -15,6 +15,7 @@
 from hyssopfold.core.membership import directory
 from hyssopfold.core.steering import splits
 from hyssopfold.entry import carrier
+from hyssopfold.entry import carrier_parts
 from hyssopfold.entry import claims
 from hyssopfold.entry import configuration
 from hyssopfold.entry import dialect as dialect_module
@@ -43,7 +44,7 @@
     """What may keep a request from running, wherever it is to go."""
 
     claimed: claims.Claims
-    quarantine: carrier.Quarantine
+    quarantine: carrier_parts.Quarantine
 
 
 class Callers(NamedTuple):
@@ -84,7 +85,7 @@
         self,
         config: configuration.Configuration,
         steer: steering.Steering,
-        place: carrier.Placement,
+        place: carrier_parts.Placement,
         pacer: pacing.Pacer,
         servers: upstream.Upstream,
         meter: metrics.Metrics,
@@ -95,7 +96,7 @@
         callers: Callers = USUAL_CALLERS,
     ) -> None:
         self.in_flight = 0
-        self._parts = carrier.Parts(
+        self._parts = carrier_parts.Parts(
             here.region,
             here.known,
             steer,
--- a/tests/steps/core/attempts/quarantine_steps.py
+++ b/tests/steps/core/attempts/quarantine_steps.py
@@ -90,7 +90,7 @@
 @then('request "{name}" is held back')
 def _(context, name):
     assert not _sending(context, name)
-    assert context.tables[0].knows(_fingerprint(name)[:8])
+    assert context.tables[0].knows(_fingerprint(name)[: quarantine.HEAD_BYTES])
 
 
 @then('no entry sends request "{name}"')
