--- a/tests/request_log.feature
+++ b/tests/request_log.feature
@@ -32,5 +32,6 @@
       | lost      | may have run               |
       | late      | may have run               |
       | answered  | answered with 200          |
+      | held back | crashed under it before    |
       | unknown   | No line tells              |
       | unended   | Its end is not told        |
--- a/tests/steps/request_log_steps.py
+++ b/tests/steps/request_log_steps.py
@@ -27,6 +27,11 @@
         "event=refused request=r1 error=no-slot outcome=not-run held_s=0.001",
         "event=ended request=r1 outcome=not-run status=503 took_s=0.001",
     ],
+    "held back": [
+        _ADMITTED,
+        "event=refused request=r1 error=quarantined outcome=not-run held_s=0",
+        "event=ended request=r1 outcome=not-run status=503 took_s=0.001",
+    ],
     "lost": [
         _ADMITTED,
         _SENT,
