--- a/tests/bench/chaos/books.feature
+++ b/tests/bench/chaos/books.feature
@@ -34,3 +34,22 @@
   Scenario: the same seed gives the same schedule
     Then chaos schedules of seed 7 are alike, and unlike that of seed 8
     And the chaos schedule of seed 7 never takes two control instances at once
+
+  # Guards against a run that calls entries good that never hold a request back.
+  Scenario Outline: a request crashes 3 servers, and <more> more <when>
+    Given chaos books in which a request crashed 3 servers at 1, 2 and 3 s
+    And <more> more at <at> s through "entry-2"
+    Then the chaos books show <faults> faults of crashes, "entry-1" killed at 20 s
+
+    Examples:
+      | when                  | more | at | faults |
+      | as soon               | 9    | 6  | 0      |
+      | as all know           | 3    | 8  | 0      |
+      | more than are allowed | 4    | 8  | 1      |
+
+  # Guards against findings by entries that could not know yet.
+  Scenario: a disturbed entry crashes servers
+    Given chaos books in which a request crashed 3 servers at 1, 2 and 3 s
+    And 4 more at 24 s through "entry-1"
+    Then the chaos books show 0 faults of crashes, "entry-1" killed at 20 s
+    And the chaos books show 1 faults of crashes, "entry-1" killed at 12 s
--- a/tests/steps/bench/chaos/books_steps.py
+++ b/tests/steps/bench/chaos/books_steps.py
@@ -9,6 +9,7 @@
 from behave import when
 
 from bench.chaos import books
+from bench.chaos import crashes
 from bench.chaos import layout
 from bench.chaos import schedule
 
@@ -78,3 +79,28 @@
             continue
         assert fault.at_s >= until, fault
         until = fault.at_s + fault.length_s
+
+
+@given(
+    "chaos books in which a request crashed 3 servers at {a:g}, {b:g} and {c:g}"
+    " s"
+)
+def _(context, a, b, c):
+    context.books = books.Books()
+    for at in (a, b, c):
+        context.books.crashes.append(books.Crash(at, "entry-1"))
+
+
+@given('{count:d} more at {at:g} s through "{entry}"')
+def _(context, count, at, entry):
+    context.books.crashes += [books.Crash(at, entry)] * count
+
+
+@then(
+    'the chaos books show {count:d} faults of crashes, "{entry}" killed at'
+    " {at:g} s"
+)
+def _(context, count, entry, at):
+    killed = schedule.Fault(at, schedule.KILL, entry, 1.0)
+    found = crashes.faults_of_crashes(context.books.crashes, [killed])
+    assert len(found) == count, found
--- a/tests/support/fake_reports.py
+++ b/tests/support/fake_reports.py
@@ -6,7 +6,6 @@
 import trio
 
 from hyssopfold.control import quarantine_records
-from hyssopfold.core.attempts import quarantine
 from hyssopfold.core.membership import messages
 from hyssopfold.transport import crash_reports
 from hyssopfold.transport import datagram_wire
@@ -135,6 +134,3 @@
     def digests(self):
         """Return the hashes of what the instances know, each once."""
         return {one.table.digest for one in self.reports.values()}
-
-
-LIMIT = quarantine.LIMIT
