Tests of the quarantine on disk: let no virtual second pass beside a write

'all instances lose power' failed twice beside load: its clock jumps when all tasks wait, a thread's sync on a busy disk takes real time, so that the power was lost before the record was written. The write goes through run_blocking, as a control instance's votes do, and the test calls it in place.

--- a/hyssopfold/control/quarantine_records.py
+++ b/hyssopfold/control/quarantine_records.py
@@ -13,6 +13,7 @@
 
 from hyssopfold import errors
 from hyssopfold import logs
+from hyssopfold.control import instance
 from hyssopfold.core.attempts import quarantine
 from hyssopfold.storage import folder
 
@@ -36,13 +37,18 @@
     Args:
         data: The data folder.
         time_of_day: Returns the time of day in seconds.
+        run_blocking: Runs a blocking call without holding up other tasks.
     """
 
     def __init__(
-        self, data: folder.DataFolder, time_of_day: Callable[[], float]
+        self,
+        data: folder.DataFolder,
+        time_of_day: Callable[[], float],
+        run_blocking: instance.RunBlocking = trio.to_thread.run_sync,
     ) -> None:
         self._data = data
         self._time_of_day = time_of_day
+        self._run_blocking = run_blocking
         self._changed = trio.Event()
         self._table: quarantine.Quarantine | None = None
 
@@ -83,6 +89,6 @@
         record = msgspec.msgpack.encode(_Kept(self._time_of_day(), reports))
         try:
             # A disk that hangs must not hold up the votes.
-            await trio.to_thread.run_sync(self._data.write, RECORD, record)
+            await self._run_blocking(self._data.write, RECORD, record)
         except errors.StorageWriteError as exc:
             logger.warning(logs.Event("quarantine-not-kept", error=exc))
--- a/tests/support/fake_reports.py
+++ b/tests/support/fake_reports.py
@@ -18,6 +18,12 @@
     name: str
 
 
+async def run_at_once(call, *args):
+    """Run a blocking call in place: virtual time waits for no thread."""
+    await trio.lowlevel.checkpoint()
+    return call(*args)
+
+
 class _Directory:
     def __init__(self, network):
         self._network = network
@@ -76,7 +82,9 @@
         if data is None:
             made = crash_reports.CrashReports(spread, rng)
         else:
-            kept = quarantine_records.QuarantineRecords(data, trio.current_time)
+            kept = quarantine_records.QuarantineRecords(
+                data, trio.current_time, run_at_once
+            )
             made = crash_reports.CrashReports(
                 spread, rng, kept.note, kept.load()
             )
@@ -128,7 +136,9 @@
     def holding(self, fingerprint):
         """Return the instances that hold a request back."""
         return [
-            name for name, one in self.reports.items() if one.holds(fingerprint)
+            name
+            for name, one in self.reports.items()
+            if one.holds(fingerprint)
         ]
 
     def digests(self):
