Hold back what waited for a slot while servers crashed under it

With placement by slots a request may wait seconds for one. What was learned meanwhile was not asked again: a held-back request was sent once its slot came. Now an attempt is checked again when it has a slot, which is given back unused.

A trial is bound to its attempt, so that the second look does not hold back the trial that the first one allowed.

--- a/hyssopfold/core/attempts/quarantine.py
+++ b/hyssopfold/core/attempts/quarantine.py
@@ -71,6 +71,7 @@
     crashed: frozenset[int]
     cleared: frozenset[int]
     last_at: float
+    trial: str = ""
     trial_until: float = -math.inf
 
     @property
@@ -156,7 +157,11 @@
         return self._put(fingerprint, record._replace(cleared=record.crashed))
 
     def may_run(
-        self, fingerprint: bytes, entries: Collection[str], now: float
+        self,
+        fingerprint: bytes,
+        attempt: str,
+        entries: Collection[str],
+        now: float,
     ) -> bool:
         """Return whether a request may be sent to a server now.
 
@@ -164,21 +169,25 @@
 
         Args:
             fingerprint: The request.
+            attempt: Names the attempt; asked again, a trial gets the same
+                answer.
             entries: Names of the entries that serve callers.
             now: Monotonic time in seconds.
         """
         record = self._records.get(fingerprint, _NONE)
-        trial = record.counted - LIMIT
-        if trial < 0 or now >= record.last_at + KEEP_S:
+        trials = record.counted - LIMIT
+        if trials < 0 or now >= record.last_at + KEEP_S:
             return True
-        if trial >= len(TRIALS_AFTER_S) or now < record.trial_until:
+        if trials >= len(TRIALS_AFTER_S):
             return False
-        if now < record.last_at + TRIALS_AFTER_S[trial]:
+        if now < record.last_at + TRIALS_AFTER_S[trials]:
             return False
+        if now < record.trial_until:
+            return attempt == record.trial
         names = {*entries, self._name}
         if affinity.alike(fingerprint.hex(), names)[0] != self._name:
             return False
-        tried = record._replace(trial_until=now + TRIAL_S)
+        tried = record._replace(trial=attempt, trial_until=now + TRIAL_S)
         self._records[fingerprint] = tried
         return True
 
--- a/hyssopfold/entry/carrier.py
+++ b/hyssopfold/entry/carrier.py
@@ -136,10 +136,11 @@
         answer: messages.Grant | messages.Refused = refused
         with trio.move_on_at(effect.deadline):
             try:
-                if await self._is_held():
-                    return events.NoSlot("quarantined", QUARANTINED_RETRY_S)
+                await self._read_suspect()
             except exchange_module.BodyTooLargeError:
                 return events.NoSlot("body too large", attempt.RETRY_AFTER_S)
+            if self._is_held(effect):
+                return events.NoSlot("quarantined", QUARANTINED_RETRY_S)
             for avoid in self._avoid(effect.tried):
                 req = self._wanted(effect, avoid)
                 answer = await parts.placement.acquire(req, pool)
@@ -147,6 +148,11 @@
                     break
         if isinstance(answer, messages.Refused):
             return events.NoSlot(answer.reason, answer.retry_after_s)
+        if self._is_held(effect):
+            # Since it began to wait for a slot.
+            unused = messages.Done("cancelled", 0.0, reached=False)
+            parts.placement.release(answer, unused)
+            return events.NoSlot("quarantined", QUARANTINED_RETRY_S)
         if not effect.tried:
             parts.steering.note(pool.name, self._decision, answer.server)
         self._grant = answer
@@ -154,16 +160,18 @@
         self._log_grant(answer, effect)
         return events.Granted(answer.server.server_id)
 
-    async def _is_held(self) -> bool:
-        """Return whether the request is held back.
+    async def _read_suspect(self) -> None:
+        """Read what tells whether a request is one that may be held back."""
+        if self._parts.quarantine.knows(self._exchange.fingerprint_head):
+            await self._exchange.read_ahead()
 
-        Its body is waited for only where the head is that of such a request.
-        """
+    def _is_held(self, effect: events.Acquire) -> bool:
+        """Return whether the next attempt is held back, as far as is known."""
         held, exchange = self._parts.quarantine, self._exchange
         if not held.knows(exchange.fingerprint_head):
             return False
-        await exchange.read_ahead()
-        return held.holds(exchange.fingerprint)
+        attempt_id = f"{exchange.request_id} {len(effect.tried)}"
+        return held.holds(exchange.fingerprint, attempt_id)
 
     def _avoid(self, tried: tuple[str, ...]) -> list[tuple[str, ...]]:
         """Return what to avoid: failure domains tried, else servers tried."""
--- a/hyssopfold/entry/carrier_parts.py
+++ b/hyssopfold/entry/carrier_parts.py
@@ -38,8 +38,8 @@
     def knows(self, head: bytes) -> bool:
         """Return whether a request with this head may be held back."""
 
-    def holds(self, fingerprint: bytes) -> bool:
-        """Return whether a request must not be sent to any server now."""
+    def holds(self, fingerprint: bytes, attempt: str) -> bool:
+        """Return whether an attempt must not be sent to any server now."""
 
     def answered(self, fingerprint: bytes) -> None:
         """Take in that a request was answered."""
--- a/hyssopfold/transport/crash_reports.py
+++ b/hyssopfold/transport/crash_reports.py
@@ -75,12 +75,12 @@
         """Return whether a request with this head may be held back."""
         return self.table.knows(head)
 
-    def holds(self, fingerprint: bytes) -> bool:
-        """Return whether a request must not be sent to any server now."""
+    def holds(self, fingerprint: bytes, attempt: str) -> bool:
+        """Return whether an attempt must not be sent to any server now."""
         entries = self._spread.directory.ready_entries()
         names = [one.name for one in entries]
         now = trio.current_time()
-        return not self.table.may_run(fingerprint, names, now)
+        return not self.table.may_run(fingerprint, attempt, names, now)
 
     def crashed(self, server: messages.Server, fingerprint: bytes) -> None:
         """Take in that a server crashed under a request of this entry."""
--- a/tests/core/attempts/quarantine.feature
+++ b/tests/core/attempts/quarantine.feature
@@ -76,6 +76,13 @@
     When 31 s go by
     Then one entry sends request "a", once
 
+  # Guards against a trial that is held back by itself.
+  Scenario: a trial that is asked for again is the same one
+    Given quarantines at 5 entries that know the same
+    When 3 servers crash under request "a"
+    And 61 s go by
+    Then one entry sends request "a", once, also when that attempt asks again
+
   # Guards against a table that grows with every crash.
   Scenario: what is known is bounded and is forgotten
     Given a quarantine at entry "e1"
--- a/tests/entry/proxy.feature
+++ b/tests/entry/proxy.feature
@@ -157,3 +157,11 @@
     And that POST comes again with 5000 bytes
     Then the data path answers 413 with outcome "not-run"
     And the data path ran it 0 times
+
+  # Guards against a request that is held back while it waits for a slot.
+  Scenario: a request that is held back as it waits for a slot is not sent
+    Given the data path over 2 stand-ins
+    When a GET is held back as it waits for a slot
+    Then the data path answers 503 with outcome "not-run"
+    And the data path ran it 0 times
+    And the data path holds no slot
--- a/tests/steps/core/attempts/quarantine_steps.py
+++ b/tests/steps/core/attempts/quarantine_steps.py
@@ -29,6 +29,7 @@
     context.names = names
     context.tables = [quarantine.Quarantine(name) for name in names]
     context.lives = itertools.count()
+    context.attempts = itertools.count()
 
 
 def _share(context):
@@ -78,7 +79,12 @@
     return [
         table
         for table in context.tables
-        if table.may_run(_fingerprint(name), context.names, context.now)
+        if table.may_run(
+            _fingerprint(name),
+            f"attempt {next(context.attempts)}",
+            context.names,
+            context.now,
+        )
     ]
 
 
@@ -167,3 +173,21 @@
         for key in "abc":
             counts = {table.crashes(_fingerprint(key)) for table in tables}
             assert len(counts) == 1, counts
+
+
+@then(
+    'one entry sends request "{name}", once, also when that attempt asks again'
+)
+def _(context, name):
+    asked = [
+        number
+        for table in context.tables
+        for number in (1, 1, 2)
+        if table.may_run(
+            _fingerprint(name),
+            f"attempt {number}",
+            context.names,
+            context.now,
+        )
+    ]
+    assert asked == [1, 1], asked
--- a/tests/steps/entry/proxy_steps.py
+++ b/tests/steps/entry/proxy_steps.py
@@ -203,6 +203,19 @@
     context.script.append(step)
 
 
+@when("a GET is held back as it waits for a slot")
+def _(context):
+    async def step(path):
+        await path.ask("GET", "/held")
+        (fingerprint,) = path.quarantine.sound
+        for one in path.standins:
+            one.ledger.clear()
+        path.placement.on_wait = lambda: path.quarantine.held.add(fingerprint)
+        return await path.ask("GET", "/held")
+
+    context.script.append(step)
+
+
 class _Watched(collections.Counter):
     """A ledger that says when something runs."""
 
--- a/tests/support/datapath.py
+++ b/tests/support/datapath.py
@@ -96,8 +96,11 @@
         self.done = []
         self.rotate = False
         self.left = set()
+        # Called as a request waits for a slot.
+        self.on_wait = lambda: None
 
     async def acquire(self, req, pool):
+        self.on_wait()
         if self.rotate:
             self.servers.append(self.servers.pop(0))
         for server in self.servers:
@@ -122,7 +125,7 @@
     def knows(self, head):
         return any(one.startswith(head) for one in self.held)
 
-    def holds(self, fingerprint):
+    def holds(self, fingerprint, attempt):
         return fingerprint in self.held
 
     def answered(self, fingerprint):
--- a/tests/support/fake_reports.py
+++ b/tests/support/fake_reports.py
@@ -138,7 +138,7 @@
         return [
             name
             for name, one in self.reports.items()
-            if one.holds(fingerprint)
+            if one.holds(fingerprint, "r1 0")
         ]
 
     def digests(self):
