Adopt the regions that a running entry has seen with its shares

Cause (trace of the failing example): an entry of arusha restarts and adopts the shares of a running entry, all regions open; mwanza is lost before its first step, so it never sees mwanza ready, doesn't count it as lost and keeps it open. An entry of mwanza restarts and adopts those open shares; mwanza comes back before its first step, counts as part of a starting system, and all callers of that entry (a sixth of all requests) move within a second.

Ruled out: clocks (the same with correct ones), the plan of the edit in the example (without it as well), the resizes.

Change: the status of an entry names the regions with ready servers of a pool; an entry that adopts shares takes these and the lost ones as seen, so a region that is missing at its first step is closed, and one that appears later returns by a shift. Entries of earlier releases don't name them; then only the lost ones are taken, as far as they go. hyssopctl status reads reports with more or fewer fields than its own.

--- a/bench/shift_simulation.py
+++ b/bench/shift_simulation.py
@@ -149,8 +149,8 @@
         """Set the number of slots of a region."""
         self.sites[region] = self.sites[region]._replace(slots=slots)
 
-    def restart(self, node, adopt=True):
-        """Restart an entry; it adopts the shares of a running one."""
+    def restart(self, node, peer=None):
+        """Restart an entry; it adopts the shares of `peer` or a random entry."""
         node.start()
         self._install(node, self.revision, self.state)
         peers = [
@@ -158,9 +158,8 @@
             for other in self.nodes
             if other is not node and other.up and not other.frozen
         ]
-        if adopt and peers:
-            for report in self.rng.choice(peers).shares.reports():
-                node.shares.adopt(report.pool, report.parts)
+        if peers:
+            _adopt(node, peer or self.rng.choice(peers))
 
     def _catch_up(self, node, running):
         """Let an entry that was frozen adopt the shares of a running one."""
@@ -169,8 +168,7 @@
         ]
         if not current or not node.shares.is_stale(self.now):
             return
-        for report in self.rng.choice(current).shares.reports():
-            node.shares.adopt(report.pool, report.parts)
+        _adopt(node, self.rng.choice(current))
 
     def capacity(self, region, closed=()):
         """Return the slots that are usable in a region now."""
@@ -321,6 +319,12 @@
         return [node.shares.reports()[0] for node in self.nodes]
 
 
+def _adopt(node, peer):
+    for report in peer.shares.reports():
+        seen_regions = (*report.ready, *report.lost)
+        node.shares.adopt(report.pool, report.parts, seen_regions)
+
+
 def with_pool(old, **changes):
     """Return the tables with fields of their only pool changed."""
     return old._replace(pools=(old.pools[0]._replace(**changes),))
--- a/hyssopfold/cmd/status.py
+++ b/hyssopfold/cmd/status.py
@@ -122,8 +122,16 @@
 
 
 def _reports(rows: list[Body]) -> list[shares.Report]:
+    # Entries of other releases may report more or fewer fields.
     return [
-        msgspec.convert(list(row["shift"].values()), shares.Report)
+        msgspec.convert(
+            [
+                row["shift"][field]
+                for field in shares.Report._fields
+                if field in row["shift"]
+            ],
+            shares.Report,
+        )
         for row in rows
         if row["shift"] is not None
     ]
--- a/hyssopfold/core/steering/shares.py
+++ b/hyssopfold/core/steering/shares.py
@@ -58,7 +58,8 @@
     `parts` are the layouts in force, `target` is the layout of the tables,
     `lost` the regions without ready servers, `to_go` an upper bound of the
     pool's traffic that has yet to move (0 to 1) and `left_s` the seconds until
-    it has moved if the shift doesn't have to wait.
+    it has moved if the shift doesn't have to wait. `ready` are the regions with
+    ready servers; entries of earlier releases don't report them.
     """
 
     pool: str
@@ -69,6 +70,7 @@
     lost: tuple[str, ...]
     to_go: float
     left_s: float
+    ready: tuple[str, ...] = ()
 
 
 class _OutcomeWindow:
@@ -130,8 +132,15 @@
         self.pool, self.target, self.plan = pool, target, plan
         self._part_cache = None
 
-    def adopt(self, parts: Iterable[state.Part]) -> None:
-        """Take over the shares in force at another entry."""
+    def adopt(
+        self, parts: Iterable[state.Part], seen_regions: Iterable[str]
+    ) -> None:
+        """Take over the shares in force at another entry.
+
+        Args:
+            parts: The shares.
+            seen_regions: Regions in which that entry has seen ready servers.
+        """
         mixture = {part.layout: part.share for part in parts}
         total = sum(mixture.values())
         if mixture and abs(total - 1.0) < 1e-3:
@@ -140,6 +149,10 @@
             # The system is already running: a region that gets ready servers
             # from now on has come back, and its traffic returns by a shift.
             self._start_grace_until = -math.inf
+            # A region that was lost since that entry's last step is closed
+            # here as well, although this entry has never seen it ready.
+            self.ever_ready |= set(seen_regions)
+            self.ready |= self.ever_ready
 
     def step(
         self, now: float, utc_s: float, ready: frozenset[str]
@@ -402,6 +415,7 @@
             tuple(sorted(self.lost)),
             to_go,
             to_go / self._rate_per_second(),
+            tuple(sorted(self.ready)),
         )
 
 
@@ -441,14 +455,25 @@
             pools[pool.name] = pool_shares
         self._pools = pools
 
-    def adopt(self, pool: str, parts: Iterable[state.Part]) -> None:
+    def adopt(
+        self,
+        pool: str,
+        parts: Iterable[state.Part],
+        seen_regions: Iterable[str] = (),
+    ) -> None:
         """Take over the shares of a running entry.
 
         An entry that restarts during a shift has lost its progress. It can't
         compute it from the plan if its clock is wrong.
+
+        Args:
+            pool: Name of the pool.
+            parts: Shares in force at the running entry.
+            seen_regions: Regions in which that entry has seen ready servers
+                of the pool, whether or not they still are.
         """
         if pool in self._pools:
-            self._pools[pool].adopt(parts)
+            self._pools[pool].adopt(parts, seen_regions)
 
     def step(
         self, now: float, utc_s: float, ready: Mapping[str, frozenset[str]]
--- a/hyssopfold/entry/adoption.py
+++ b/hyssopfold/entry/adoption.py
@@ -2,6 +2,7 @@
 
 import logging
 from typing import Any
+from typing import NamedTuple
 
 import httpcore
 import msgspec
@@ -64,7 +65,9 @@
             async with httpcore.AsyncConnectionPool() as pool:
                 url = f"http://{peer.address}{STATUS_PATH}"
                 response = await pool.request("GET", url)
-        parts = parts_by_pool(msgspec.json.decode(response.content)["pools"])
+        reports = reports_by_pool(
+            msgspec.json.decode(response.content)["pools"]
+        )
     except (
         httpcore.NetworkError,
         httpcore.TimeoutException,
@@ -78,14 +81,24 @@
             logs.Event("shares-not-told", by=peer.name, error=repr(exc))
         )
         return False
-    for name, pool_parts in parts.items():
-        traffic_shares.adopt(name, pool_parts)
+    for name, report in reports.items():
+        traffic_shares.adopt(name, report.parts, report.seen_regions)
     logger.info(logs.Event("shares-adopted", peer=peer.name))
     return True
 
 
-def parts_by_pool(pools: Any) -> dict[str, tuple[state.Part, ...]]:
-    """Return the parts of the shares in force by pool, from a status document.
+class AdoptedShares(NamedTuple):
+    """A pool's shares at a running entry.
+
+    `seen_regions` are the regions in which it has seen ready servers.
+    """
+
+    parts: tuple[state.Part, ...]
+    seen_regions: tuple[str, ...]
+
+
+def reports_by_pool(pools: Any) -> dict[str, AdoptedShares]:
+    """Return the shares in force by pool, from a status document.
 
     Args:
         pools: The rows of the pools in the status of an entry.
@@ -94,9 +107,15 @@
         MsgspecError, KeyError, TypeError: if the rows have another format.
     """
     return {
-        pool["pool"]: msgspec.convert(
-            pool["shift"]["parts"], tuple[state.Part, ...]
-        )
+        pool["pool"]: _adopted_shares(pool["shift"])
         for pool in pools
         if pool["shift"] is not None
     }
+
+
+def _adopted_shares(shift: dict[str, Any]) -> AdoptedShares:
+    seen_regions = [*shift.get("ready", ()), *shift.get("lost", ())]
+    return AdoptedShares(
+        msgspec.convert(shift["parts"], tuple[state.Part, ...]),
+        msgspec.convert(seen_regions, tuple[str, ...]),
+    )
--- a/tests/core/steering/shares.feature
+++ b/tests/core/steering/shares.feature
@@ -107,6 +107,15 @@
     And the simulation runs on for 1 minutes
     Then the traffic moved under the cap since then
 
+  Scenario: a lost region comes back after entries restarted one after another
+    An entry restarts as a region is lost, so it never sees it ready. Another
+    entry restarts and adopts its shares, in which that region is open. Then the
+    region comes back, and the second entry sends it all of its callers at once.
+    When a simulated entry of arusha restarts as mwanza is lost
+    And an entry of mwanza adopts the shares of that entry, and mwanza comes back
+    And the simulation runs on for 1 minutes
+    Then the traffic moved under the cap since then
+
   Scenario: the target region of a shift is lost
     No announcements of servers in arusha arrive. Its requests go to other
     regions at once and return under the cap when announcements arrive again.
--- a/tests/steps/core/steering/shares_steps.py
+++ b/tests/steps/core/steering/shares_steps.py
@@ -223,6 +223,28 @@
     simulation.reset_cap_measurement()
 
 
+def _node_of(simulation, region):
+    return next(node for node in simulation.nodes if node.region == region)
+
+
+@when("a simulated entry of arusha restarts as mwanza is lost")
+def _(context):
+    context.node = _node_of(context.simulation, "arusha")
+    context.simulation.restart(context.node)
+    context.simulation.lose("mwanza")
+    context.simulation.run(1)
+
+
+@when(
+    "an entry of mwanza adopts the shares of that entry, and mwanza comes back"
+)
+def _(context):
+    simulation = context.simulation
+    simulation.restart(_node_of(simulation, "mwanza"), peer=context.node)
+    simulation.restore("mwanza")
+    simulation.reset_cap_measurement()
+
+
 @when("that simulated entry runs again for {minutes:d} minutes")
 def _(context, minutes):
     context.node.frozen = False
--- a/tests/steps/entry/steering_steps.py
+++ b/tests/steps/entry/steering_steps.py
@@ -136,8 +136,8 @@
     # The starting entry's clock is an hour ahead, so that by its plan alone the
     # drain would be finished.
     adopted.install(context.configuration.snapshot.state, 0.0, 3600.0)
-    for pool, parts in adoption.parts_by_pool(body["pools"]).items():
-        adopted.adopt(pool, parts)
+    for pool, report in adoption.reports_by_pool(body["pools"]).items():
+        adopted.adopt(pool, report.parts, report.seen_regions)
     report, running_report = adopted.reports()[0], running.shares.reports()[0]
     assert report.parts == running_report.parts
     assert 0.4 < report.to_go < 0.6, report
