--- a/bench/soak/soak_run.py
+++ b/bench/soak/soak_run.py
@@ -39,8 +39,8 @@
     planned = faults.plan(run.seed, run.seconds)
     if run.evacuations:
         planned += faults.plan_evacuations(run.seed, run.seconds)
-    sim = _simulate(run, planned)
-    baseline = _simulate(run, [])
+    sim = simulate(run, planned)
+    baseline = simulate(run, [])
     findings = checks.find_cold_overloads(sim)
     findings += checks.find_lost_worth(sim, baseline, run.seconds)
     kinds = ",".join(fault.kind for fault in planned)
@@ -52,9 +52,10 @@
     return RunResult(summary, findings)
 
 
-def _simulate(
+def simulate(
     run: SoakRun, planned: list[faults.Fault]
 ) -> simulation.Simulation:
+    """Simulate a run with the given faults and return its simulation."""
     site = sites.SITES[run.site]
     sim = simulation.Simulation(site, run.load, run.seed, local.Chooser)
     sim.enable_silence_reports(local_placement.SILENCE_REPORT_PERIOD_S)
