Entry: send and receive without a task switch where the socket allows it

Cause (cProfile of a real entry, 4,200 requests on loopback): a plain GET took ten passes of the scheduler and nine cancel scopes.

Change: the stream to a backend server is a plain non-blocking socket that waits (trio.lowlevel) only when the kernel says so; the time limit covers the wait. A caller's answer is written at once as far as its socket takes it; the rest waits as before. A caller's connection has one scope for its reads, whose deadline moves.

Ruled out: logs (4 lines a request, 0.1 of 2.5 ms), the collector (off below 20,000 objects).

--- a/hyssopfold/entry/connections.py
+++ b/hyssopfold/entry/connections.py
@@ -2,6 +2,9 @@
 
 from collections import defaultdict
 from collections.abc import Callable
+import errno
+import os
+import select
 import socket
 from typing import Any
 
@@ -57,7 +60,7 @@
             answer before its end.
     """
 
-    def __init__(self, sock: trio.socket.SocketType) -> None:
+    def __init__(self, sock: socket.socket) -> None:
         self._sock = sock
         self.on_first_byte: Callable[[], None] | None = None
         self.body_follows = False
@@ -65,8 +68,11 @@
     async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
         """Return at most `max_bytes` received bytes, or b"" at the end."""
         try:
-            with trio.fail_after(_timeout_s(timeout)):
-                return await self._sock.recv(max_bytes)
+            data = _receive(self._sock, max_bytes)
+            if data is None:
+                with trio.fail_after(_timeout_s(timeout)):
+                    data = await self._wait_and_receive(max_bytes)
+            return data
         except trio.TooSlowError as exc:
             raise httpcore.ReadTimeout(f"no data for {timeout} s") from exc
         except OSError as exc:
@@ -84,7 +90,7 @@
         deadline = trio.current_time() + _timeout_s(timeout)
         while view:
             # A server that refuses an upload answers and stops reading.
-            if self.body_follows and self._sock.is_readable():
+            if self.body_follows and _is_readable(self._sock):
                 raise httpcore.WriteError("answered before the request's end")
             sent_bytes = await self._write_some(view)
             if sent_bytes:
@@ -96,12 +102,19 @@
 
     async def _write_some(self, view: memoryview) -> int:
         try:
+            return self._sock.send(view)
+        except BlockingIOError:
             with trio.move_on_after(EARLY_ANSWER_CHECK_S):
-                return await self._sock.send(view)
+                await trio.lowlevel.wait_writable(self._sock)
         except OSError as exc:
             raise httpcore.WriteError(str(exc)) from exc
         return 0
 
+    async def _wait_and_receive(self, max_bytes: int) -> bytes:
+        while (data := _receive(self._sock, max_bytes)) is None:
+            await trio.lowlevel.wait_readable(self._sock)
+        return data
+
     def _record_sent(self) -> None:
         if self.on_first_byte is not None:
             self.on_first_byte()
@@ -109,14 +122,16 @@
 
     async def aclose(self) -> None:
         """Close the connection."""
-        self._sock.close()
+        if self._sock.fileno() >= 0:
+            trio.lowlevel.notify_closing(self._sock)
+            self._sock.close()
 
     def get_extra_info(self, info: str) -> Any:
         """Return `is_readable`, the only key that httpcore uses."""
         if info != "is_readable":
             return None
         # A closed socket counts as readable, so that it is not reused.
-        return self._sock.fileno() < 0 or self._sock.is_readable()
+        return self._sock.fileno() < 0 or _is_readable(self._sock)
 
 
 class Connection:
@@ -277,13 +292,14 @@
         self._counts[address] += 1
         sock = None
         try:
-            sock = trio.socket.socket(
+            sock = socket.socket(
                 socket.AF_INET6 if ":" in host else socket.AF_INET
             )
+            sock.setblocking(False)
             for option in _OPTIONS:
                 sock.setsockopt(*option)
             with trio.fail_after(self._connect_timeout_s):
-                await sock.connect((host.strip("[]"), int(port)))
+                await _connect(sock, (host.strip("[]"), int(port)))
         except BaseException as exc:
             self._counts[address] -= 1
             if sock is not None:
@@ -303,3 +319,27 @@
 
 def _timeout_s(timeout: float | None) -> float:
     return float("inf") if timeout is None else timeout
+
+
+async def _connect(sock: socket.socket, address: tuple[str, int]) -> None:
+    error_number = sock.connect_ex(address)
+    if error_number == errno.EINPROGRESS:
+        await trio.lowlevel.wait_writable(sock)
+        error_number = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+    if error_number:
+        # The number selects the class of the error, as in ConnectionRefusedError.
+        raise OSError(error_number, os.strerror(error_number))
+
+
+def _receive(sock: socket.socket, max_bytes: int) -> bytes | None:
+    """Return received bytes, b"" at the end, or None if there are none now."""
+    try:
+        return sock.recv(max_bytes)
+    except BlockingIOError:
+        return None
+
+
+def _is_readable(sock: socket.socket) -> bool:
+    poll = select.poll()
+    poll.register(sock, select.POLLIN)
+    return bool(poll.poll(0))
--- a/hyssopfold/serving/connection.py
+++ b/hyssopfold/serving/connection.py
@@ -9,6 +9,7 @@
 import collections
 import contextlib
 import logging
+import os
 import socket
 import struct
 from typing import Any
@@ -61,6 +62,8 @@
         self._listener = listener
         self._limits = listener.limits
         self._stream = stream
+        # A TLS stream has to encrypt what is written to its socket.
+        self._is_plain = isinstance(stream, trio.SocketStream)
         self._send_lock = trio.Lock()
         self._cancel_scope = trio.CancelScope()
         self._nursery: trio.Nursery
@@ -137,24 +140,28 @@
 
     async def _read(self) -> None:
         while True:
-            while len(self._unparsed) >= self._limits.max_buffered_bytes:
-                self._buffer_drained = trio.Event()
-                await self._buffer_drained.wait()
             with trio.CancelScope(deadline=self._read_deadline()) as read_scope:
                 self._read_scope = read_scope
-                data = await self._receive()
-            if read_scope.cancelled_caught:
-                if self._is_lingering or self._uploading_request is not None:
-                    break
-                self._refuse(408)
-                continue
-            if not data:
+                await self._read_until_end()
+            if not read_scope.cancelled_caught:
                 break
-            self._process_data(data)
+            if self._is_lingering or self._uploading_request is not None:
+                break
+            self._refuse(408)
         # The caller has disconnected or stalled. Cancelling its requests also
         # closes their connections to backend servers.
         self.close()
 
+    async def _read_until_end(self) -> None:
+        """Read and process data until the caller has sent all of it."""
+        while data := await self._receive():
+            self._process_data(data)
+            while len(self._unparsed) >= self._limits.max_buffered_bytes:
+                self._buffer_drained = trio.Event()
+                self._read_scope.deadline = _NEVER
+                await self._buffer_drained.wait()
+            self._read_scope.deadline = self._read_deadline()
+
     async def _receive(self) -> bytes | bytearray:
         try:
             return await self._stream.receive_some(MAX_READ_BYTES)
@@ -386,6 +393,9 @@
 
     async def write(self, data: bytes) -> None:
         """Write bytes of the answer that is due."""
+        data = data[self._write_at_once(data) :]
+        if not data:
+            return
         async with self._send_lock:
             try:
                 with trio.fail_after(self._limits.stall_timeout_s):
@@ -400,6 +410,19 @@
                 self.close()
                 await trio.lowlevel.checkpoint()
 
+    def _write_at_once(self, data: bytes) -> int:
+        """Write what the socket accepts without waiting; return the bytes.
+
+        Most answers fit into the socket's buffer: their tasks need not be
+        scheduled again to write them. Errors are left to the regular write.
+        """
+        if not self._is_plain or self._send_lock.locked():
+            return 0
+        try:
+            return os.write(self._stream.socket.fileno(), data)
+        except OSError:
+            return 0
+
     async def feed_body(
         self, request: pipelined_request.PipelinedRequest
     ) -> None:
