Entry: speak to backend servers with h11 alone

The parser is the same, and what it rejects; the pool's rules for reuse are moved, not changed. The head of a request with a body now leaves with the first part of the body.

--- a/hyssopfold/application.py
+++ b/hyssopfold/application.py
@@ -133,7 +133,7 @@
         entry.security,
         listener,
     )
-    await entry.upstream.aclose()
+    entry.upstream.close()
 
 
 class _StopTimer:
--- a/hyssopfold/entry/adoption.py
+++ b/hyssopfold/entry/adoption.py
@@ -4,7 +4,6 @@
 from typing import Any
 from typing import NamedTuple
 
-import httpcore
 import msgspec
 import trio
 
@@ -12,6 +11,8 @@
 from hyssopfold import state
 from hyssopfold.core.membership import messages
 from hyssopfold.core.steering import shares
+from hyssopfold.entry import connections
+from hyssopfold.entry import http1
 from hyssopfold.transport import gossip
 
 logger = logging.getLogger(__name__)
@@ -62,16 +63,11 @@
 ) -> bool:
     try:
         with trio.fail_after(_REQUEST_TIMEOUT_S):
-            async with httpcore.AsyncConnectionPool() as pool:
-                url = f"http://{peer.address}{STATUS_PATH}"
-                response = await pool.request("GET", url)
-        reports = reports_by_pool(
-            msgspec.json.decode(response.content)["pools"]
-        )
+            body = await _read_status(peer.address)
+        reports = reports_by_pool(msgspec.json.decode(body)["pools"])
     except (
-        httpcore.NetworkError,
-        httpcore.TimeoutException,
-        httpcore.ProtocolError,
+        connections.NotOpenedError,
+        http1.LostError,
         trio.TooSlowError,
         msgspec.MsgspecError,
         KeyError,
@@ -87,6 +83,18 @@
     return True
 
 
+async def _read_status(address: str) -> bytes:
+    sock = await connections.connect(address, _REQUEST_TIMEOUT_S)
+    conn = http1.Connection(sock)
+    headers = [(b"host", address.encode())]
+    request = http1.Request("GET", STATUS_PATH.encode(), headers, None)
+    try:
+        answer = await conn.send(request, lambda: None)
+        return b"".join([part async for part in answer.body])
+    finally:
+        conn.close()
+
+
 class AdoptedShares(NamedTuple):
     """A pool's shares at a running entry.
 
--- a/hyssopfold/entry/answer_relay.py
+++ b/hyssopfold/entry/answer_relay.py
@@ -3,12 +3,10 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 
-import httpcore
-
 from hyssopfold import http
 from hyssopfold.entry import answers
 from hyssopfold.entry import exchange as exchange_module
-from hyssopfold.entry import upstream
+from hyssopfold.entry import http1
 
 # Longer answers are relayed as they arrive.
 MAX_BUFFERED_BYTES = 64 * 1024
@@ -29,7 +27,7 @@
 
     def __init__(
         self,
-        answer: httpcore.Response,
+        answer: http1.Answer,
         exchange: exchange_module.Exchange,
         wait_for_link: LinkWait,
     ) -> None:
@@ -37,7 +35,7 @@
         self._exchange = exchange
         self._wait_for_link = wait_for_link
         self._length = answers.content_length(answer)
-        self._stream = upstream.body_parts(answer)
+        self._stream = answer.body
         self._buffered: list[bytes] = []
         self._is_complete = False
 
@@ -66,7 +64,7 @@
                 return
         self._is_complete = True
 
-    async def run(self, release: Callable[[], Awaitable[None]]) -> None:
+    async def run(self, release: Callable[[], None]) -> None:
         """Send the answer to the caller.
 
         Args:
@@ -86,7 +84,7 @@
         if self._is_complete:
             body = b"".join(self._buffered)
             await self._wait_for_link(body, self._length)
-            await release()
+            release()
             await self._exchange.send(start)
             await self._send(body)
             return
@@ -96,7 +94,7 @@
             await self._relay_part(part)
         async for part in self._stream:
             await self._relay_part(part)
-        await release()
+        release()
         await self._send(b"")
 
     def _headers(self) -> http.Headers:
--- a/hyssopfold/entry/answers.py
+++ b/hyssopfold/entry/answers.py
@@ -1,12 +1,11 @@
 """Interprets servers' answers, and builds refusals of requests without one."""
 
-import httpcore
-
 from hyssopfold import http
 from hyssopfold import tables
 from hyssopfold.core.attempts import messages as events
 from hyssopfold.core.balancing import messages
 from hyssopfold.entry import exchange as exchange_module
+from hyssopfold.entry import http1
 
 # Statuses of answers that have no body.
 BODILESS_STATUSES = (204, 304)
@@ -35,7 +34,7 @@
 
 
 def answer_began(
-    exchange: exchange_module.Exchange, answer: httpcore.Response
+    exchange: exchange_module.Exchange, answer: http1.Answer
 ) -> events.AnswerBegan:
     """Return the event of an answer's head for the state machine.
 
@@ -74,7 +73,7 @@
     return "never" if age_s >= messages.NEVER_S else f"{age_s:.3f}"
 
 
-def content_length(answer: httpcore.Response) -> int | None:
+def content_length(answer: http1.Answer) -> int | None:
     """Return the `content-length` of an answer in bytes, or None."""
     for key, value in answer.headers:
         if key.lower() == b"content-length":
--- a/hyssopfold/entry/carrier.py
+++ b/hyssopfold/entry/carrier.py
@@ -19,6 +19,7 @@
 from hyssopfold.entry import attempt_dependencies
 from hyssopfold.entry import crash_checks
 from hyssopfold.entry import exchange as exchange_module
+from hyssopfold.entry import http1
 from hyssopfold.entry import upstream
 
 logger = logging.getLogger(__name__)
@@ -99,10 +100,9 @@
         try:
             await self._run_effects()
         except exchange_module.CallerGoneError:
-            await self._abandon()
+            self._abandon()
         except trio.Cancelled:
-            with trio.CancelScope(shield=True):
-                await self._abandon()
+            self._abandon()
             raise
 
     async def _run_effects(self) -> None:
@@ -127,7 +127,7 @@
             case events.Relay():
                 return await self._relay_answer()
             case events.CloseConnection():
-                await self._end_attempt("failed")
+                self._end_attempt("failed")
             case events.Refuse():
                 await self._refuse(effect)
             case events.ResetCaller():
@@ -240,7 +240,7 @@
         assert self._grant is not None
         server, exchange = self._grant.server, self._exchange
         left_s = effect.deadline - trio.current_time()
-        outgoing = upstream.OutgoingRequest(
+        outgoing = http1.Request(
             exchange.method,
             exchange.target(),
             exchange.request_headers(left_s, server.server_id),
@@ -254,7 +254,7 @@
                     server, outgoing, effect.fresh, self._on_bytes_sent
                 )
                 await self._buffer_short_answer(server)
-        except upstream.LostError as exc:
+        except http1.LostError as exc:
             self._connection_failed = True
             return events.AttemptFailed(str(exc))
         except exchange_module.BodyTooLargeError:
@@ -312,12 +312,12 @@
         release = functools.partial(self._end_attempt, "answered")
         try:
             await self._relay.run(release)
-        except upstream.LostError as exc:
+        except http1.LostError as exc:
             self._connection_failed = True
             return events.AttemptFailed(str(exc))
         return events.AnswerEnded()
 
-    async def _end_attempt(self, kind: str) -> None:
+    def _end_attempt(self, kind: str) -> None:
         """Release the slot, and release or close the connection.
 
         Args:
@@ -342,9 +342,9 @@
         if answer_stream is None:
             return
         if kind == "answered":
-            await self._dependencies.upstream.finish(answer_stream)
+            self._dependencies.upstream.finish(answer_stream)
         else:
-            await self._dependencies.upstream.discard(answer_stream)
+            self._dependencies.upstream.discard(answer_stream)
 
     def _check_server(self, server: membership.Server) -> None:
         """Request a check whether a server crashed while it ran the request."""
@@ -382,11 +382,11 @@
         was_shed = self._machine.last_sent is events.Sent.REFUSED_NOT_RUN
         return "shed" if was_shed else "failed"
 
-    async def _abandon(self) -> None:
+    def _abandon(self) -> None:
         if self._machine.phase is not attempt.Phase.DONE:
             self._handle(events.CallerGone())
         self._exchange.outcome = "caller-gone"
-        await self._end_attempt("cancelled")
+        self._end_attempt("cancelled")
 
     async def _refuse(self, effect: events.Refuse) -> None:
         outcome = effect.outcome.value
--- a/tests/steps/entry/connections_steps.py
+++ b/tests/steps/entry/connections_steps.py
@@ -78,11 +78,11 @@
     async def acquire_twice():
         first = await pool.acquire(context.conn_server, fresh=True)
         # As after a complete answer: idle and without unread bytes.
-        first.is_clean = lambda: True
-        await pool.release(first)
+        first.http.is_clean = lambda: True
+        pool.release(first)
         await trio.sleep(delay_s)
         second = await pool.acquire(context.conn_server, fresh=True)
-        await pool.discard(second)
+        pool.discard(second)
         return first is second
 
     context.conn_same = trio.run(acquire_twice)
--- a/tests/steps/entry/dialect_steps.py
+++ b/tests/steps/entry/dialect_steps.py
@@ -2,11 +2,11 @@
 
 from behave import then
 from behave import when
-import httpcore
 
 from hyssopfold.core.balancing import messages
 from hyssopfold.entry import answers
 from hyssopfold.entry import dialect
+from hyssopfold.entry import http1
 
 _DIALECT = dialect.Dialect(
     request_id=b"request-id",
@@ -68,7 +68,7 @@
 def _read_answer(context, status, names):
     headers = [(name.encode(), b"r1") for name in names]
     headers.append((b"content-length", b"0"))
-    answer = httpcore.Response(status, headers=headers)
+    answer = http1.Answer(status, headers, body=None)
     context.event = answers.answer_began(_Exchange(), answer)
 
 
--- a/tests/steps/entry/proxy_steps.py
+++ b/tests/steps/entry/proxy_steps.py
@@ -99,7 +99,7 @@
         for idle in path.pool._idle.values():
             for conn in idle:
                 conn.is_clean = lambda: True
-                conn.stream._sock.shutdown(2)
+                conn.http._sock.shutdown(2)
 
     context.script.append(step)
 
