Organisations: keys, allowed regions and shared limits

Change: a table of organisations beside routes and pools (organisations.py): keys, rate and burst, priority, allowed regions; a route may be public. Its faults name lines and never keys; `hyssopctl tables get` masks keys unless asked; rows print without them. Tables without organisations are encoded as before, so that earlier releases read them.

The entry finds the organisation by a digest of the key with a secret of the process (entry/authenticator.py), answers 401 to an unknown, missing or repeated key and 503 while it fetches newer tables, hands the name to the server and drops what callers send under either name while organisations exist. Priority and allowed regions apply as a restricted route; fingerprints and claims cover the organisation.

Limits: each entry counts and reports its use every 0.5 s to the entry that ranks first; the answer names the organisations near their limits with this entry's allowance. No request waits. Without an answer an entry has its part of the limit, 3 % of it once it has been cut off for 4 s.

--- a/hyssopfold/cmd/ctl.py
+++ b/hyssopfold/cmd/ctl.py
@@ -15,6 +15,7 @@
 
 import hyssopfold
 from hyssopfold import errors
+from hyssopfold import organisations
 from hyssopfold import tables as tables_module
 from hyssopfold.cmd import daemon
 from hyssopfold.cmd import explain as explain_module
@@ -62,14 +63,26 @@
 
 @cli.group()
 def tables() -> None:
-    """Get, check and apply the tables of routes and pools."""
+    """Get, check and apply the tables of routes, pools and organisations."""
 
 
 @tables.command("get")
+@click.option("--keys", is_flag=True, help="Show the keys of organisations.")
 @click.pass_obj
-def get_tables(client: control_client.Client) -> None:
-    """Print the tables in force as YAML."""
-    click.echo(_format_tables(client.get(_TABLES).body), nl=False)
+def get_tables(client: control_client.Client, keys: bool) -> None:
+    """Print the tables in force as YAML.
+
+    Tables with organisations can be edited and applied again only with --keys.
+    """
+    body = client.get(_TABLES).body
+    if not keys:
+        _mask_keys(body)
+    click.echo(_format_tables(body), nl=False)
+
+
+def _mask_keys(body: dict[str, Any]) -> None:
+    for row in body.get("organisations", ()):
+        row["keys"] = [organisations.masked_key(key) for key in row["keys"]]
 
 
 def _format_tables(body: dict[str, Any]) -> str:
--- /dev/null
+++ b/hyssopfold/core/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Limits of organisations that all entries keep together."""
--- /dev/null
+++ b/hyssopfold/core/limits/accountant.py
@@ -0,0 +1,128 @@
+"""Accounts of organisations, kept by the entry that ranks first.
+
+The accountant needs no memory beyond the last report of each entry, since a
+report covers a whole window: its successor decides as well as it did, once it
+has the reports of one period.
+"""
+
+from collections import Counter
+from collections.abc import Collection
+from collections.abc import Mapping
+import math
+from typing import NamedTuple
+
+from hyssopfold.core.limits import messages
+from hyssopfold.core.limits import meter
+
+# Entries keep reports for longer than the window's part between two reports.
+REPORT_VALID_S = meter.ANSWER_VALID_S
+# Periods of the present demand that must fit into the allowance of an
+# organisation for its requests not to be limited: until the next answer, for
+# one that is lost, and for a demand that grows meanwhile.
+OPEN_PERIODS = 3.0
+# Share of an allowance that is divided evenly, for entries at which an
+# organisation had no requests in the last period.
+EVEN_SHARE = 0.1
+# Share of the entries whose reports must be known before any answer.
+MIN_REPORTED_SHARE = 0.9
+# A new accountant answers after this time even if entries don't report.
+MAX_START_S = 1.0
+
+
+class _Received(NamedTuple):
+    at: float
+    usages: Mapping[int, messages.Usage]
+
+
+class Accountant:
+    """Divides the limits of organisations among the entries that report."""
+
+    def __init__(self) -> None:
+        self._limits: Mapping[int, messages.Limit] = {}
+        self._reports: dict[str, _Received] = {}
+        # Sums over the reports, by account key.
+        self._admitted: Counter[int] = Counter()
+        self._asked: Counter[int] = Counter()
+        self._began_at = math.inf
+
+    def set_limits(self, limits: Mapping[int, messages.Limit]) -> None:
+        """Replace the limits, by account key."""
+        self._limits = limits
+
+    def receive(
+        self,
+        sender: str,
+        report: messages.UsageReport,
+        entries: Collection[str],
+        now: float,
+    ) -> messages.AllowanceUpdate | None:
+        """Return the answer to a report, or None if too little is known.
+
+        Args:
+            sender: Name of the reporting entry.
+            report: Its report.
+            entries: Names of the entries that share the limits.
+            now: Time in seconds.
+        """
+        self._drop_old(now)
+        if not self._reports:
+            self._began_at = now
+        self._drop(sender)
+        usages = {usage.key: usage for usage in report.usages}
+        self._reports[sender] = _Received(now, usages)
+        self._add(usages, 1)
+        known = len(self._reports)
+        total = max(known, len(entries))
+        is_starting = now - self._began_at < MAX_START_S
+        if is_starting and known < MIN_REPORTED_SHARE * total:
+            return None
+        # Entries that don't report may use their own parts.
+        share = known / total
+        allowances = tuple(
+            allowance
+            for key in self._admitted.keys() | self._asked.keys()
+            if (allowance := self._allowance(key, sender, share)) is not None
+        )
+        return messages.AllowanceUpdate(report.number, allowances)
+
+    def _drop_old(self, now: float) -> None:
+        overdue = [
+            name
+            for name, received in self._reports.items()
+            if now - received.at > REPORT_VALID_S
+        ]
+        for name in overdue:
+            self._drop(name)
+
+    def _drop(self, sender: str) -> None:
+        received = self._reports.pop(sender, None)
+        if received is not None:
+            self._add(received.usages, -1)
+
+    def _add(self, usages: Mapping[int, messages.Usage], sign: int) -> None:
+        for key, usage in usages.items():
+            self._admitted[key] += sign * usage.admitted
+            self._asked[key] += sign * usage.asked
+            if not self._admitted[key] and not self._asked[key]:
+                del self._admitted[key], self._asked[key]
+
+    def _allowance(
+        self, key: int, sender: str, share: float
+    ) -> messages.Allowance | None:
+        """Return what an entry may send, or None if the limit is far."""
+        limit = self._limits.get(key)
+        if limit is None:
+            return None
+        asked = self._asked[key]
+        budget = (limit.rate * meter.WINDOW_S + limit.burst) * share
+        left = max(0.0, budget - self._admitted[key])
+        usual = self._admitted[key] * meter.PERIOD_S / meter.WINDOW_S
+        if left >= OPEN_PERIODS * max(usual, asked) + 1:
+            return None
+        own = self._reports[sender].usages.get(key)
+        own_asked = own.asked if own is not None else 0
+        part = EVEN_SHARE / len(self._reports)
+        if asked:
+            part += (1.0 - EVEN_SHARE) * own_asked / asked
+        wait_s = meter.PERIOD_S * max(1.0, asked / max(1.0, left))
+        return messages.Allowance(key, left * part, min(meter.WINDOW_S, wait_s))
--- /dev/null
+++ b/hyssopfold/core/limits/meter.py
@@ -0,0 +1,208 @@
+"""Admission of requests at one entry within the limits of organisations.
+
+The entry counts the requests of each organisation and reports them to the
+accountant, which answers for which organisations the limit is near, and how
+many requests this entry may send of those. Requests never wait for an answer.
+An entry without a recent answer admits only its own part of each limit.
+"""
+
+import collections
+from collections.abc import Mapping
+import hashlib
+import math
+
+from hyssopfold.core.limits import messages
+
+# The limit holds for the requests sent in any time of this length, in seconds.
+WINDOW_S = 5.0
+# Time between two reports. Shorter periods make the bound tighter, since less
+# is sent between a report and its answer.
+PERIOD_S = 0.5
+# Age up to which an answer counts: two in a row may be lost.
+ANSWER_VALID_S = 4 * PERIOD_S
+# An entry that is cut off for longer than a lease is no longer counted by the
+# others, which use its part: then it may only use what the limit tolerates.
+CUT_OFF_AFTER_S = 4.0
+CUT_OFF_SHARE = 0.03
+_HASH_RANGE = float(1 << 32)
+
+
+class _Account:
+    """Requests of one organisation at this entry."""
+
+    def __init__(self) -> None:
+        # Times at which requests were admitted, the oldest first.
+        self.admitted: collections.deque[float] = collections.deque()
+        self.asked = 0
+        # Requests that may still be admitted; None if not limited now.
+        self.left: float | None = None
+        self.wait_s = PERIOD_S
+        self.filled_at = -math.inf
+
+    def drop_old(self, now: float) -> None:
+        """Forget the requests that are older than a window."""
+        while self.admitted and self.admitted[0] <= now - WINDOW_S:
+            self.admitted.popleft()
+
+
+class Meter:
+    """Counts and admits the requests of this entry.
+
+    All times are seconds of a clock that also runs while the machine is
+    suspended: an answer from before a suspension must not count after it.
+    """
+
+    def __init__(self) -> None:
+        self._limits: Mapping[int, messages.Limit] = {}
+        self._accounts: dict[int, _Account] = {}
+        self._report_number = 0
+        self._reported_at: dict[int, float] = {}
+        self._answered_at = -math.inf
+        self._entries = 1
+
+    @property
+    def has_limits(self) -> bool:
+        """Return whether any organisation has a limit."""
+        return bool(self._limits)
+
+    def set_limits(self, limits: Mapping[int, messages.Limit]) -> None:
+        """Replace the limits, by account key."""
+        self._limits = limits
+        self._accounts = {
+            key: account
+            for key, account in self._accounts.items()
+            if key in limits
+        }
+
+    def set_entries(self, count: int, now: float) -> None:
+        """Set the number of entries that share the limits.
+
+        Without recent answers it only grows: an entry that is cut off sees
+        others disappear, which still use their parts.
+        """
+        is_answered = now - self._answered_at <= ANSWER_VALID_S
+        self._entries = max(1 if is_answered else self._entries, count)
+
+    def admit(self, key: int, request_id: str, now: float) -> float:
+        """Count a request and decide whether it may be sent.
+
+        Args:
+            key: Account key of its organisation.
+            request_id: ID of the request; its hash draws when the allowance is
+                a fraction of a request.
+            now: Time in seconds.
+
+        Returns:
+            0 if it may be sent, else the seconds until it may be.
+        """
+        limit = self._limits.get(key)
+        if limit is None:
+            return 0.0
+        account = self._accounts.setdefault(key, _Account())
+        account.asked += 1
+        if now - self._answered_at > ANSWER_VALID_S:
+            self._refill_alone(account, limit, now)
+        if account.left is not None:
+            if _draw(request_id) >= account.left:
+                return account.wait_s
+            account.left = max(0.0, account.left - 1.0)
+        account.admitted.append(now)
+        return 0.0
+
+    def count_retry(self, key: int, now: float) -> None:
+        """Count a request that is sent to a further server."""
+        account = self._accounts.get(key)
+        if account is None:
+            return
+        account.admitted.append(now)
+        if account.left is not None:
+            account.left = max(0.0, account.left - 1.0)
+
+    def give_back(self, key: int) -> None:
+        """Return the part of a request that was admitted and did not run."""
+        account = self._accounts.get(key)
+        if account is None or not account.admitted:
+            return
+        account.admitted.pop()
+        if account.left is not None:
+            account.left += 1.0
+
+    def _refill_alone(
+        self, account: _Account, limit: messages.Limit, now: float
+    ) -> None:
+        """Grant this entry's part of the limit, for the time since the last.
+
+        At most the part of a whole window accumulates.
+        """
+        share = 1.0 / self._entries
+        if now - self._answered_at > CUT_OFF_AFTER_S:
+            share *= CUT_OFF_SHARE
+        window_part = (limit.rate * WINDOW_S + limit.burst) * share
+        if account.left is None or account.filled_at == -math.inf:
+            account.drop_old(now)
+            account.left = max(0.0, window_part - len(account.admitted))
+        else:
+            elapsed_s = max(0.0, now - account.filled_at)
+            refill = window_part * elapsed_s / WINDOW_S
+            account.left = min(window_part, account.left + refill)
+        account.filled_at = now
+        account.wait_s = PERIOD_S
+
+    def report(self, now: float) -> messages.UsageReport:
+        """Return the report of this period, and begin the next period."""
+        usages = []
+        for key, account in list(self._accounts.items()):
+            account.drop_old(now)
+            if account.admitted or account.asked:
+                usages.append(
+                    messages.Usage(key, len(account.admitted), account.asked)
+                )
+            else:
+                del self._accounts[key]
+            account.asked = 0
+        self._report_number += 1
+        self._reported_at[self._report_number] = now
+        self._reported_at.pop(self._report_number - 8, None)
+        return messages.UsageReport(self._report_number, tuple(usages))
+
+    def apply(self, update: messages.AllowanceUpdate, now: float) -> None:
+        """Apply the accountant's answer to a report.
+
+        What was admitted since the report is taken off, since the answer
+        doesn't know of it.
+        """
+        reported_at = self._reported_at.get(update.number)
+        if reported_at is None or reported_at <= self._answered_at:
+            return
+        self._answered_at = reported_at
+        for account in self._accounts.values():
+            account.left = None
+            account.filled_at = -math.inf
+        for allowance in update.allowances:
+            account = self._accounts.setdefault(allowance.key, _Account())
+            sent_since = sum(at > reported_at for at in account.admitted)
+            account.left = max(0.0, allowance.requests - sent_since)
+            account.wait_s = allowance.wait_s
+
+    def in_use(self, now: float) -> dict[int, int]:
+        """Return the requests of each organisation in the last window."""
+        for account in self._accounts.values():
+            account.drop_old(now)
+        return {
+            key: len(account.admitted)
+            for key, account in self._accounts.items()
+        }
+
+    def answer_age_s(self, now: float) -> float:
+        """Return the age of the accountant's last answer in seconds."""
+        return now - self._answered_at
+
+
+def _draw(request_id: str) -> float:
+    """Return a number in [0, 1) that depends on the request only.
+
+    Requests are admitted with the probability of the fraction that is left:
+    a whole request for each of many entries would exceed a small limit.
+    """
+    digest = hashlib.blake2b(request_id.encode(), digest_size=4).digest()
+    return int.from_bytes(digest) / _HASH_RANGE
--- a/hyssopfold/entry/attempt_dependencies.py
+++ b/hyssopfold/entry/attempt_dependencies.py
@@ -56,6 +56,13 @@
         """Record that a request was answered without a crash."""
 
 
+class Limits(Protocol):
+    """The methods of `limits.Limits` that attempts use."""
+
+    def count_retry(self, organisation: str) -> None:
+        """Count a request that is sent to a further server."""
+
+
 class AttemptDependencies(NamedTuple):
     """The services that `carrier.AttemptExecutor` uses for each request.
 
@@ -67,6 +74,7 @@
         pacer: Shares the capacity of the links between regions.
         upstream: Sends requests to the servers.
         quarantine: Quarantine of requests that crash servers.
+        limits: Counts retries within the limits of organisations.
         meter: Metrics of this process.
         retry_budget: Returns the retry budget of a pool by its name.
         refuse: Answers a request with a refusal.
@@ -81,6 +89,7 @@
     pacer: pacing.Pacer
     upstream: upstream.Upstream
     quarantine: Quarantine
+    limits: Limits
     meter: metrics.Metrics
     retry_budget: Callable[[str], budget.RetryBudget]
     refuse: Callable[[exchange_module.Exchange, http.Refusal], Awaitable[None]]
--- a/hyssopfold/entry/carrier.py
+++ b/hyssopfold/entry/carrier.py
@@ -168,6 +168,8 @@
             dependencies.steering.record_server(
                 pool.name, self._decision, result.server
             )
+        elif self._machine.last_sent is events.Sent.MAYBE_SENT:
+            dependencies.limits.count_retry(self._exchange.organisation)
         self._grant = result
         self._granted_at = trio.current_time()
         self._log_grant(result, effect)
--- a/hyssopfold/entry/claims.py
+++ b/hyssopfold/entry/claims.py
@@ -278,13 +278,15 @@
 def _claim_id(exchange: exchange_module.Exchange, key: bytes) -> bytes:
     """Return the id of the claim on a key.
 
-    It covers the host and the credentials, because two callers may use the same
-    key.
+    It covers the host, the credentials and the organisation, because two
+    callers may use the same key.
     """
     parts = [exchange.host.encode("latin-1"), key]
     parts += [
         exchange.header(name) or b"" for name in fingerprints.CREDENTIAL_HEADERS
     ]
+    if exchange.organisation:
+        parts.append(exchange.organisation.encode())
     return fingerprints.digest(parts)
 
 
--- a/hyssopfold/entry/configuration.py
+++ b/hyssopfold/entry/configuration.py
@@ -15,6 +15,7 @@
 from hyssopfold.core.distribution import history
 from hyssopfold.core.distribution import messages
 from hyssopfold.core.steering import routing
+from hyssopfold.entry import authenticator
 from hyssopfold.transport import poll_wire
 from hyssopfold.transport import publisher
 from hyssopfold.transport import rpc
@@ -40,6 +41,9 @@
         self.tables = replicated_state.tables
         self.shifts = replicated_state.shifts
         self.router = routing.Router(replicated_state.tables.routes)
+        self.authenticator = authenticator.Authenticator(
+            replicated_state.tables.organisations
+        )
 
 
 def unreadable_reason(value: bytes) -> str:
--- a/hyssopfold/entry/dialect.py
+++ b/hyssopfold/entry/dialect.py
@@ -33,6 +33,11 @@
             server at its address refuses the request.
         load: Header of answers with the load of the server.
         signature_header: Header that a server adds to each of its answers.
+        credential: Header with the key of the caller's organisation. It is
+            never forwarded while there are organisations.
+        organisation: Header with the name of the caller's organisation for
+            servers; what a caller sends under this name is never forwarded
+            while there are organisations.
         object_cookie: Cookie that names the object that a request concerns.
         keeps_request_id: Whether the id sent by the caller is used. Otherwise
             each request gets a new one.
@@ -60,6 +65,8 @@
     server_id: bytes = b""
     load: bytes = b""
     signature_header: bytes = b""
+    credential: bytes = b"hyssop-key"
+    organisation: bytes = b"hyssop-organisation"
     object_cookie: bytes = b""
     keeps_request_id: bool = False
     requires_request_id_echo: bool = False
--- a/hyssopfold/entry/exchange.py
+++ b/hyssopfold/entry/exchange.py
@@ -1,6 +1,7 @@
 """A caller's request: validates its head, streams its body."""
 
 from collections.abc import AsyncIterator
+import functools
 import uuid
 
 from hyssopfold import http
@@ -68,6 +69,7 @@
         outcome: Outcome of the request, `unknown` at first.
         status: Status of the answer to the caller, 0 at first.
         log: Log lines of the request.
+        organisation: Name of the caller's organisation, "" if it has none.
         body_dropped: Whether a part of the body was forwarded and not
             buffered, so that the body can't be sent again.
     """
@@ -96,12 +98,17 @@
         self._headers_by_name = dict(reversed(self.headers))
         self.request_id = self._caller_request_id() or uuid.uuid4().hex
         self.log = request_log.RequestLog(self.request_id, sampler)
+        self.organisation = ""
         self.body_dropped = False
         self._buffered: list[bytes] = []
         self._is_body_complete = False
         self._received_bytes = 0
         self._max_body_bytes = max_body_bytes
-        self._fingerprint = fingerprints.Fingerprint(self._identifying_parts())
+
+    @functools.cached_property
+    def _fingerprint(self) -> fingerprints.Fingerprint:
+        # Created on first use, when the organisation is known.
+        return fingerprints.Fingerprint(self._identifying_parts())
 
     def _caller_request_id(self) -> str:
         """Return the request id sent by the caller if it is used, or ""."""
@@ -120,7 +127,10 @@
         """Return the parts of the head that equal requests share."""
         header_names = (b"host", *fingerprints.CREDENTIAL_HEADERS)
         headers = [self.header(name) or b"" for name in header_names]
-        return [self.method.encode(), self.target(), *headers]
+        parts = [self.method.encode(), self.target(), *headers]
+        if self.organisation:
+            parts.append(self.organisation.encode())
+        return parts
 
     @property
     def fingerprint(self) -> bytes:
@@ -147,6 +157,10 @@
         """Return the value of the first header called `name`, or None."""
         return self._headers_by_name.get(name)
 
+    def values(self, name: bytes) -> list[bytes]:
+        """Return the values of all headers called `name`."""
+        return [value for key, value in self.headers if key == name]
+
     @property
     def host(self) -> str:
         """Return the requested host without a port."""
@@ -280,10 +294,13 @@
         """
         dialect = self.dialect
         own_names = {dialect.request_id, dialect.deadline_ms, dialect.server_id}
+        if self.snapshot.authenticator.is_required:
+            own_names |= {dialect.credential, dialect.organisation}
         headers = [
             (key, value)
             for key, value in end_to_end_headers(self.headers, dialect)
-            if key not in own_names
+            # Servers may treat `_` as `-`.
+            if key.replace(b"_", b"-") not in own_names
         ]
         if self.header(b"transfer-encoding") is not None:
             headers.append((b"transfer-encoding", b"chunked"))
@@ -292,6 +309,9 @@
         headers.append((dialect.deadline_ms, left_ms))
         if dialect.server_id:
             headers.append((dialect.server_id, server_id.encode("latin-1")))
+        if self.organisation:
+            organisation = self.organisation.encode("latin-1")
+            headers.append((dialect.organisation, organisation))
         if dialect.adds_forwarding_headers:
             headers = self._with_forwarding(headers)
         return headers
--- a/hyssopfold/entry/placement.py
+++ b/hyssopfold/entry/placement.py
@@ -9,7 +9,6 @@
 
 from hyssopfold import logs
 from hyssopfold import tables
-from hyssopfold.core.attempts import quarantine
 from hyssopfold.core.balancing import messages
 from hyssopfold.core.balancing import node
 from hyssopfold.transport import datagram_wire
@@ -116,8 +115,8 @@
     async def _receive(self) -> None:
         received: datagram_wire.ReceivedMessage
         async for received in self._gossip.received_messages:
-            # Quarantine updates are received by `transport.crash_reports`.
-            if not isinstance(received.message, quarantine.QuarantineUpdate):
+            # Other messages are received by the tasks that subscribed to them.
+            if isinstance(received.message, messages.Message):
                 self._handle(node.Received(received.sender, received.message))
 
     def _handle(self, event: node.Event) -> None:
--- a/hyssopfold/entry/proxy.py
+++ b/hyssopfold/entry/proxy.py
@@ -15,11 +15,13 @@
 from hyssopfold.core.membership import directory
 from hyssopfold.core.steering import splits
 from hyssopfold.entry import attempt_dependencies
+from hyssopfold.entry import authentication
 from hyssopfold.entry import carrier
 from hyssopfold.entry import claims
 from hyssopfold.entry import configuration
 from hyssopfold.entry import dialect as dialect_module
 from hyssopfold.entry import exchange as exchange_module
+from hyssopfold.entry import limits
 from hyssopfold.entry import pacing
 from hyssopfold.entry import steering
 from hyssopfold.entry import upstream
@@ -45,6 +47,7 @@
 
     key_claims: claims.Claims
     quarantine: attempt_dependencies.Quarantine
+    limits: limits.Limits
 
 
 class CallerOptions(NamedTuple):
@@ -58,6 +61,9 @@
             keep. If 0, each entry has its own reserve.
         log_lines_per_s: Largest number of log lines of successful requests per
             second.
+        max_key_age_s: Keys are valid for this time in seconds after a majority
+            confirmed the tables last. If 0, they are valid until newer tables
+            remove them.
     """
 
     max_body_bytes: int = exchange_module.MAX_BODY_BYTES
@@ -65,6 +71,7 @@
     retry_share: float = budget.DEFAULT_RATIO
     shared_retry_reserve: float = 0.0
     log_lines_per_s: float = log_output.LINES_PER_S
+    max_key_age_s: float = 0.0
 
 
 DEFAULT_CALLER_OPTIONS = CallerOptions()
@@ -112,6 +119,7 @@
             pacer,
             backends,
             guards.quarantine,
+            guards.limits,
             meter,
             self.retry_budget,
             self.refuse,
@@ -124,6 +132,7 @@
         self._meter = meter
         self._rng = rng
         self._claims = guards.key_claims
+        self._limits = guards.limits
 
     @property
     def log_lines_left_out(self) -> int:
@@ -185,7 +194,7 @@
             elif route is None or pool is None:
                 await self.refuse(exchange, self._no_matching_route())
             else:
-                await self._serve_routed(exchange, route, pool)
+                await self._serve_authenticated(exchange, route, pool)
         finally:
             self.in_flight -= 1
             labels = {
@@ -252,6 +261,7 @@
             "ended",
             outcome=exchange.outcome,
             status=exchange.status,
+            organisation=exchange.organisation,
             took_s=round(took_s, 4),
             ahead=position.requests_ahead if position is not None else 0,
             behind_s=round(behind_s, 4),
@@ -279,6 +289,41 @@
             name = splits.pick(route.split, exchange.request_id)
         return exchange.snapshot.tables.pool(name)
 
+    async def _serve_authenticated(
+        self,
+        exchange: exchange_module.Exchange,
+        route: tables.Route,
+        pool: tables.Pool,
+    ) -> None:
+        """Serve a request if its caller has a key, within the limits."""
+        allowed = self._authenticate(exchange, route)
+        if isinstance(allowed, http.Refusal):
+            await self.refuse(exchange, allowed)
+            return
+        organisation = exchange.organisation
+        over_limit = self._limits.admit(organisation, exchange.request_id)
+        if over_limit is not None:
+            await self.refuse(exchange, over_limit)
+            return
+        try:
+            await self._serve_routed(exchange, allowed, pool)
+        finally:
+            if exchange.outcome == "not-run":
+                self._limits.give_back(organisation)
+
+    def _authenticate(
+        self, exchange: exchange_module.Exchange, route: tables.Route
+    ) -> tables.Route | http.Refusal:
+        allowed = authentication.authenticate(
+            exchange, route, self._config.is_behind
+        )
+        max_age_s = self._options.max_key_age_s
+        if exchange.organisation and max_age_s:
+            age_s = self._config.age_s(trio.current_time())
+            if age_s > max_age_s:
+                return authentication.keys_too_old()
+        return allowed
+
     async def _serve_routed(
         self,
         exchange: exchange_module.Exchange,
--- a/hyssopfold/entry_components.py
+++ b/hyssopfold/entry_components.py
@@ -31,6 +31,7 @@
 from hyssopfold.entry import connections
 from hyssopfold.entry import crash_checks
 from hyssopfold.entry import leaving
+from hyssopfold.entry import limits
 from hyssopfold.entry import local_placement
 from hyssopfold.entry import lookups
 from hyssopfold.entry import pacing
@@ -121,6 +122,9 @@
             rpc.Clients(self.security.connection_config),
             core_claims.ClaimTable(),
         )
+        self.limits = limits.Limits(
+            self.config, self.gossip_service, cfg.limit_slack
+        )
         self.interfaces = self._create_interfaces(adapters)
         self.apps = self._create_apps(adapters)
 
@@ -199,7 +203,9 @@
             pacing.Pacer(cfg.region, self.config, self.directory),
             self.upstream,
             self.metrics,
-            guards=proxy.RequestGuards(self.claims, self.crash_reports),
+            guards=proxy.RequestGuards(
+                self.claims, self.crash_reports, self.limits
+            ),
             context=proxy.EntryContext(cfg.region, self.directory),
             rng=self.rng,
             options=proxy.CallerOptions(
@@ -208,6 +214,7 @@
                 cfg.retry_share,
                 cfg.shared_retry_reserve,
                 cfg.log_lines_per_s,
+                cfg.max_key_age_s,
             ),
         )
         app = entry_app.App(
@@ -291,6 +298,7 @@
             ("crash-checks", self.crash_checks.run),
             ("crash-reports", self.crash_reports.run),
             ("claims", self.claims.run),
+            ("limits", self.limits.run),
         ]
         if self.cfg.rpc_address:
             handlers: dict[rpc.Method, rpc.Handler] = {
--- a/hyssopfold/setting_fields.py
+++ b/hyssopfold/setting_fields.py
@@ -365,6 +365,24 @@
         help="largest number of unused retries of a pool that all entries keep"
         " together; with 0 each entry keeps 10 of its own",
     ),
+    documents.Field(
+        "limit_slack",
+        documents.number(float, 0, 1_000_000),
+        0.0,
+        unit="requests",
+        help="requests that each organisation may send beyond its limit in 5 s,"
+        " from all entries; they serve small organisations, whose requests come"
+        " to ever other entries",
+    ),
+    documents.Field(
+        "max_key_age_s",
+        documents.number(float, 0, 86_400),
+        0.0,
+        unit="s",
+        help="keys of organisations are refused once no majority of control has"
+        " confirmed the tables for this time; 0 accepts them until newer tables"
+        " remove them",
+    ),
     documents.Field(
         "rpc_address",
         documents.address,
--- a/hyssopfold/settings.py
+++ b/hyssopfold/settings.py
@@ -85,6 +85,8 @@
     connect_timeout_s: float
     retry_share: float
     shared_retry_reserve: float
+    limit_slack: float
+    max_key_age_s: float
     rpc_address: str
     poll_s: float
     lookup_ttl_s: float
--- a/hyssopfold/state.py
+++ b/hyssopfold/state.py
@@ -71,6 +71,10 @@
     name: str
     text: str
 
+    def __repr__(self) -> str:
+        """Return a text without the document, which may contain keys."""
+        return f"Row(table={self.table!r}, name={self.name!r})"
+
 
 class State(NamedTuple):
     """The replicated state, which all instances agree on, at one revision.
@@ -90,7 +94,8 @@
 
 def encode(state: State) -> bytes:
     """Return the canonical encoding: equal states have equal bytes."""
-    return msgspec.json.encode(state, order="deterministic")
+    value = (tables_module.encodable(state.tables), *state[1:])
+    return msgspec.json.encode(value, order="deterministic")
 
 
 def decode(data: bytes) -> State:
--- a/hyssopfold/tables.py
+++ b/hyssopfold/tables.py
@@ -1,4 +1,4 @@
-"""Tables of routes and pools: parsing, validation and canonical encoding."""
+"""Tables of routes, pools and organisations: parsing, checks, encoding."""
 
 from collections.abc import Collection
 from collections.abc import Iterable
@@ -14,6 +14,7 @@
 
 from hyssopfold import documents
 from hyssopfold import errors
+from hyssopfold import organisations as organisations_module
 
 IDEMPOTENT_METHODS = ("GET", "HEAD", "OPTIONS", "PUT", "DELETE")
 METHODS = (*IDEMPOTENT_METHODS, "POST", "PATCH")
@@ -31,7 +32,8 @@
     to which one request may be sent, `latency_goal_ms` the time within which
     an answer has its full value, 0 if there is none. With `sticky`, requests
     for an object go to the servers that handled the object before. Requests go
-    to `allowed_regions` only; empty means any.
+    to `allowed_regions` only; empty means any. If there are organisations, a
+    request carries the key of one, except on a `public` route.
     """
 
     name: str
@@ -48,6 +50,7 @@
     latency_goal_ms: int = 0
     sticky: bool = False
     allowed_regions: tuple[str, ...] = ()
+    public: bool = False
 
     def is_repeatable(self, method: str) -> bool:
         """Return whether a request of this method may safely run twice."""
@@ -100,10 +103,11 @@
 
 
 class Tables(NamedTuple):
-    """The tables of routes and of pools, each sorted by name."""
+    """The tables of routes, pools and organisations, each sorted by name."""
 
     routes: tuple[Route, ...] = ()
     pools: tuple[Pool, ...] = ()
+    organisations: tuple[organisations_module.Organisation, ...] = ()
 
     def pool(self, name: str) -> Pool | None:
         """Return the pool called `name`, or None if there is none."""
@@ -222,6 +226,12 @@
         (),
         help="regions whose servers may serve the route; any if omitted",
     ),
+    documents.Field(
+        "public",
+        documents.boolean,
+        False,
+        help="whether requests need no key of an organisation",
+    ),
 )
 
 POOL_FIELDS = (
@@ -284,6 +294,9 @@
 )
 
 
+_TABLES = ("routes", "pools", "organisations")
+
+
 def _build_route(values: Mapping[str, Any]) -> Route:
     mappings = {key: values[key] or {} for key in ("weights", "split")}
     return Route(**{**values, **mappings})
@@ -302,6 +315,16 @@
         ),
         (),
     ),
+    documents.Field(
+        "organisations",
+        documents.list_of(
+            documents.record(
+                organisations_module.FIELDS,
+                lambda values: organisations_module.Organisation(**values),
+            )
+        ),
+        (),
+    ),
     documents.Field(
         "revision",
         documents.number(int, 0, 2**53),
@@ -323,19 +346,25 @@
     """
     reader, node = documents.compose(text, source)
     values = reader.mapping(node, _FIELDS, "")
-    row_lines = {key: _row_lines(node, key) for key in ("routes", "pools")}
-    for fault in row_faults(values["routes"], values["pools"]):
+    rows = [values[key] for key in _TABLES]
+    row_lines = {key: _row_lines(node, key) for key in _TABLES}
+    for fault in row_faults(*rows):
         line = row_lines[fault.table][fault.row]
         reader.add_fault_at(line, fault.where, fault.value, fault.allowed)
     reader.raise_faults()
-    return ordered(values["routes"], values["pools"])
+    return ordered(*rows)
 
 
-def ordered(routes: Iterable[Route], pools: Iterable[Pool]) -> Tables:
+def ordered(
+    routes: Iterable[Route],
+    pools: Iterable[Pool],
+    organisation_rows: Iterable[organisations_module.Organisation] = (),
+) -> Tables:
     """Return tables of validated rows, sorted by name."""
     return Tables(
         tuple(sorted(routes, key=lambda route: route.name)),
         tuple(sorted(pools, key=lambda pool: pool.name)),
+        tuple(sorted(organisation_rows, key=lambda row: row.name)),
     )
 
 
@@ -369,9 +398,13 @@
 
 
 def row_faults(
-    routes: Sequence[Route], pools: Sequence[Pool]
+    routes: Sequence[Route],
+    pools: Sequence[Pool],
+    organisation_rows: Sequence[organisations_module.Organisation] = (),
 ) -> Iterator[RowFault]:
-    """Yield faults between rows: duplicate names and matches, missing pools."""
+    """Yield faults between rows: duplicates, matches, missing pools, keys."""
+    for organisation_fault in organisations_module.faults(organisation_rows):
+        yield RowFault("organisations", *organisation_fault)
     yield from _duplicate_names("routes", [route.name for route in routes])
     yield from _duplicate_names("pools", [pool.name for pool in pools])
     pool_names = {pool.name for pool in pools}
@@ -427,21 +460,34 @@
 
 
 def to_plain(tables: Tables) -> dict[str, Any]:
-    """Return the tables as mappings and lists, in the format for operators."""
-    return {
-        "routes": [
-            {
-                key: value
-                for key, value in route._asdict().items()
-                if value is not None
-            }
-            for route in tables.routes
-        ],
+    """Return the tables as mappings and lists, in the format for operators.
+
+    What only deployments with organisations use is left out of others: earlier
+    releases refuse unknown keys.
+    """
+    plain: dict[str, Any] = {
+        "routes": [_route_to_plain(route) for route in tables.routes],
         "pools": [
             {**pool._asdict(), "drains": pool.drains._asdict()}
             for pool in tables.pools
         ],
     }
+    if tables.organisations:
+        plain["organisations"] = [
+            _without_none(row._asdict()) for row in tables.organisations
+        ]
+    return plain
+
+
+def _route_to_plain(route: Route) -> dict[str, Any]:
+    plain = _without_none(route._asdict())
+    if not route.public:
+        del plain["public"]
+    return plain
+
+
+def _without_none(values: Mapping[str, Any]) -> dict[str, Any]:
+    return {key: value for key, value in values.items() if value is not None}
 
 
 def to_yaml(tables: Tables, revision: int) -> str:
@@ -452,7 +498,21 @@
 
 def encode(tables: Tables) -> bytes:
     """Return the canonical encoding: equal tables have equal bytes."""
-    return msgspec.json.encode(tables, order="deterministic")
+    return msgspec.json.encode(encodable(tables), order="deterministic")
+
+
+def encodable(tables: Tables) -> tuple[Any, ...]:
+    """Return the tables as they are encoded.
+
+    Fields that only deployments with organisations use are left out where they
+    have their default: releases that don't know them refuse longer rows.
+    """
+    routes = [
+        route if route.public else tuple(route)[:-1] for route in tables.routes
+    ]
+    if not tables.organisations:
+        return (routes, tables.pools)
+    return (routes, tables.pools, tables.organisations)
 
 
 def decode(data: bytes) -> Tables:
--- a/hyssopfold/transport/datagram_wire.py
+++ b/hyssopfold/transport/datagram_wire.py
@@ -8,6 +8,7 @@
 
 from hyssopfold.core.attempts import quarantine
 from hyssopfold.core.balancing import messages as placement
+from hyssopfold.core.limits import messages as limits
 from hyssopfold.core.membership import messages
 from hyssopfold.transport import auth
 
@@ -36,10 +37,12 @@
     10: placement.SilentServers,
     11: placement.BusyServers,
     12: quarantine.QuarantineUpdate,
+    13: limits.UsageReport,
+    14: limits.AllowanceUpdate,
 }
 _NUMBERS = {kind: number for number, kind in _KINDS.items()}
 
-Message = placement.Message | quarantine.QuarantineUpdate
+Message = placement.Message | quarantine.QuarantineUpdate | limits.Message
 
 
 class ReceivedMessage(NamedTuple):
--- a/hyssopfold/transport/gossip.py
+++ b/hyssopfold/transport/gossip.py
@@ -14,6 +14,7 @@
 from hyssopfold import errors
 from hyssopfold import logs
 from hyssopfold.core.attempts import quarantine
+from hyssopfold.core.limits import messages as limits
 from hyssopfold.core.membership import broadcasts
 from hyssopfold.core.membership import directory
 from hyssopfold.core.membership import effects as effects_module
@@ -33,7 +34,11 @@
 _MAX_ADDRESSES = 2000
 # Purposes in the count of sent bytes, by type of message; all other messages
 # count as placement.
-_PURPOSES: dict[type, str] = {quarantine.QuarantineUpdate: "quarantine"}
+_PURPOSES: dict[type, str] = {
+    quarantine.QuarantineUpdate: "quarantine",
+    limits.UsageReport: "limits",
+    limits.AllowanceUpdate: "limits",
+}
 
 
 def _ignore(address: str, revision: int) -> None:
--- a/tests/platform/wire.feature
+++ b/tests/platform/wire.feature
@@ -53,6 +53,23 @@
       | text is truncated                      |
       | first two routes match the same        |
       | version is not a number                |
+      | tenants share a key                    |
+      | first tenant has a negative rate       |
+      | tenants have the same name             |
+
+  Scenario: organisations are decoded, and their keys are returned as sent
+    Given a platform configuration with tenants
+    Then its tables have the organisations that were sent
+    And it is returned as it was sent
+
+  Scenario: a refused configuration does not show its keys
+    Given a platform configuration whose tenants share a key
+    Then the refusal does not contain the key
+
+  Scenario: keys come and go by patches
+    Given a platform configuration with tenants
+    When a platform patch gives tenant "press" the keys "k-9" only
+    Then the organisation "press" has the keys "k-9"
 
   Scenario: a patch changes the named rows and keeps the others
     Given a platform configuration of version "00000007" on base "00000005"
--- /dev/null
+++ b/tests/steps/core/limits/limits_steps.py
@@ -0,0 +1,201 @@
+"""Steps of core/limits/limits.feature."""
+
+from unittest import mock
+
+from behave import given
+from behave import then
+from behave import when
+
+from bench import limit_simulation
+from hyssopfold.core.limits import accountant
+from hyssopfold.core.limits import choice
+from hyssopfold.core.limits import messages
+from hyssopfold.core.limits import meter
+
+_KEY = messages.account_key("press")
+
+
+@given("entries that admit all requests while they have no recent answer")
+def _(context):
+    def admit_all(self, account, limit, now):
+        account.left = None
+
+    patch = mock.patch.object(meter.Meter, "_refill_alone", admit_all)
+    patch.start()
+    context.add_cleanup(patch.stop)
+
+
+@when(
+    "{entries:d} entries share the limits of {count:d} organisations, with"
+    " faults and seed {seed:d}"
+)
+def _(context, entries, count, seed):
+    context.simulation = limit_simulation.simulate(
+        "accountant", seed, entries, count
+    )
+
+
+@when(
+    "{entries:d} entries share the limits of {count:d} organisations, with"
+    " seed {seed:d}"
+)
+def _(context, entries, count, seed):
+    context.simulation = limit_simulation.simulate(
+        "accountant", seed, entries, count, faults=()
+    )
+
+
+@when(
+    "{entries:d} entries share the limits of {count:d} organisations,"
+    " {percent:d} % of them cut off"
+)
+def _(context, entries, count, percent):
+    cut = limit_simulation.Fault("cut", 10.0, 36.0, percent / 100)
+    context.simulation = limit_simulation.simulate(
+        "accountant", 1, entries, count, faults=(cut,)
+    )
+
+
+@then("no window exceeds its bound")
+def _(context):
+    worst = context.simulation.worst_window()
+    assert 0.0 < worst <= 1.0, worst
+
+
+@then("some window exceeds its bound")
+def _(context):
+    assert context.simulation.worst_window() > 1.0
+
+
+@then("at most {percent:f} % of the requests are refused below the limit")
+def _(context, percent):
+    share = context.simulation.wrongly_refused_share()
+    assert share <= percent / 100, share
+
+
+@given(
+    "a limit of {rate:d} requests a second, and reports of {count:d} entries"
+)
+def _(context, rate, count):
+    context.limits = {_KEY: messages.Limit(float(rate), 0.0)}
+    context.names = [f"entry-{number}" for number in range(count)]
+
+
+@when(
+    "{first:d} of them report {asked:d} asked requests each to one accountant,"
+    " {second:d} to another"
+)
+def _(context, first, asked, second):
+    assert first + second == len(context.names)
+    context.allowed = 0.0
+    report = messages.UsageReport(1, (messages.Usage(_KEY, 0, asked),))
+    for names in (context.names[:first], context.names[first:]):
+        one = accountant.Accountant()
+        one.set_limits(context.limits)
+        for name in names:
+            one.receive(name, report, context.names, 0.0)
+        # The accountant has waited for all entries long enough.
+        for name in names:
+            update = one.receive(name, report, context.names, 1.5)
+            context.allowed += update.allowances[0].requests
+
+
+@then("both together allow at most {count:d} requests")
+def _(context, count):
+    assert 0.9 * count <= context.allowed <= count + 1e-6, context.allowed
+
+
+@given("an entry that reported, and then admitted {count:d} requests")
+def _(context, count):
+    context.meter = meter.Meter()
+    context.meter.set_limits({_KEY: messages.Limit(1.0, 1.0)})
+    context.meter.set_entries(10, 0.0)
+    first = context.meter.report(0.0)
+    context.meter.apply(messages.AllowanceUpdate(first.number), 0.1)
+    context.number = context.meter.report(0.5).number
+    context.now = 0.6
+    for number in range(count):
+        assert not context.meter.admit(_KEY, str(number), context.now)
+
+
+@when("the answer to the report allows {count:d} requests")
+def _(context, count):
+    allowance = messages.Allowance(_KEY, float(count), 0.5)
+    context.meter.apply(
+        messages.AllowanceUpdate(context.number, (allowance,)), context.now
+    )
+
+
+@when(
+    "the answer comes after a suspension of {pause_s:d} s and allows"
+    " {count:d} requests"
+)
+def _(context, pause_s, count):
+    context.now += pause_s
+    allowance = messages.Allowance(_KEY, float(count), 0.5)
+    context.meter.apply(
+        messages.AllowanceUpdate(context.number, (allowance,)), context.now
+    )
+
+
+@given("an entry that may admit {count:d} request")
+def _(context, count):
+    context.meter = meter.Meter()
+    context.meter.set_limits({_KEY: messages.Limit(1.0, 1.0)})
+    context.now = 0.1
+    report = context.meter.report(0.0)
+    allowance = messages.Allowance(_KEY, float(count), 0.5)
+    context.meter.apply(
+        messages.AllowanceUpdate(report.number, (allowance,)), context.now
+    )
+
+
+@when("a request is admitted and given back")
+def _(context):
+    assert not context.meter.admit(_KEY, "r", context.now)
+    context.meter.give_back(_KEY)
+
+
+def _admitted(context, count):
+    return sum(
+        not context.meter.admit(_KEY, f"further-{number}", context.now)
+        for number in range(count)
+    )
+
+
+@then("{count:d} further request is admitted")
+def _(context, count):
+    assert _admitted(context, 20) == count
+
+
+@then("fewer than {most:d} of {count:d} further requests are admitted")
+def _(context, most, count):
+    assert _admitted(context, count) < most
+
+
+@given("entries a, b and c that choose an accountant")
+def _(context):
+    context.choice = choice.AccountantChoice()
+    context.first = context.choice.next("abc")
+    context.choice.record_answer()
+
+
+@when("the first choice of an entry does not answer {count:d} reports")
+def _(context, count):
+    for _ in range(count):
+        assert context.choice.next("abc") == context.first
+
+
+@then("its next report goes to another entry")
+def _(context):
+    assert context.choice.next("abc") != context.first
+    context.choice.record_answer()
+
+
+@then("within {count:d} further reports it asks the first choice again")
+def _(context, count):
+    asked = []
+    for _ in range(count):
+        asked.append(context.choice.next("abc"))
+        context.choice.record_answer()
+    assert context.first in asked, asked
--- a/tests/steps/platform/wire_steps.py
+++ b/tests/steps/platform/wire_steps.py
@@ -14,6 +14,7 @@
 
 from hyssopfold import announcements
 from hyssopfold import errors
+from hyssopfold import organisations
 from hyssopfold import state
 
 REGIONS = {"dar-1": "dar", "mwanza-1": "mwanza"}
@@ -69,6 +70,17 @@
     "services": [_SERVICE, {**_SERVICE, "name": "catalogue"}],
     "limits": {"max_header_bytes": 16384, "idle_timeout_s": 15},
 }
+_TENANTS = [
+    {
+        "name": "press",
+        "api_keys": ["k-1", "k-2"],
+        "priority": 1,
+        "rate_per_s": 210,
+        "burst": 21,
+        "allowed_regions": ["dar"],
+    },
+    {"name": "school", "api_keys": ["k-3"]},
+]
 SETTINGS = """
 node_name = "front-dar-1-1"
 ip = "10.1.0.35"
@@ -173,7 +185,8 @@
 
 @then("it is returned as it was sent")
 def _(context):
-    assert _rendered(context, 7) == CONFIG
+    sent = getattr(context, "platform_config", CONFIG)
+    assert _rendered(context, 7) == sent
 
 
 _ROUTE_DEFECTS = {
@@ -184,6 +197,59 @@
 }
 
 
+_TENANT_DEFECTS = {
+    "tenants share a key": (1, "api_keys", ["k-3", "k-2"]),
+    "first tenant has a negative rate": (0, "rate_per_s", -1),
+    "tenants have the same name": (1, "name", "press"),
+}
+
+
+@given("a platform configuration with tenants")
+def _(context):
+    context.platform_config = {**CONFIG, "tenants": _TENANTS}
+    body = json.dumps(context.platform_config).encode()
+    context.platform_document = wire.parse_put(body, "00000005").build(())
+
+
+@then("its tables have the organisations that were sent")
+def _(context):
+    document = context.platform_document
+    assert document.tables.organisations == (
+        organisations.Organisation(
+            "press", ("k-1", "k-2"), 210.0, 21.0, 1, ("dar",)
+        ),
+        organisations.Organisation("school", ("k-3",)),
+    ), [tuple(row) for row in document.tables.organisations]
+
+
+@then("the refusal does not contain the key")
+def _(context):
+    try:
+        wire.parse_put(context.platform_body, "00000005").build(())
+    except errors.InvalidDocumentError as exc:
+        text = " ".join([str(exc), *map(str, exc.faults)])
+        assert "k-2" not in text, text
+        return
+    raise AssertionError("the configuration was accepted")
+
+
+@when('a platform patch gives tenant "{name}" the keys "{keys}" only')
+def _(context, name, keys):
+    rows = context.platform_document.rows
+    patch = {
+        "version": "00000009",
+        "upsert": {"tenants": [{"name": name, "api_keys": keys.split(",")}]},
+    }
+    edit = wire.parse_patch(json.dumps(patch).encode(), "00000007")
+    context.platform_patched = edit.build(rows)
+
+
+@then('the organisation "{name}" has the keys "{keys}"')
+def _(context, name, keys):
+    rows = context.platform_patched.tables.organisations
+    assert {row.name: row.keys for row in rows}[name] == tuple(keys.split(","))
+
+
 @given("a platform configuration whose {defect}")
 def _(context, defect):
     config = copy.deepcopy(CONFIG)
@@ -199,6 +265,10 @@
         second["path_prefix"] = first["path_prefix"]
     elif defect == "version is not a number":
         config["version"] = "seven"
+    elif defect in _TENANT_DEFECTS:
+        config["tenants"] = copy.deepcopy(_TENANTS)
+        index, key, value = _TENANT_DEFECTS[defect]
+        config["tenants"][index][key] = value
     context.platform_body = json.dumps(config).encode()
     if defect == "text is truncated":
         context.platform_body = context.platform_body[:-20]
--- a/tests/steps/tables_steps.py
+++ b/tests/steps/tables_steps.py
@@ -5,6 +5,7 @@
 from behave import given
 from behave import then
 from behave import when
+import msgspec
 
 from hyssopfold import errors
 from hyssopfold import tables
@@ -34,6 +35,22 @@
     assert tables.encode(tables.decode(encoded)) == encoded
 
 
+@then(
+    "a route is encoded in {route_fields:d} fields, and the tables in {count:d}"
+)
+def _(context, route_fields, count):
+    plain = msgspec.json.decode(tables.encode(context.tables))
+    assert len(plain) == count, plain
+    assert {len(route) for route in plain[0]} == {route_fields}, plain[0]
+
+
+@then('no fault names "{first}" or "{second}"')
+def _(context, first, second):
+    text = " ".join(map(str, context.faults))
+    assert first not in text, text
+    assert second not in text, text
+
+
 @when("these tables are checked")
 def _(context):
     context.faults = _faults(context.text)
--- a/tests/support/datapath.py
+++ b/tests/support/datapath.py
@@ -3,6 +3,7 @@
 Placement, steering, pacing, quarantine and configuration are fakes.
 """
 
+import collections
 import contextlib
 import os
 import random
@@ -122,6 +123,30 @@
         self.result_kinds.append(result.kind)
 
 
+class FakeLimits:
+    """Refuses the requests of organisations in `exhausted`; records all calls.
+
+    `admitted` and `retried` count the requests of each organisation.
+    """
+
+    def __init__(self):
+        self.exhausted = set()
+        self.admitted = collections.Counter()
+        self.retried = collections.Counter()
+
+    def admit(self, organisation, request_id):
+        if organisation in self.exhausted:
+            return http.Refusal(429, "over-limit", "not-run", "wait", 0.5)
+        self.admitted[organisation] += 1
+        return None
+
+    def give_back(self, organisation):
+        self.admitted[organisation] -= 1
+
+    def count_retry(self, organisation):
+        self.retried[organisation] += 1
+
+
 class FakeQuarantine:
     """Quarantines the fingerprints in `quarantined`, and records all calls."""
 
@@ -270,6 +295,7 @@
             self.pool, self.quarantine, self.meter
         )
         self.config = FakeConfiguration()
+        self.organisation_limits = FakeLimits()
         self.proxy = proxy.Proxy(
             self.config,
             FakeSteering(),
@@ -277,7 +303,9 @@
             pacer or FakePacer(),
             upstream.Upstream(self.pool, self.checks),
             self.meter,
-            guards=proxy.RequestGuards(self.claims, self.quarantine),
+            guards=proxy.RequestGuards(
+                self.claims, self.quarantine, self.organisation_limits
+            ),
             context=proxy.EntryContext("dar", server_directory),
             rng=rng,
             options=proxy.CallerOptions(max_body_bytes=max_body),
