--- a/hyssopfold/cmd/ctl.py
+++ b/hyssopfold/cmd/ctl.py
@@ -282,6 +282,14 @@
     return f"{name}-{uuid.uuid4().hex[:12]}"
 
 
+@cli.command("organisations")
+@click.pass_obj
+def show_organisations(client: control_client.Client) -> None:
+    """Show the requests of organisations in the last 5 s, of their limits."""
+    for line in status_module.limit_lines(status_module.gather(client)):
+        click.echo(line)
+
+
 @cli.command()
 @click.pass_obj
 def drains(client: control_client.Client) -> None:
--- a/hyssopfold/cmd/explain.py
+++ b/hyssopfold/cmd/explain.py
@@ -94,7 +94,14 @@
         "no-server": f"no server of {pool} may serve it now",
         "no-tables": "the entry had not received any tables yet",
         "tables-behind": (
-            "no route matched while the entry fetched newer tables"
+            "no route or key matched while the entry fetched newer tables"
+        ),
+        "over-limit": f"{_organisation(events)} was at its limit",
+        "unknown-key": "it carried no key, or not one of an organisation",
+        "keys-stale": "no majority of control confirmed the keys in time",
+        "no-region": (
+            f"no region is allowed by both {_organisation(events)} and its"
+            " route"
         ),
         "no-route": f"no route matches at version {_version(events)}",
         "deadline-passed": (
@@ -109,6 +116,10 @@
     return f"It was refused and did not run ({error}, {duration}): {reason}."
 
 
+def _organisation(events: Mapping[str, Fields]) -> str:
+    return f"organisation {events.get('ended', {}).get('organisation', '?')}"
+
+
 def _version(events: Mapping[str, Fields]) -> str:
     return events.get("admitted", {}).get("version", "?")
 
--- a/hyssopfold/cmd/losses.py
+++ b/hyssopfold/cmd/losses.py
@@ -23,15 +23,21 @@
 # A wait counts as the cause if it took this share of the goal or more.
 CAUSE_SHARE = 0.2
 UNKNOWN_CAUSE = "not known"
+# Organisations with the most misses that the table lists.
+_SHOWN_ORGANISATIONS = 5
 
 
 class Row(NamedTuple):
-    """A group of misses with the same second, instance, route and cause."""
+    """A group of misses that agree in all of these fields.
+
+    `organisation` is empty for requests without a key.
+    """
 
     second: str
     instance: str
     route: str
     cause: str
+    organisation: str = ""
 
 
 class Losses(NamedTuple):
@@ -106,7 +112,8 @@
     ended = events["ended"]
     second = ended.get("time", "")[:19]
     route = events.get("admitted", {}).get("route", "")
-    return Row(second, ended.get("instance", ""), route, cause)
+    organisation = ended.get("organisation", "")
+    return Row(second, ended.get("instance", ""), route, cause, organisation)
 
 
 def cause_of(events: Mapping[str, Fields]) -> str:
@@ -133,7 +140,7 @@
 
 def _refusal_cause(events: Mapping[str, Fields]) -> str:
     error = events["refused"].get("error", "?")
-    if error == "no-route":
+    if error in ("no-route", "unknown-key"):
         # No entry could have served such a request.
         return ""
     decision = events.get("routing-decision")
@@ -182,11 +189,16 @@
     yield f"{losses.ended} requests ended, {total} missed their goal"
     by_cause: Counter[str] = Counter()
     by_second: Counter[str] = Counter()
+    by_organisation: Counter[str] = Counter()
     for row, count in losses.misses.items():
         by_cause[row.cause] += count
         by_second[row.second] += count
+        if row.organisation:
+            by_organisation[row.organisation] += count
     for cause, count in by_cause.most_common():
         yield f"{count:7} {count / total:5.0%}  {cause}"
+    for name, count in by_organisation.most_common(_SHOWN_ORGANISATIONS):
+        yield f"{count:7} {count / total:5.0%}  organisation {name}"
     if by_second:
         second, count = by_second.most_common(1)[0]
         yield f"worst second: {second}, {count} missed"
--- a/hyssopfold/cmd/status.py
+++ b/hyssopfold/cmd/status.py
@@ -1,4 +1,4 @@
-"""Collects and formats the output of `hyssopctl status` and `drains`."""
+"""Collects and formats what `hyssopctl` shows of the entries."""
 
 from collections import Counter
 from collections import defaultdict
@@ -14,6 +14,7 @@
 from hyssopfold import instances
 from hyssopfold import state
 from hyssopfold.control import client as control_client
+from hyssopfold.core.limits import meter
 from hyssopfold.core.steering import shares
 
 PATH = "/hyssop/v1/status"
@@ -267,6 +268,36 @@
             yield f"{pool}: the shift waits: {reason}"
 
 
+def limit_lines(statuses: EntryStatuses) -> Iterable[str]:
+    """Return what `hyssopctl organisations` prints.
+
+    Entries of earlier releases report no limits.
+    """
+    reports = [
+        entry["limits"] for entry in statuses.entries if entry.get("limits")
+    ]
+    in_window: Counter[str] = Counter()
+    limits: dict[str, tuple[float, float]] = {}
+    for report in reports:
+        for row in report["organisations"]:
+            in_window[row["name"]] += row["in_window"]
+            limits[row["name"]] = (row["rate"], row["burst"])
+    if not limits:
+        yield "no organisation has a limit"
+        return
+    for name, (rate, burst) in sorted(limits.items()):
+        most = rate * meter.WINDOW_S + burst
+        yield f"{name}: {in_window[name]} of {most:g} requests in 5 s"
+    accountants = Counter(report["accountant"] for report in reports)
+    oldest_s = max(report["answer_age_s"] for report in reports)
+    names = ", ".join(
+        f"{name} ({count} entries)" for name, count in accountants.most_common()
+    )
+    yield f"accounts kept by {names}; the oldest answer is {oldest_s:.1f} s old"
+    if statuses.unreachable:
+        yield f"no answer from {', '.join(statuses.unreachable)}"
+
+
 def _estimate(row: DrainingServer) -> str:
     if not row.in_flight:
         return "none under way"
--- a/hyssopfold/entry/limits.py
+++ b/hyssopfold/entry/limits.py
@@ -2,6 +2,7 @@
 
 import logging
 import time
+from typing import Any
 
 import trio
 
@@ -16,6 +17,9 @@
 
 logger = logging.getLogger(__name__)
 
+# Stands for an infinite age in JSON.
+NEVER_S = 1e9
+
 
 class Limits:
     """Admits requests within the limits, and reports to the accountant.
@@ -87,6 +91,24 @@
         self._meter.set_limits(limits)
         self._accountant.set_limits(limits)
 
+    def status(self) -> dict[str, Any]:
+        """Return the use of the limits at this entry, for the status."""
+        in_use = self._meter.in_use(_now())
+        return {
+            "accountant": self._accountant_name,
+            "answer_age_s": min(NEVER_S, self._meter.answer_age_s(_now())),
+            "organisations": [
+                {
+                    "name": row.name,
+                    "rate": row.rate,
+                    "burst": row.burst,
+                    "in_window": in_use.get(messages.account_key(row.name), 0),
+                }
+                for row in self._config.snapshot.tables.organisations
+                if row.rate
+            ],
+        }
+
     async def run(self) -> None:
         """Report usage and answer reports until cancelled."""
         async with trio.open_nursery() as nursery:
--- a/hyssopfold/entry/proxy.py
+++ b/hyssopfold/entry/proxy.py
@@ -302,6 +302,9 @@
             return
         organisation = exchange.organisation
         over_limit = self._limits.admit(organisation, exchange.request_id)
+        if organisation:
+            within_limit = over_limit is None
+            self._meter.count_organisation(organisation, within_limit)
         if over_limit is not None:
             await self.refuse(exchange, over_limit)
             return
--- a/hyssopfold/entry/status.py
+++ b/hyssopfold/entry/status.py
@@ -12,6 +12,7 @@
 from hyssopfold.core.steering import shares
 from hyssopfold.entry import attempt_dependencies
 from hyssopfold.entry import configuration
+from hyssopfold.entry import limits
 from hyssopfold.entry import steering
 from hyssopfold.transport import gossip
 
@@ -24,6 +25,7 @@
         gossip_service: Has the directory of servers.
         region_steering: Traffic shares in force.
         placement: Counts of the requests under way.
+        organisation_limits: Use of the limits of organisations.
     """
 
     def __init__(
@@ -32,7 +34,9 @@
         gossip_service: gossip.Gossip,
         region_steering: steering.Steering,
         placement: attempt_dependencies.Placement,
+        organisation_limits: limits.Limits,
     ) -> None:
+        self._limits = organisation_limits
         self._config = config
         self._gossip = gossip_service
         self._steering = region_steering
@@ -59,6 +63,7 @@
                 "revision": self._config.snapshot.revision,
                 "utc_s": time.time(),
                 "pools": pools,
+                "limits": self._limits.status(),
             }
         )
 
--- a/hyssopfold/entry_components.py
+++ b/hyssopfold/entry_components.py
@@ -220,7 +220,11 @@
         app = entry_app.App(
             entry_lookups,
             entry_status.Status(
-                self.config, self.gossip_service, self.steering, self.placement
+                self.config,
+                self.gossip_service,
+                self.steering,
+                self.placement,
+                self.limits,
             ),
             self.config,
             self.gossip_service,
--- a/hyssopfold/metrics.py
+++ b/hyssopfold/metrics.py
@@ -13,6 +13,10 @@
 ]  # fmt: skip
 
 
+# Organisations with metrics of their own; each has up to two time series.
+MAX_ORGANISATIONS = 200
+
+
 class Metrics:
     """All metrics of one process, in a registry of its own.
 
@@ -21,6 +25,7 @@
     """
 
     def __init__(self, instance: str) -> None:
+        self._organisation_names: set[str] = set()
         self.registry = aioprometheus.collectors.Registry()
         labels = {"instance": instance}
         self.requests = aioprometheus.collectors.Histogram(
@@ -50,6 +55,12 @@
             const_labels=labels,
             registry=self.registry,
         )
+        self.organisations = aioprometheus.collectors.Counter(
+            "hyssop_organisation_requests_total",
+            "Requests with a key, by organisation and whether within its limit",
+            const_labels=labels,
+            registry=self.registry,
+        )
         self.crashes = aioprometheus.collectors.Counter(
             "hyssop_crashed_requests_total",
             "Requests of this entry under which a server crashed, by pool",
@@ -118,6 +129,17 @@
             registry=self.registry,
         )
 
+    def count_organisation(self, name: str, within_limit: bool) -> None:
+        """Count a request of an organisation.
+
+        Beyond `MAX_ORGANISATIONS` names, requests are counted together.
+        """
+        if len(self._organisation_names) < MAX_ORGANISATIONS:
+            self._organisation_names.add(name)
+        label = name if name in self._organisation_names else "others"
+        result = "admitted" if within_limit else "over-limit"
+        self.organisations.inc({"organisation": label, "result": result})
+
     def set_gossip(self, sent: Mapping[tuple[str, str], int]) -> None:
         """Set the bytes of datagrams sent.
 
--- a/scripts/check_reference.py
+++ b/scripts/check_reference.py
@@ -12,6 +12,7 @@
 
 from hyssopfold import documents
 from hyssopfold import errors
+from hyssopfold import organisations
 from hyssopfold import setting_fields
 from hyssopfold import tables
 
@@ -20,13 +21,21 @@
 
 _TABLES_INTRODUCTION = """# The tables
 
-One YAML file contains both tables. `hyssopctl tables check FILE` lists every
+One YAML file contains the tables. `hyssopctl tables check FILE` lists every
 fault with its line; `hyssopctl tables apply FILE --expect REV` puts the file in
 force. Operators control the system through the rows of this file: to drain a
 server, a failure domain or a region, name it under `drains` of its pool; to
 move traffic, set the `weights` of a route. The caps on a move are fields of the
 pool.
 """
+_ORGANISATIONS_INTRODUCTION = """This table is optional. With it, each request carries the key of an organisation
+in the header `hyssop-key`, except on public routes; servers get the name of the
+organisation in `hyssop-organisation` and never the key. A request without a
+valid key is answered 401, one beyond the limit 429, and neither runs. To replace
+a key, add the new one, wait until callers use it, and remove the old one.
+`hyssopctl tables get` masks the keys; with `--keys` it prints tables that can be
+edited and applied. `hyssopctl organisations` shows the use of the limits.
+"""
 _ERRORS_INTRODUCTION = """# What each error means
 
 Each error of a daemon or of `hyssopctl` is printed on one line: its kind, what
@@ -74,8 +83,12 @@
     parts += ["\n".join(_field_rows(tables.ROUTE_FIELDS)) + "\n"]
     parts += ["## Pools\n"]
     parts += ["\n".join(_field_rows(tables.POOL_FIELDS)) + "\n"]
-    example = (ROOT / "examples" / "mrema.yaml").read_text(encoding="utf-8")
-    parts += ["## An example\n", f"```yaml\n{example}```\n"]
+    parts += ["## Organisations\n", _ORGANISATIONS_INTRODUCTION]
+    parts += ["\n".join(_field_rows(organisations.FIELDS)) + "\n"]
+    parts += ["## Examples\n"]
+    for name in ("mrema.yaml", "organisations.yaml"):
+        example = (ROOT / "examples" / name).read_text(encoding="utf-8")
+        parts += [f"```yaml\n{example}```\n"]
     return "\n".join(parts)
 
 
--- a/tests/cmd/losses.feature
+++ b/tests/cmd/losses.feature
@@ -26,6 +26,13 @@
     When the losses are gathered
     Then there is no loss among 2 requests
 
+  Scenario: losses are counted by organisation, but not requests without a key
+    Given the log lines of a request that exceeded the limit of its organisation
+    And the log lines of a request that has no key
+    When the losses are gathered
+    Then the only cause is "refused: over-limit"
+    And the table of losses names the organisation "press"
+
   Scenario: truncated and foreign lines are ignored
     Given the log lines of a request that found no slot
     And truncated and foreign lines around them
--- a/tests/request_log.feature
+++ b/tests/request_log.feature
@@ -32,5 +32,7 @@
       | late      | may have run               |
       | answered  | answered with 200          |
       | held back | crashed under it before    |
+      | over its limit     | organisation press was at its limit |
+      | sent without a key | it carried no key          |
       | unknown   | No log line mentions       |
       | unended   | No log line records        |
--- a/tests/steps/cmd/losses_steps.py
+++ b/tests/steps/cmd/losses_steps.py
@@ -18,6 +18,8 @@
     "found no slot": [("refused", "error=no-slot")],
     "came before the tables": [("refused", "error=no-tables")],
     "has no route": [("refused", "error=no-route")],
+    "has no key": [("refused", "error=unknown-key")],
+    "exceeded the limit of its organisation": [("refused", "error=over-limit")],
     "was cut at the limit": [_SENT, ("refused", "error=deadline-passed")],
     "was cut in a queue": [
         ("routing-decision", "attempt=1 load=1.4"),
@@ -41,6 +43,8 @@
     ],
 }
 _ENDS = {
+    "exceeded the limit of its organisation": "outcome=not-run status=429"
+    " took_s=0.01 goal_s=0.6 organisation=press",
     "met a failing server": "outcome=answered status=500 took_s=0.3 goal_s=0.6",
     "lost its caller": "outcome=caller-gone status=0 took_s=0.3 goal_s=0.6",
     "stood behind others": "outcome=answered status=200 took_s=1.1 goal_s=0.6"
@@ -117,7 +121,14 @@
     assert json.loads(text) == {
         "second": "2026-01-02T03:04:05",
         "instance": "e1",
+        "organisation": "",
         "route": "all",
         "cause": "refused: no-slot",
         "count": 1,
     }
+
+
+@then('the table of losses names the organisation "{name}"')
+def _(context, name):
+    lines = list(losses.lines(context.losses, as_json=False))
+    assert any(f"organisation {name}" in line for line in lines), lines
--- a/tests/steps/entry/steering_steps.py
+++ b/tests/steps/entry/steering_steps.py
@@ -44,6 +44,11 @@
         )
 
 
+class _FakeLimits:
+    def status(self):
+        return {}
+
+
 class _FakePlacement:
     def in_flight(self):
         return {}
@@ -125,6 +130,7 @@
         _FakeGossip(context.directory),
         running,
         _FakePlacement(),
+        _FakeLimits(),
     )
 
     async def read():
--- a/tests/steps/request_log_steps.py
+++ b/tests/steps/request_log_steps.py
@@ -32,6 +32,17 @@
         "event=refused request=r1 error=quarantined outcome=not-run held_s=0",
         "event=ended request=r1 outcome=not-run status=503 took_s=0.001",
     ],
+    "over its limit": [
+        _ADMITTED,
+        "event=refused request=r1 error=over-limit outcome=not-run held_s=0",
+        "event=ended request=r1 outcome=not-run status=429 took_s=0.001"
+        " organisation=press",
+    ],
+    "sent without a key": [
+        _ADMITTED,
+        "event=refused request=r1 error=unknown-key outcome=not-run held_s=0",
+        "event=ended request=r1 outcome=not-run status=401 took_s=0.001",
+    ],
     "lost": [
         _ADMITTED,
         _SENT,
