Chaos: callers with keys, strangers without, checked from the ledgers

All callers of the run carry the key of an organisation with a limit; one task sends requests without a valid key (none, a near one, two, only the name). Each server's ledger says for which organisation a request ran and whether the key arrived. Checked: no stranger's request runs, all others run for their organisation, no key arrives.

The check itself was seen to fail when the operators' edits removed the organisations by mistake.

--- a/bench/chaos/__main__.py
+++ b/bench/chaos/__main__.py
@@ -71,7 +71,7 @@
 
     async def _form_cluster(self) -> None:
         operators = callers.Operators(self.history, self._rng)
-        text = pathlib.Path(callers.EXAMPLE).read_text(encoding="utf-8")
+        text = callers.first_tables()
         with trio.fail_after(_FORM_TIMEOUT_S):
             while await operators.revision() is None:
                 await trio.sleep(0.1)
@@ -92,6 +92,7 @@
                     nursery.start_soon(clients.pay)
                 for _ in range(_UPLOADERS):
                     nursery.start_soon(clients.upload)
+                nursery.start_soon(clients.intrude)
                 nursery.start_soon(operators.race_edits)
                 crash_injector = crashes.CrashInjector(
                     self._fleet, self.history, self._rng, start_time
@@ -181,8 +182,12 @@
             self._folder / f"{name}.ledger"
             for name in layout.names(layout.SERVER)
         ]
-        runs_by_key = history.count_runs_by_key(ledgers)
+        runs = history.read_runs(ledgers)
+        runs_by_key = history.count_runs_by_key(runs)
         self.findings += history.check_payments(self.history, runs_by_key)
+        self.findings += history.check_organisations(
+            runs, callers.ORGANISATION, callers.STRANGERS_PATH
+        )
         self.findings += crashes.check_crashes(
             self.history.crashes, self.faults
         )
@@ -234,6 +239,7 @@
         )
     click.echo(f"faults injected: {len(run.faults)}")
     click.echo(f"reads: {dict(run_history.reads)}")
+    click.echo(f"without a valid key: {dict(run_history.strangers)}")
     click.echo(f"payments: {payment_outcomes}")
     click.echo(f"uploads: {upload_outcomes}")
     click.echo(f"servers crashed by one request: {len(run_history.crashes)}")
--- a/bench/chaos/callers.py
+++ b/bench/chaos/callers.py
@@ -2,6 +2,7 @@
 
 import itertools
 import json
+import pathlib
 import random
 
 import h11
@@ -13,7 +14,23 @@
 from bench.load import connection
 
 HOST = "mrema.example"
-EXAMPLE = "examples/mrema.yaml"
+_EXAMPLE = "examples/mrema.yaml"
+# Organisations of the run, beside the tables of the example.
+_ORGANISATIONS = """
+organisations:
+  - {name: press, keys: [press-key], rate: 200, burst: 100}
+  - {name: school, keys: [school-key]}
+"""
+ORGANISATION = "press"
+KEY = "press-key"
+# What a stranger sends instead of a key.
+_STRANGER_HEADERS = (
+    (),
+    (("hyssop-key", "press-key-"),),
+    (("hyssop-key", "press-key"), ("hyssop-key", "school-key")),
+    (("hyssop-organisation", "press"),),
+)
+STRANGERS_PATH = "/catalogue/stranger-"
 _TIMEOUT_S = 15.0
 _MAX_TRIES = 6
 _UPLOAD_BYTES = 1_000_000
@@ -35,6 +52,7 @@
     body_bytes: int = 0,
     headers: tuple[tuple[str, str], ...] = (),
     pause_s: float = 0.0,
+    credentials: tuple[tuple[str, str], ...] = (("hyssop-key", KEY),),
 ) -> connection.Answer:
     """Return the answer to one request, sent on a new connection.
 
@@ -45,6 +63,7 @@
         body_bytes: Size of the body.
         headers: Headers besides host and connection.
         pause_s: Seconds between the parts of the body.
+        credentials: Headers that say which organisation the caller belongs to.
 
     Raises:
         OSError: or another of `FAILURES`: no complete answer was received.
@@ -52,7 +71,12 @@
     conn = connection.Connection(address)
     try:
         with trio.fail_after(_TIMEOUT_S):
-            all_headers = [("host", HOST), ("connection", "close"), *headers]
+            all_headers = [
+                ("host", HOST),
+                ("connection", "close"),
+                *credentials,
+                *headers,
+            ]
             return await conn.request(
                 method, target, all_headers, body_bytes, pause_s
             )
@@ -112,6 +136,24 @@
             if answer.status == 200 and json.loads(answer.body)["path"] != path:
                 self._history.misdelivered_paths.append(path)
 
+    async def intrude(self) -> None:
+        """Send requests without a valid key, of which none may run."""
+        while True:
+            number = next(self._numbers)
+            path = f"{STRANGERS_PATH}{number}"
+            entry = await self._look_up_entry(path)
+            if entry is None:
+                continue
+            headers = _STRANGER_HEADERS[number % len(_STRANGER_HEADERS)]
+            try:
+                answer = await send_request(
+                    entry, "GET", path, credentials=headers
+                )
+            except (connection.NotConnectedError, *FAILURES):
+                continue
+            self._history.strangers[str(answer.status)] += 1
+            await trio.sleep(0.05)
+
     async def pay(self) -> None:
         """Send payments; repeat one only if it certainly did not run."""
         while True:
@@ -182,8 +224,7 @@
         self._history = run_history
         self._rng = rng
         self._numbers = itertools.count(1)
-        with open(EXAMPLE, encoding="utf-8") as file:
-            self._tables = yaml.safe_load(file)
+        self._tables = yaml.safe_load(first_tables())
 
     async def race_edits(self) -> None:
         """Repeatedly send two concurrent edits based on the same revision."""
@@ -236,6 +277,12 @@
         return str(yaml.safe_dump(tables))
 
 
+def first_tables() -> str:
+    """Return the tables that the run begins with."""
+    example = pathlib.Path(_EXAMPLE).read_text(encoding="utf-8")
+    return example + _ORGANISATIONS
+
+
 async def put_tables(
     control: str, change_id: str, expect: int, text: str
 ) -> connection.Answer:
--- a/bench/chaos/history.py
+++ b/bench/chaos/history.py
@@ -8,6 +8,7 @@
 from collections.abc import Iterable
 import json
 import pathlib
+from typing import Any
 from typing import NamedTuple
 
 ANSWERED = "answered"
@@ -50,6 +51,7 @@
         uploads: All uploads.
         misdelivered_paths: Paths whose response was that of another path.
         reads: Number of reads by status.
+        strangers: Number of requests without a valid key by status.
         accepted: Revision of each accepted edit, by change id.
         revision_findings: Findings on revisions during the run.
         crashes: Crashes of servers by the crashing request.
@@ -61,6 +63,7 @@
         self.uploads: list[Upload] = []
         self.misdelivered_paths: list[str] = []
         self.reads: Counter[str] = Counter()
+        self.strangers: Counter[str] = Counter()
         self.accepted: dict[str, int] = {}
         self.revision_findings: list[str] = []
         self.crashes: list[Crash] = []
@@ -75,21 +78,45 @@
             )
 
 
-def count_runs_by_key(ledgers: Iterable[pathlib.Path]) -> Counter[str]:
-    """Return how often each idempotency key ran on all servers together.
+def read_runs(ledgers: Iterable[pathlib.Path]) -> list[dict[str, Any]]:
+    """Return the runs of all servers together.
 
     Args:
         ledgers: The ledger files of the servers; missing ones are skipped.
     """
-    runs_by_key: Counter[str] = Counter()
-    for path in ledgers:
-        if not path.exists():
-            continue
-        for line in path.read_text(encoding="utf-8").splitlines():
-            key = json.loads(line).get("key")
-            if key:
-                runs_by_key[key] += 1
-    return runs_by_key
+    return [
+        json.loads(line)
+        for path in ledgers
+        if path.exists()
+        for line in path.read_text(encoding="utf-8").splitlines()
+    ]
+
+
+def count_runs_by_key(runs: Iterable[dict[str, Any]]) -> Counter[str]:
+    """Return how often each idempotency key ran."""
+    return Counter(run["key"] for run in runs if run.get("key"))
+
+
+def check_organisations(
+    runs: Iterable[dict[str, Any]], organisation: str, strangers_path: str
+) -> list[str]:
+    """Return findings on runs of strangers, wrong names and keys passed on.
+
+    Args:
+        runs: The runs of all servers.
+        organisation: The organisation of all callers but strangers.
+        strangers_path: Beginning of the paths of requests without a valid key.
+    """
+    findings = []
+    for run in runs:
+        path = run["path"]
+        if path.startswith(strangers_path):
+            findings.append(f"ran without a valid key: {path}")
+        if run["organisation"] != organisation:
+            findings.append(f"ran for {run['organisation']!r}: {path}")
+        if run["got_credential"]:
+            findings.append(f"its server got the key: {path}")
+    return findings
 
 
 def check_payments(history: History, runs_by_key: Counter[str]) -> list[str]:
--- a/hyssopfold/standin/server.py
+++ b/hyssopfold/standin/server.py
@@ -64,6 +64,11 @@
     """Do nothing: the server is not serving yet."""
 
 
+# A server gets the name of the caller's organisation and never its key.
+ORGANISATION_HEADER = b"hyssop-organisation"
+CREDENTIAL_HEADER = b"hyssop-key"
+
+
 class Server:
     """Answers requests as a backend server does, with the configured faults.
 
@@ -226,7 +231,14 @@
     def _write_to_ledger(self, req: wire.Request) -> None:
         if not self._options.ledger:
             return
-        line = {"id": req.request_id, "key": req.key, "path": req.path}
+        organisation = req.headers.get(ORGANISATION_HEADER, b"")
+        line = {
+            "id": req.request_id,
+            "key": req.key,
+            "path": req.path,
+            "organisation": organisation.decode("latin-1"),
+            "got_credential": CREDENTIAL_HEADER in req.headers,
+        }
         with open(self._options.ledger, "ab") as file:
             file.write(msgspec.json.encode(line) + b"\n")
 
--- a/tests/bench/chaos/history.feature
+++ b/tests/bench/chaos/history.feature
@@ -20,6 +20,18 @@
       | answered, but did not run  | answered | 0     | 1        |
       | response lost, ran twice   | lost     | 2     | 1        |
 
+  Scenario Outline: a run <what>
+    When a chaos ledger has a run of <path> for <organisation>, <got> its key
+    Then the chaos checks have <findings> findings on organisations
+
+    Examples:
+      | what                         | path        | organisation | got     | findings |
+      | of the caller's organisation | /a          | press        | without | 0        |
+      | of another organisation      | /a          | school       | without | 1        |
+      | of no organisation           | /a          | ""           | without | 1        |
+      | whose server got the key     | /a          | press        | with    | 1        |
+      | without a valid key          | /stranger-1 | press        | without | 1        |
+
   Scenario: two edits accepted as one revision
     Given a chaos history in which edits "a" and "b" were accepted as 4 and 4
     Then the chaos checks have a finding on edits at final revision 4
--- a/tests/steps/bench/chaos/history_steps.py
+++ b/tests/steps/bench/chaos/history_steps.py
@@ -28,7 +28,8 @@
         path = pathlib.Path(folder) / "server-1.ledger"
         path.write_text(f"{json.dumps({'key': key})}\n" * times)
         missing = pathlib.Path(folder) / "server-2.ledger"
-        context.runs_by_key = history.count_runs_by_key([path, missing])
+        runs = history.read_runs([path, missing])
+        context.runs_by_key = history.count_runs_by_key(runs)
 
 
 @then("the chaos checks have {count:d} findings")
@@ -105,3 +106,18 @@
     killed = schedule.Fault(at, schedule.KILL, entry, 1.0)
     findings = crashes.check_crashes(context.history.crashes, [killed])
     assert len(findings) == count, findings
+
+
+@when("a chaos ledger has a run of {path} for {organisation}, {got} its key")
+def _(context, path, organisation, got):
+    context.run = {
+        "path": path,
+        "organisation": organisation.strip('"'),
+        "got_credential": got == "with",
+    }
+
+
+@then("the chaos checks have {count:d} findings on organisations")
+def _(context, count):
+    findings = history.check_organisations([context.run], "press", "/stranger")
+    assert len(findings) == count, findings
