Limits: admit a share of the requests, and count what a start forgets

Seen in the simulation, with demand at 1.4 and 3.3 times the limits: after a loss of all entries 1.16 to 1.5 of the bound: entries that have just started report no use, and the whole window is admitted again.

Change: the answer names the share of the requests that an entry admits, with a cap; 0.6 of what the window has left is used in a period, since reports are up to a period old. A report says how much of the last window it covers; the limit counts only as far as the entries' reports cover it.

Tried: 0.8 of what is left, 0.98 to 1.01 in calm at 3.3 times.

--- a/hyssopfold/core/limits/accountant.py
+++ b/hyssopfold/core/limits/accountant.py
@@ -20,9 +20,9 @@
 # organisation for its requests not to be limited: until the next answer, for
 # one that is lost, and for a demand that grows meanwhile.
 OPEN_PERIODS = 3.0
-# Share of an allowance that is divided evenly, for entries at which an
-# organisation had no requests in the last period.
-EVEN_SHARE = 0.1
+# Share of what the window has left that is admitted in a period: reports are up
+# to a period old, so the whole would exceed the limit and leave nothing then.
+USED_SHARE = 0.6
 # Share of the entries whose reports must be known before any answer.
 MIN_REPORTED_SHARE = 0.9
 # A new accountant answers after this time even if entries don't report.
@@ -32,6 +32,7 @@
 class _Received(NamedTuple):
     at: float
     usages: Mapping[int, messages.Usage]
+    covered_s: float
 
 
 class Accountant:
@@ -43,6 +44,7 @@
         # Sums over the reports, by account key.
         self._admitted: Counter[int] = Counter()
         self._asked: Counter[int] = Counter()
+        self._covered_s = 0.0
         self._began_at = math.inf
 
     def set_limits(self, limits: Mapping[int, messages.Limit]) -> None:
@@ -69,15 +71,18 @@
             self._began_at = now
         self._drop(sender)
         usages = {usage.key: usage for usage in report.usages}
-        self._reports[sender] = _Received(now, usages)
+        covered_s = min(max(0.0, report.covered_s), meter.WINDOW_S)
+        self._reports[sender] = _Received(now, usages, covered_s)
+        self._covered_s += covered_s
         self._add(usages, 1)
         known = len(self._reports)
         total = max(known, len(entries))
         is_starting = now - self._began_at < MAX_START_S
         if is_starting and known < MIN_REPORTED_SHARE * total:
             return None
-        # Entries that don't report may use their own parts.
-        share = known / total
+        # Entries that don't report may use their own parts, and what entries
+        # admitted before they started counts as their parts.
+        share = self._covered_s / (total * meter.WINDOW_S)
         allowances = tuple(
             allowance
             for key in self._admitted.keys() | self._asked.keys()
@@ -97,6 +102,7 @@
     def _drop(self, sender: str) -> None:
         received = self._reports.pop(sender, None)
         if received is not None:
+            self._covered_s -= received.covered_s
             self._add(received.usages, -1)
 
     def _add(self, usages: Mapping[int, messages.Usage], sign: int) -> None:
@@ -121,8 +127,13 @@
             return None
         own = self._reports[sender].usages.get(key)
         own_asked = own.asked if own is not None else 0
-        part = EVEN_SHARE / len(self._reports)
-        if asked:
-            part += (1.0 - EVEN_SHARE) * own_asked / asked
-        wait_s = meter.PERIOD_S * max(1.0, asked / max(1.0, left))
-        return messages.Allowance(key, left * part, min(meter.WINDOW_S, wait_s))
+        expected = max(1.0, usual, asked)
+        return messages.Allowance(
+            key,
+            # Any entry may get the next request.
+            max(1.0, left * own_asked / expected),
+            min(1.0, USED_SHARE * left / expected),
+            min(
+                meter.WINDOW_S, meter.PERIOD_S * max(1.0, expected / (left + 1))
+            ),
+        )
--- a/hyssopfold/core/limits/messages.py
+++ b/hyssopfold/core/limits/messages.py
@@ -29,20 +29,32 @@
 
 
 class UsageReport(NamedTuple):
-    """An entry reports its usage to the accountant, once a period."""
+    """An entry reports its usage to the accountant, once a period.
+
+    `covered_s` is the part of the last window that the report covers: an entry
+    that has just started doesn't know what it admitted before.
+    """
 
     number: int
     usages: tuple[Usage, ...] = ()
+    covered_s: float = 0.0
 
 
 class Allowance(NamedTuple):
-    """Requests of an organisation that an entry may send until the next one.
+    """What an entry may admit of an organisation until the next answer.
 
-    `wait_s` is the time in seconds after which refused callers may be admitted.
+    Attributes:
+        key: Key of the organisation, see `account_key`.
+        requests: Most requests.
+        share: Share of the requests that is admitted. A small organisation's
+            next requests come to other entries than its last ones, so parts
+            of its limit for single entries would be left unused.
+        wait_s: Time in seconds after which refused callers may be admitted.
     """
 
     key: int
     requests: float
+    share: float
     wait_s: float
 
 
--- a/hyssopfold/core/limits/meter.py
+++ b/hyssopfold/core/limits/meter.py
@@ -36,6 +36,8 @@
         self.asked = 0
         # Requests that may still be admitted; None if not limited now.
         self.left: float | None = None
+        # Share of the requests that is admitted while some are left.
+        self.share = 1.0
         self.wait_s = PERIOD_S
         self.filled_at = -math.inf
 
@@ -50,9 +52,13 @@
 
     All times are seconds of a clock that also runs while the machine is
     suspended: an answer from before a suspension must not count after it.
+
+    Args:
+        now: Time of the start.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, now: float) -> None:
+        self._started_at = now
         self._limits: Mapping[int, messages.Limit] = {}
         self._accounts: dict[int, _Account] = {}
         self._report_number = 0
@@ -103,7 +109,7 @@
         if now - self._answered_at > ANSWER_VALID_S:
             self._refill_alone(account, limit, now)
         if account.left is not None:
-            if _draw(request_id) >= account.left:
+            if _draw(request_id) >= min(account.left, account.share):
                 return account.wait_s
             account.left = max(0.0, account.left - 1.0)
         account.admitted.append(now)
@@ -134,13 +140,15 @@
 
         At most the part of a whole window accumulates.
         """
+        account.share = 1.0
         share = 1.0 / self._entries
         if now - self._answered_at > CUT_OFF_AFTER_S:
             share *= CUT_OFF_SHARE
         window_part = (limit.rate * WINDOW_S + limit.burst) * share
         if account.left is None or account.filled_at == -math.inf:
             account.drop_old(now)
-            account.left = max(0.0, window_part - len(account.admitted))
+            covered_part = window_part * self._covered_s(now) / WINDOW_S
+            account.left = max(0.0, covered_part - len(account.admitted))
         else:
             elapsed_s = max(0.0, now - account.filled_at)
             refill = window_part * elapsed_s / WINDOW_S
@@ -163,7 +171,13 @@
         self._report_number += 1
         self._reported_at[self._report_number] = now
         self._reported_at.pop(self._report_number - 8, None)
-        return messages.UsageReport(self._report_number, tuple(usages))
+        return messages.UsageReport(
+            self._report_number, tuple(usages), self._covered_s(now)
+        )
+
+    def _covered_s(self, now: float) -> float:
+        """Return the part of the last window since the start, in seconds."""
+        return min(WINDOW_S, now - self._started_at)
 
     def apply(self, update: messages.AllowanceUpdate, now: float) -> None:
         """Apply the accountant's answer to a report.
@@ -177,11 +191,13 @@
         self._answered_at = reported_at
         for account in self._accounts.values():
             account.left = None
+            account.share = 1.0
             account.filled_at = -math.inf
         for allowance in update.allowances:
             account = self._accounts.setdefault(allowance.key, _Account())
             sent_since = sum(at > reported_at for at in account.admitted)
             account.left = max(0.0, allowance.requests - sent_since)
+            account.share = allowance.share
             account.wait_s = allowance.wait_s
 
     def in_use(self, now: float) -> dict[int, int]:
--- a/hyssopfold/entry/limits.py
+++ b/hyssopfold/entry/limits.py
@@ -40,7 +40,7 @@
         self._slack = slack
         self._config = config
         self._gossip = gossip_service
-        self._meter = meter.Meter()
+        self._meter = meter.Meter(_now())
         self._accountant = accountant.Accountant()
         self._choice = choice.AccountantChoice()
         self._accountant_name = ""
