--- a/tests/imports.feature
+++ b/tests/imports.feature
@@ -12,6 +12,7 @@
       | entry            | hyssopfold.storage                |
       | entry            | hyssopfold.core.consensus         |
       | entry            | hyssopfold.core.balancing.grantor |
+      | entry            | httpcore                          |
       | control instance | hyssopfold.entry                  |
       | control instance | hyssopfold.core.steering.shares   |
       | control instance | hyssopfold.core.balancing.local   |
