Limits: name the parts by the field's terms

Limiter (was Meter) for the entry's side, coordinator (was accountant) for the entry that divides the limits, in code, log event, status and pages. Nothing else changes.

--- a/bench/limit_simulation.py
+++ b/bench/limit_simulation.py
@@ -1,7 +1,7 @@
 """Simulation of the limits of organisations at many entries.
 
 The entries' code decides (`core.limits`); messages are delayed and lost, and
-entries are killed, cut off and suspended. Way `accountant` is the one in use;
+entries are killed, cut off and suspended. Way `coordinator` is the one in use;
 `even` divides each limit evenly; `leases` takes tokens from a home in advance,
 each with an expiry.
 
@@ -17,12 +17,12 @@
 
 import click
 
-from hyssopfold.core.limits import accountant
 from hyssopfold.core.limits import choice
+from hyssopfold.core.limits import coordinator
+from hyssopfold.core.limits import limiter
 from hyssopfold.core.limits import messages
-from hyssopfold.core.limits import meter
 
-WAYS = ("accountant", "even", "leases")
+WAYS = ("coordinator", "even", "leases")
 # What the limit of the users' platform tolerates beyond rate and burst.
 OVERSHOOT = 0.1
 SLACK = 20.0
@@ -83,15 +83,15 @@
         self.is_down = False
         self.is_cut = False
         self.is_frozen = False
-        self.start(-meter.WINDOW_S)
+        self.start(-limiter.WINDOW_S)
 
     def start(self, now):
         """Start without any state."""
-        self.meter = meter.Meter(now)
-        self.meter.set_limits(self.limits)
-        self.accountant = accountant.Accountant()
-        self.accountant.set_limits(self.limits)
-        self.choice = choice.AccountantChoice()
+        self.limiter = limiter.Limiter(now)
+        self.limiter.set_limits(self.limits)
+        self.coordinator = coordinator.Coordinator()
+        self.coordinator.set_limits(self.limits)
+        self.choice = choice.CoordinatorChoice()
         self.filled_at = {}
         self.left = {}
         self.tokens = collections.defaultdict(list)
@@ -117,7 +117,7 @@
         self.rng = random.Random(seed)
         self.now = 0.0
         self.organisations = {
-            messages.account_key(organisation.name): organisation
+            messages.organisation_key(organisation.name): organisation
             for organisation in organisations
         }
         limits = {
@@ -144,7 +144,7 @@
             self.schedule(START_S, self._schedule_request, key)
         for entry in self.entries.values():
             self.schedule(
-                self.rng.uniform(0, meter.PERIOD_S), self._tick, entry
+                self.rng.uniform(0, limiter.PERIOD_S), self._tick, entry
             )
 
     def schedule(self, at, action, *args):
@@ -223,7 +223,7 @@
         if self.way == "even":
             return self._admit_evenly(entry, key)
         request_id = str(next(self._request_numbers))
-        return entry.meter.admit(key, request_id, self.now) == 0
+        return entry.limiter.admit(key, request_id, self.now) == 0
 
     def _admit_evenly(self, entry, key):
         """Admit by a token bucket with the entry's part of the limit."""
@@ -263,14 +263,14 @@
             self.schedule(self.now + delay_s, action, *args)
 
     def _tick(self, entry):
-        self.schedule(self.now + meter.PERIOD_S, self._tick, entry)
+        self.schedule(self.now + limiter.PERIOD_S, self._tick, entry)
         if not entry.is_running:
             return
         names = self._known_names(entry)
-        entry.meter.set_entries(len(names), self.now)
-        if self.way != "accountant":
+        entry.limiter.set_entries(len(names), self.now)
+        if self.way != "coordinator":
             return
-        report = entry.meter.report(self.now)
+        report = entry.limiter.report(self.now)
         chosen = entry.choice.next(names)
         if not entry.is_cut:
             self._send(self._receive_report, entry, chosen, report)
@@ -281,7 +281,7 @@
         entry = self.entries[chosen]
         if not entry.is_running or (entry.is_cut and sender is not entry):
             return
-        update = entry.accountant.receive(
+        update = entry.coordinator.receive(
             sender.name, report, self._known_names(entry), self.now
         )
         if update is not None:
@@ -290,14 +290,14 @@
     def _receive_update(self, entry, update):
         if entry.is_running:
             entry.choice.record_answer()
-            entry.meter.apply(update, self.now)
+            entry.limiter.apply(update, self.now)
 
     def worst_window(self):
         """Return the largest number of requests in a window, of what may be."""
         worst = 0.0
         for key, times in self.admitted.items():
             limit = self.organisations[key].limit
-            budget = limit.rate * meter.WINDOW_S + limit.burst
+            budget = limit.rate * limiter.WINDOW_S + limit.burst
             bound = budget * (1 + OVERSHOOT) + SLACK
             worst = max(worst, _most_in_window(times) / bound)
         return worst
@@ -310,10 +310,12 @@
         shares = []
         for key, times in self.admitted.items():
             limit = self.organisations[key].limit
-            settled = sum(at > START_S + 2 * meter.WINDOW_S for at in times)
-            seconds = self.now - START_S - 2 * meter.WINDOW_S
-            window = settled * meter.WINDOW_S / seconds
-            shares.append(window / (limit.rate * meter.WINDOW_S + limit.burst))
+            settled = sum(at > START_S + 2 * limiter.WINDOW_S for at in times)
+            seconds = self.now - START_S - 2 * limiter.WINDOW_S
+            window = settled * limiter.WINDOW_S / seconds
+            shares.append(
+                window / (limit.rate * limiter.WINDOW_S + limit.burst)
+            )
         return sum(shares) / len(shares)
 
     def wrongly_refused_share(self):
@@ -321,7 +323,7 @@
         wrong = asked = 0
         for key, times in self.refused.items():
             limit = self.organisations[key].limit
-            budget = limit.rate * meter.WINDOW_S + limit.burst
+            budget = limit.rate * limiter.WINDOW_S + limit.burst
             window = collections.deque()
             asked_times = iter(self.asked[key])
             next_asked = next(asked_times, math.inf)
@@ -329,7 +331,7 @@
                 while next_asked <= at:
                     window.append(next_asked)
                     next_asked = next(asked_times, math.inf)
-                while window and window[0] <= at - meter.WINDOW_S:
+                while window and window[0] <= at - limiter.WINDOW_S:
                     window.popleft()
                 wrong += len(window) <= budget
             asked += len(self.asked[key])
@@ -341,7 +343,7 @@
     most = 0
     for at in times:
         window.append(at)
-        while window[0] <= at - meter.WINDOW_S:
+        while window[0] <= at - limiter.WINDOW_S:
             window.popleft()
         most = max(most, len(window))
     return most
--- a/hyssopfold/cmd/status.py
+++ b/hyssopfold/cmd/status.py
@@ -14,7 +14,7 @@
 from hyssopfold import instances
 from hyssopfold import state
 from hyssopfold.control import client as control_client
-from hyssopfold.core.limits import meter
+from hyssopfold.core.limits import limiter
 from hyssopfold.core.steering import shares
 
 PATH = "/hyssop/v1/status"
@@ -286,14 +286,15 @@
         yield "no organisation has a limit"
         return
     for name, (rate, burst) in sorted(limits.items()):
-        most = rate * meter.WINDOW_S + burst
+        most = rate * limiter.WINDOW_S + burst
         yield f"{name}: {in_window[name]} of {most:g} requests in 5 s"
-    accountants = Counter(report["accountant"] for report in reports)
+    coordinators = Counter(report["coordinator"] for report in reports)
     oldest_s = max(report["answer_age_s"] for report in reports)
     names = ", ".join(
-        f"{name} ({count} entries)" for name, count in accountants.most_common()
+        f"{name} ({count} entries)"
+        for name, count in coordinators.most_common()
     )
-    yield f"accounts kept by {names}; the oldest answer is {oldest_s:.1f} s old"
+    yield f"limits coordinated by {names}; the oldest answer is {oldest_s:.1f} s old"
     if statuses.unreachable:
         yield f"no answer from {', '.join(statuses.unreachable)}"
 
--- a/hyssopfold/core/limits/choice.py
+++ b/hyssopfold/core/limits/choice.py
@@ -1,4 +1,4 @@
-"""Choice of the entry that keeps the accounts, by each entry for itself."""
+"""Choice of the limit coordinator, by each entry for itself."""
 
 from collections.abc import Iterable
 
@@ -15,11 +15,11 @@
 _MAX_SKIPPING = 10
 
 
-class AccountantChoice:
+class CoordinatorChoice:
     """Chooses the entry that ranks first and answers.
 
     Entries that choose differently for some time divide the limits between
-    their accountants, see `accountant.Accountant`.
+    their coordinators, see `coordinator.Coordinator`.
     """
 
     def __init__(self) -> None:
--- a/hyssopfold/core/limits/accountant.py
+++ b/hyssopfold/core/limits/coordinator.py
@@ -1,6 +1,6 @@
-"""Accounts of organisations, kept by the entry that ranks first.
+"""Limits of organisations, divided by the entry that ranks first.
 
-The accountant needs no memory beyond the last report of each entry, since a
+The coordinator needs no memory beyond the last report of each entry, since a
 report covers a whole window: its successor decides as well as it did, once it
 has the reports of one period.
 """
@@ -11,11 +11,11 @@
 import math
 from typing import NamedTuple
 
+from hyssopfold.core.limits import limiter
 from hyssopfold.core.limits import messages
-from hyssopfold.core.limits import meter
 
 # Entries keep reports for longer than the window's part between two reports.
-REPORT_VALID_S = meter.ANSWER_VALID_S
+REPORT_VALID_S = limiter.ANSWER_VALID_S
 # Periods of the present demand that must fit into the allowance of an
 # organisation for its requests not to be limited: until the next answer, for
 # one that is lost, and for a demand that grows meanwhile.
@@ -25,7 +25,7 @@
 USED_SHARE = 0.6
 # Share of the entries whose reports must be known before any answer.
 MIN_REPORTED_SHARE = 0.9
-# A new accountant answers after this time even if entries don't report.
+# A new coordinator answers after this time even if entries don't report.
 MAX_START_S = 1.0
 # Time between two searches for organisations that may be near their limits: a
 # look at all of them would take most of the time of an answer. The margin
@@ -40,7 +40,7 @@
     covered_s: float
 
 
-class Accountant:
+class Coordinator:
     """Divides the limits of organisations among the entries that report."""
 
     def __init__(self) -> None:
@@ -78,7 +78,7 @@
             self._began_at = now
         self._drop(sender)
         usages = {usage.key: usage for usage in report.usages}
-        covered_s = min(max(0.0, report.covered_s), meter.WINDOW_S)
+        covered_s = min(max(0.0, report.covered_s), limiter.WINDOW_S)
         self._reports[sender] = _Received(now, usages, covered_s)
         self._covered_s += covered_s
         self._add(usages, 1)
@@ -89,7 +89,7 @@
             return None
         # Entries that don't report may use their own parts, and what entries
         # admitted before they started counts as their parts.
-        share = self._covered_s / (total * meter.WINDOW_S)
+        share = self._covered_s / (total * limiter.WINDOW_S)
         if now - self._searched_at >= SEARCH_PERIOD_S:
             self._searched_at = now
             self._candidates = tuple(
@@ -114,12 +114,12 @@
     def _left(self, key: int, share: float) -> float:
         """Return what the window has left of a share of a limit."""
         limit = self._limits[key]
-        budget = (limit.rate * meter.WINDOW_S + limit.burst) * share
+        budget = (limit.rate * limiter.WINDOW_S + limit.burst) * share
         return max(0.0, budget - self._admitted[key])
 
     def _expected(self, key: int) -> float:
         """Return the requests of an organisation to expect in a period."""
-        usual = self._admitted[key] * meter.PERIOD_S / meter.WINDOW_S
+        usual = self._admitted[key] * limiter.PERIOD_S / limiter.WINDOW_S
         return max(usual, float(self._asked[key]))
 
     def _drop_old(self, now: float) -> None:
@@ -151,11 +151,11 @@
         own = usages.get(key)
         own_asked = own.asked if own is not None else 0
         expected = max(1.0, self._expected(key))
-        wait_s = meter.PERIOD_S * max(1.0, expected / (left + 1))
+        wait_s = limiter.PERIOD_S * max(1.0, expected / (left + 1))
         return messages.Allowance(
             key,
             # Any entry may get the next request.
             max(1.0, left * own_asked / expected),
             min(1.0, USED_SHARE * left / expected),
-            min(meter.WINDOW_S, wait_s),
+            min(limiter.WINDOW_S, wait_s),
         )
--- a/hyssopfold/core/limits/meter.py
+++ b/hyssopfold/core/limits/limiter.py
@@ -1,7 +1,7 @@
 """Admission of requests at one entry within the limits of organisations.
 
 The entry counts the requests of each organisation and reports them to the
-accountant, which answers for which organisations the limit is near, and how
+coordinator, which answers for which organisations the limit is near, and how
 many requests this entry may send of those. Requests never wait for an answer.
 An entry without a recent answer admits only its own part of each limit.
 """
@@ -47,7 +47,7 @@
             self.admitted.popleft()
 
 
-class Meter:
+class Limiter:
     """Counts and admits the requests of this entry.
 
     All times are seconds of a clock that also runs while the machine is
@@ -180,7 +180,7 @@
         return min(WINDOW_S, now - self._started_at)
 
     def apply(self, update: messages.AllowanceUpdate, now: float) -> None:
-        """Apply the accountant's answer to a report.
+        """Apply the coordinator's answer to a report.
 
         What was admitted since the report is taken off, since the answer
         doesn't know of it.
@@ -210,7 +210,7 @@
         }
 
     def answer_age_s(self, now: float) -> float:
-        """Return the age of the accountant's last answer in seconds."""
+        """Return the age of the coordinator's last answer in seconds."""
         return now - self._answered_at
 
 
--- a/hyssopfold/core/limits/messages.py
+++ b/hyssopfold/core/limits/messages.py
@@ -18,7 +18,7 @@
     """Requests of an organisation at one entry.
 
     Attributes:
-        key: Key of the organisation, see `account_key`.
+        key: Key of the organisation, see `organisation_key`.
         admitted: Requests sent to servers within the last window.
         asked: Requests in the last period, admitted and refused.
     """
@@ -29,7 +29,7 @@
 
 
 class UsageReport(NamedTuple):
-    """An entry reports its usage to the accountant, once a period.
+    """An entry reports its usage to the coordinator, once a period.
 
     `covered_s` is the part of the last window that the report covers: an entry
     that has just started doesn't know what it admitted before.
@@ -44,7 +44,7 @@
     """What an entry may admit of an organisation until the next answer.
 
     Attributes:
-        key: Key of the organisation, see `account_key`.
+        key: Key of the organisation, see `organisation_key`.
         requests: Most requests.
         share: Share of the requests that is admitted. A small organisation's
             next requests come to other entries than its last ones, so parts
@@ -59,7 +59,7 @@
 
 
 class AllowanceUpdate(NamedTuple):
-    """The accountant's answer to the report `number`.
+    """The coordinator's answer to the report `number`.
 
     Organisations that are not listed are far from their limits: the entry need
     not count their requests until the next answer.
@@ -72,6 +72,6 @@
 Message = UsageReport | AllowanceUpdate
 
 
-def account_key(organisation: str) -> int:
+def organisation_key(organisation: str) -> int:
     """Return the number that identifies an organisation in messages."""
     return zlib.crc32(organisation.encode())
--- a/hyssopfold/entry/limits.py
+++ b/hyssopfold/entry/limits.py
@@ -8,10 +8,10 @@
 
 from hyssopfold import http
 from hyssopfold import logs
-from hyssopfold.core.limits import accountant
 from hyssopfold.core.limits import choice
+from hyssopfold.core.limits import coordinator
+from hyssopfold.core.limits import limiter
 from hyssopfold.core.limits import messages
-from hyssopfold.core.limits import meter
 from hyssopfold.entry import configuration
 from hyssopfold.transport import gossip
 
@@ -22,7 +22,7 @@
 
 
 class Limits:
-    """Admits requests within the limits, and reports to the accountant.
+    """Admits requests within the limits, and reports to the coordinator.
 
     Args:
         config: Source of the tables in force.
@@ -40,10 +40,10 @@
         self._slack = slack
         self._config = config
         self._gossip = gossip_service
-        self._meter = meter.Meter(_now())
-        self._accountant = accountant.Accountant()
-        self._choice = choice.AccountantChoice()
-        self._accountant_name = ""
+        self._limiter = limiter.Limiter(_now())
+        self._coordinator = coordinator.Coordinator()
+        self._choice = choice.CoordinatorChoice()
+        self._coordinator_name = ""
         self._revision = 0
         self._reports = gossip_service.subscribe(messages.UsageReport)
         self._updates = gossip_service.subscribe(messages.AllowanceUpdate)
@@ -58,8 +58,8 @@
         if not organisation:
             return None
         self._update_limits()
-        key = messages.account_key(organisation)
-        wait_s = self._meter.admit(key, request_id, _now())
+        key = messages.organisation_key(organisation)
+        wait_s = self._limiter.admit(key, request_id, _now())
         if not wait_s:
             return None
         remedy = f"ask again later: organisation {organisation} is at its limit"
@@ -68,13 +68,13 @@
     def count_retry(self, organisation: str) -> None:
         """Count a request that is sent to a further server."""
         if organisation:
-            key = messages.account_key(organisation)
-            self._meter.count_retry(key, _now())
+            key = messages.organisation_key(organisation)
+            self._limiter.count_retry(key, _now())
 
     def give_back(self, organisation: str) -> None:
         """Return what an admitted request took that did not run."""
         if organisation:
-            self._meter.give_back(messages.account_key(organisation))
+            self._limiter.give_back(messages.organisation_key(organisation))
 
     def _update_limits(self) -> None:
         snapshot = self._config.snapshot
@@ -82,27 +82,29 @@
             return
         self._revision = snapshot.revision
         limits = {
-            messages.account_key(row.name): messages.Limit(
+            messages.organisation_key(row.name): messages.Limit(
                 row.rate, row.burst + self._slack
             )
             for row in snapshot.tables.organisations
             if row.rate
         }
-        self._meter.set_limits(limits)
-        self._accountant.set_limits(limits)
+        self._limiter.set_limits(limits)
+        self._coordinator.set_limits(limits)
 
     def status(self) -> dict[str, Any]:
         """Return the use of the limits at this entry, for the status."""
-        in_use = self._meter.in_use(_now())
+        in_use = self._limiter.in_use(_now())
         return {
-            "accountant": self._accountant_name,
-            "answer_age_s": min(NEVER_S, self._meter.answer_age_s(_now())),
+            "coordinator": self._coordinator_name,
+            "answer_age_s": min(NEVER_S, self._limiter.answer_age_s(_now())),
             "organisations": [
                 {
                     "name": row.name,
                     "rate": row.rate,
                     "burst": row.burst,
-                    "in_window": in_use.get(messages.account_key(row.name), 0),
+                    "in_window": in_use.get(
+                        messages.organisation_key(row.name), 0
+                    ),
                 }
                 for row in self._config.snapshot.tables.organisations
                 if row.rate
@@ -119,20 +121,22 @@
     async def _report(self) -> None:
         while True:
             self._update_limits()
-            if not self._meter.has_limits:
+            if not self._limiter.has_limits:
                 await self._config.wait_for_revision(float("inf"))
                 continue
             self._send_report()
-            await trio.sleep(meter.PERIOD_S)
+            await trio.sleep(limiter.PERIOD_S)
 
     def _send_report(self) -> None:
         entries = self._gossip.directory.ready_entries()
-        self._meter.set_entries(len(entries), _now())
-        report = self._meter.report(_now())
+        self._limiter.set_entries(len(entries), _now())
+        report = self._limiter.report(_now())
         name = self._choice.next(self._candidates())
-        if name != self._accountant_name:
-            self._accountant_name = name
-            logger.info(logs.Event("accountant-chosen", accountant=name))
+        if name != self._coordinator_name:
+            self._coordinator_name = name
+            logger.info(
+                logs.Event("limit-coordinator-chosen", coordinator=name)
+            )
         me = self._gossip.myself.name
         if name != me:
             self._gossip.post(name, report)
@@ -154,7 +158,7 @@
 
     def _apply(self, update: messages.AllowanceUpdate) -> None:
         self._choice.record_answer()
-        self._meter.apply(update, _now())
+        self._limiter.apply(update, _now())
 
     def _account(
         self, sender: str, report: messages.UsageReport
@@ -162,7 +166,7 @@
         self._update_limits()
         entries = self._gossip.directory.ready_entries()
         names = [entry.name for entry in entries]
-        return self._accountant.receive(sender, report, names, _now())
+        return self._coordinator.receive(sender, report, names, _now())
 
     async def _answer(self) -> None:
         async for received in self._reports:
--- a/tests/core/limits/limits.feature
+++ b/tests/core/limits/limits.feature
@@ -26,11 +26,11 @@
     When 84 entries share the limits of 88 organisations, 60 % of them cut off
     Then some window exceeds its bound
 
-  Scenario: accountants with a part of the reports use a part of the limits
-    Two entries take themselves for the accountant, and half of the entries
+  Scenario: coordinators with a part of the reports use a part of the limits
+    Two entries take themselves for the coordinator, and half of the entries
     report to each. Together they hand out no more than the limit.
     Given a limit of 10 requests a second, and reports of 10 entries
-    When 5 of them report 100 asked requests each to one accountant, 5 to another
+    When 5 of them report 100 asked requests each to one coordinator, 5 to another
     Then both together allow at most 50 requests
 
   Scenario: an answer to a report counts what was admitted since the report
@@ -43,8 +43,8 @@
     When the answer comes after a suspension of 10 s and allows 1000 requests
     Then fewer than 3 of 100 further requests are admitted
 
-  Scenario: an entry whose messages were lost returns to the accountant of the others
-    Given entries a, b and c that choose an accountant
+  Scenario: an entry whose messages were lost returns to the coordinator of the others
+    Given entries a, b and c that choose an coordinator
     When the first choice of an entry does not answer 3 reports
     Then its next report goes to another entry
     And within 11 further reports it asks the first choice again
--- a/tests/entry/limits.feature
+++ b/tests/entry/limits.feature
@@ -1,6 +1,6 @@
 Feature: entries that keep the limits of organisations together
   Entries exchange reports and answers by datagrams. Without limits there must
-  be none, and the loss of the entry that keeps the accounts must not open the
+  be none, and the loss of the limit coordinator must not open the
   limits.
 
   Scenario: three entries admit what the limit allows, together
@@ -10,9 +10,9 @@
     And at least 180 requests were admitted
     And all entries reported to the same entry
 
-  Scenario: the entry that keeps the accounts is lost
+  Scenario: the limit coordinator is lost
     Given 3 entries that share a limit of 20 requests a second and a burst of 20
-    When each entry is asked for 40 requests a second in 10 s, and the accountant is lost after 4 s
+    When each entry is asked for 40 requests a second in 10 s, and the coordinator is lost after 4 s
     Then at most 152 requests were admitted in any 5 s
     And the others reported to another entry in the end
 
--- a/tests/steps/core/limits/limits_steps.py
+++ b/tests/steps/core/limits/limits_steps.py
@@ -7,12 +7,12 @@
 from behave import when
 
 from bench import limit_simulation
-from hyssopfold.core.limits import accountant
 from hyssopfold.core.limits import choice
+from hyssopfold.core.limits import coordinator
+from hyssopfold.core.limits import limiter
 from hyssopfold.core.limits import messages
-from hyssopfold.core.limits import meter
 
-_KEY = messages.account_key("press")
+_KEY = messages.organisation_key("press")
 
 
 @given("entries that admit all requests while they have no recent answer")
@@ -20,7 +20,7 @@
     def admit_all(self, account, limit, now):
         account.left = None
 
-    patch = mock.patch.object(meter.Meter, "_refill_alone", admit_all)
+    patch = mock.patch.object(limiter.Limiter, "_refill_alone", admit_all)
     patch.start()
     context.add_cleanup(patch.stop)
 
@@ -31,7 +31,7 @@
 )
 def _(context, entries, count, seed):
     context.simulation = limit_simulation.simulate(
-        "accountant", seed, entries, count
+        "coordinator", seed, entries, count
     )
 
 
@@ -41,7 +41,7 @@
 )
 def _(context, entries, count, seed):
     context.simulation = limit_simulation.simulate(
-        "accountant", seed, entries, count, faults=()
+        "coordinator", seed, entries, count, faults=()
     )
 
 
@@ -52,7 +52,7 @@
 def _(context, entries, count, percent):
     cut = limit_simulation.Fault("cut", 10.0, 36.0, percent / 100)
     context.simulation = limit_simulation.simulate(
-        "accountant", 1, entries, count, faults=(cut,)
+        "coordinator", 1, entries, count, faults=(cut,)
     )
 
 
@@ -82,20 +82,20 @@
 
 
 @when(
-    "{first:d} of them report {asked:d} asked requests each to one accountant,"
+    "{first:d} of them report {asked:d} asked requests each to one coordinator,"
     " {second:d} to another"
 )
 def _(context, first, asked, second):
     assert first + second == len(context.names)
     context.allowed = 0.0
     usages = (messages.Usage(_KEY, 0, asked),)
-    report = messages.UsageReport(1, usages, meter.WINDOW_S)
+    report = messages.UsageReport(1, usages, limiter.WINDOW_S)
     for names in (context.names[:first], context.names[first:]):
-        one = accountant.Accountant()
+        one = coordinator.Coordinator()
         one.set_limits(context.limits)
         for name in names:
             one.receive(name, report, context.names, 0.0)
-        # The accountant has waited for all entries long enough.
+        # The coordinator has waited for all entries long enough.
         for name in names:
             update = one.receive(name, report, context.names, 1.5)
             allowance = update.allowances[0]
@@ -109,21 +109,21 @@
 
 @given("an entry that reported, and then admitted {count:d} requests")
 def _(context, count):
-    context.meter = meter.Meter(-meter.WINDOW_S)
-    context.meter.set_limits({_KEY: messages.Limit(1.0, 1.0)})
-    context.meter.set_entries(10, 0.0)
-    first = context.meter.report(0.0)
-    context.meter.apply(messages.AllowanceUpdate(first.number), 0.1)
-    context.number = context.meter.report(0.5).number
+    context.limiter = limiter.Limiter(-limiter.WINDOW_S)
+    context.limiter.set_limits({_KEY: messages.Limit(1.0, 1.0)})
+    context.limiter.set_entries(10, 0.0)
+    first = context.limiter.report(0.0)
+    context.limiter.apply(messages.AllowanceUpdate(first.number), 0.1)
+    context.number = context.limiter.report(0.5).number
     context.now = 0.6
     for number in range(count):
-        assert not context.meter.admit(_KEY, str(number), context.now)
+        assert not context.limiter.admit(_KEY, str(number), context.now)
 
 
 @when("the answer to the report allows {count:d} requests")
 def _(context, count):
     allowance = messages.Allowance(_KEY, float(count), 1.0, 0.5)
-    context.meter.apply(
+    context.limiter.apply(
         messages.AllowanceUpdate(context.number, (allowance,)), context.now
     )
 
@@ -135,32 +135,32 @@
 def _(context, pause_s, count):
     context.now += pause_s
     allowance = messages.Allowance(_KEY, float(count), 1.0, 0.5)
-    context.meter.apply(
+    context.limiter.apply(
         messages.AllowanceUpdate(context.number, (allowance,)), context.now
     )
 
 
 @given("an entry that may admit {count:d} request")
 def _(context, count):
-    context.meter = meter.Meter(-meter.WINDOW_S)
-    context.meter.set_limits({_KEY: messages.Limit(1.0, 1.0)})
+    context.limiter = limiter.Limiter(-limiter.WINDOW_S)
+    context.limiter.set_limits({_KEY: messages.Limit(1.0, 1.0)})
     context.now = 0.1
-    report = context.meter.report(0.0)
+    report = context.limiter.report(0.0)
     allowance = messages.Allowance(_KEY, float(count), 1.0, 0.5)
-    context.meter.apply(
+    context.limiter.apply(
         messages.AllowanceUpdate(report.number, (allowance,)), context.now
     )
 
 
 @when("a request is admitted and given back")
 def _(context):
-    assert not context.meter.admit(_KEY, "r", context.now)
-    context.meter.give_back(_KEY)
+    assert not context.limiter.admit(_KEY, "r", context.now)
+    context.limiter.give_back(_KEY)
 
 
 def _admitted(context, count):
     return sum(
-        not context.meter.admit(_KEY, f"further-{number}", context.now)
+        not context.limiter.admit(_KEY, f"further-{number}", context.now)
         for number in range(count)
     )
 
@@ -175,9 +175,9 @@
     assert _admitted(context, count) < most
 
 
-@given("entries a, b and c that choose an accountant")
+@given("entries a, b and c that choose an coordinator")
 def _(context):
-    context.choice = choice.AccountantChoice()
+    context.choice = choice.CoordinatorChoice()
     context.first = context.choice.next("abc")
     context.choice.record_answer()
 
--- a/tests/steps/entry/limits_steps.py
+++ b/tests/steps/entry/limits_steps.py
@@ -116,10 +116,10 @@
 
 @when(
     "each entry is asked for {rate:d} requests a second in {seconds:d} s, and"
-    " the accountant is lost after {lost_s:d} s"
+    " the coordinator is lost after {lost_s:d} s"
 )
 def _(context, rate, seconds, lost_s):
-    async def lose_accountant(config, network):
+    async def lose_coordinator(config, network):
         await trio.sleep(lost_s)
         reports = next(iter(network.receivers.values()))
         context.lost = reports[-1][1]
@@ -133,7 +133,7 @@
         ]
 
     context.lost = ""
-    _run(context, rate, seconds, lose_accountant)
+    _run(context, rate, seconds, lose_coordinator)
 
 
 @when(
@@ -226,7 +226,7 @@
 
 @then("the others reported to another entry in the end")
 def _(context):
-    # The accountant sends no reports, as it has its own.
+    # The coordinator sends no reports, as it has its own.
     last = {
         name
         for sender, reports in context.network.receivers.items()
