Documents: parse YAML with libyaml where PyYAML has it

Lines and faults are the same (tables, settings, platform, fuzz features). Without libyaml the loader in Python is used.

--- a/hyssopfold/documents.py
+++ b/hyssopfold/documents.py
@@ -11,6 +11,8 @@
 
 from hyssopfold import errors
 
+# The loader in C, about ten times as fast, where PyYAML was built with it.
+_LOADER = getattr(yaml, "CSafeLoader", yaml.SafeLoader)
 MAX_BYTES = 4 * 1024 * 1024
 MAX_DEPTH = 12
 _MAX_SHOWN_CHARS = 60
@@ -124,15 +126,16 @@
         InvalidDocumentError: if the text is refused or isn't valid YAML.
     """
     reader = Reader(source)
-    if len(text.encode()) > MAX_BYTES:
+    data = text.encode()
+    if len(data) > MAX_BYTES:
         reader.add_fault_at(
             1, "document", "its size", f"under {MAX_BYTES} bytes"
         )
         reader.raise_faults()
     try:
-        _check_events(text, reader)
+        _check_events(data, reader)
         reader.raise_faults()
-        return reader, yaml.compose(text, Loader=yaml.SafeLoader)
+        return reader, yaml.compose(data, Loader=_LOADER)
     except yaml.YAMLError as exc:
         mark = getattr(exc, "problem_mark", None)
         line = mark.line + 1 if mark else 1
@@ -146,7 +149,7 @@
     raise AssertionError("unreachable: faults were added")
 
 
-def _check_events(text: str, reader: Reader) -> None:
+def _check_events(data: bytes, reader: Reader) -> None:
     """Refuse aliases and too deep nesting before any tree is built.
 
     A document of nested aliases expands to gigabytes (the "billion laughs"
@@ -154,7 +157,7 @@
     to the text.
     """
     depth = 0
-    for event in yaml.parse(text, Loader=yaml.SafeLoader):
+    for event in yaml.parse(data, Loader=_LOADER):
         line = event.start_mark.line + 1
         if isinstance(event, yaml.AliasEvent):
             reader.add_fault_at(
