Coordinator: count what silent and restarted entries have sent

Change: the last report of such an entry counts, as far as it is beyond its part, for the rest of the window. Two scenarios, both failing before (the other entry was allowed half of the limit).

--- a/hyssopfold/core/limits/coordinator.py
+++ b/hyssopfold/core/limits/coordinator.py
@@ -35,10 +35,17 @@
 
 
 class _Received(NamedTuple):
+    """The last report of an entry, and when it came."""
+
     at: float
     usages: Mapping[int, messages.Usage]
     covered_s: float
 
+    def admitted(self, key: int) -> int:
+        """Return the requests of an organisation that were admitted."""
+        usage = self.usages.get(key)
+        return usage.admitted if usage is not None else 0
+
 
 class Coordinator:
     """Divides the limits of organisations among the entries that report."""
@@ -50,8 +57,13 @@
         self._admitted: Counter[int] = Counter()
         self._asked: Counter[int] = Counter()
         self._covered_s = 0.0
+        self._total = 1
         self._began_at = math.inf
         self._candidates: tuple[int, ...] = ()
+        # Last reports of entries that have fallen silent, by name, and those
+        # from before a restart. Their requests count for the rest of a window.
+        self._silent: dict[str, _Received] = {}
+        self._restarted: list[_Received] = []
         self._searched_at = -math.inf
 
     def set_limits(self, limits: Mapping[int, messages.Limit]) -> None:
@@ -76,14 +88,14 @@
         self._drop_old(now)
         if not self._reports:
             self._began_at = now
-        self._drop(sender)
+        self._forget(sender, report.covered_s)
         usages = {usage.key: usage for usage in report.usages}
         covered_s = min(max(0.0, report.covered_s), limiter.WINDOW_S)
         self._reports[sender] = _Received(now, usages, covered_s)
         self._covered_s += covered_s
         self._add(usages, 1)
         known = len(self._reports)
-        total = max(known, len(entries))
+        self._total = total = max(known, len(entries))
         is_starting = now - self._began_at < MAX_START_S
         if is_starting and known < MIN_REPORTED_SHARE * total:
             return None
@@ -114,8 +126,14 @@
     def _left(self, key: int, share: float) -> float:
         """Return what the window has left of a share of a limit."""
         limit = self._limits[key]
-        budget = (limit.rate * limiter.WINDOW_S + limit.burst) * share
-        return max(0.0, budget - self._admitted[key])
+        budget = limit.rate * limiter.WINDOW_S + limit.burst
+        part = budget / self._total
+        # The parts of silent and restarted entries are not in the share.
+        beyond_parts = sum(
+            max(0.0, received.admitted(key) - part)
+            for received in (*self._silent.values(), *self._restarted)
+        )
+        return max(0.0, budget * share - self._admitted[key] - beyond_parts)
 
     def _expected(self, key: int) -> float:
         """Return the requests of an organisation to expect in a period."""
@@ -129,13 +147,33 @@
             if now - received.at > REPORT_VALID_S
         ]
         for name in overdue:
-            self._drop(name)
+            self._silent[name] = self._drop(name)
+        begin = now - limiter.WINDOW_S
+        self._silent = {
+            name: received
+            for name, received in self._silent.items()
+            if received.at > begin
+        }
+        self._restarted = [
+            received for received in self._restarted if received.at > begin
+        ]
+
+    def _forget(self, sender: str, covered_s: float) -> None:
+        """Drop the last report of an entry, which a newer one replaces.
 
-    def _drop(self, sender: str) -> None:
-        received = self._reports.pop(sender, None)
-        if received is not None:
-            self._covered_s -= received.covered_s
-            self._add(received.usages, -1)
+        After a restart, the newer one doesn't cover what the last one did.
+        """
+        last = self._silent.pop(sender, None)
+        if sender in self._reports:
+            last = self._drop(sender)
+        if last is not None and covered_s < last.covered_s:
+            self._restarted.append(last)
+
+    def _drop(self, sender: str) -> _Received:
+        received = self._reports.pop(sender)
+        self._covered_s -= received.covered_s
+        self._add(received.usages, -1)
+        return received
 
     def _add(self, usages: Mapping[int, messages.Usage], sign: int) -> None:
         for key, usage in usages.items():
--- a/tests/core/limits/limits.feature
+++ b/tests/core/limits/limits.feature
@@ -33,6 +33,18 @@
     When 5 of them report 100 asked requests each to one coordinator, 5 to another
     Then both together allow at most 50 requests
 
+  Scenario Outline: what an entry admitted counts after it <event>
+    One entry used the whole limit. Another must not use a part of it again
+    within the window, though the first one's reports are gone.
+    Given a limit of 10 requests a second, and reports of 2 entries
+    When the first one admitted 50 requests and then <event>
+    Then the other one may send no request within the window
+
+    Examples:
+      | event        |
+      | falls silent |
+      | restarts     |
+
   Scenario: an answer to a report counts what was admitted since the report
     Given an entry that reported, and then admitted 3 requests
     When the answer to the report allows 4 requests
--- a/tests/steps/core/limits/limits_steps.py
+++ b/tests/steps/core/limits/limits_steps.py
@@ -102,6 +102,37 @@
             context.allowed += min(allowance.requests, asked * allowance.share)
 
 
+@when("the first one admitted {count:d} requests and then {event}")
+def _(context, count, event):
+    divider = context.divider = coordinator.Coordinator()
+    divider.set_limits(context.limits)
+    first, second = context.names
+    used = messages.UsageReport(
+        1, (messages.Usage(_KEY, count, count),), limiter.WINDOW_S
+    )
+    idle = messages.UsageReport(1, (), limiter.WINDOW_S)
+    for _ in range(2):
+        divider.receive(first, used, context.names, 0.0)
+        divider.receive(second, idle, context.names, 0.0)
+    if event == "restarts":
+        started = messages.UsageReport(1, (), 0.1)
+        divider.receive(first, started, context.names, 1.0)
+
+
+@then("the other one may send no request within the window")
+def _(context):
+    asking = messages.UsageReport(
+        2, (messages.Usage(_KEY, 0, 100),), limiter.WINDOW_S
+    )
+    name = context.names[1]
+    for at in (1.1, 2.5, 4.9):
+        update = context.divider.receive(name, asking, context.names, at)
+        # No answer allows nothing beyond an entry's own part.
+        shares = [one.share for one in update.allowances] if update else []
+        assert all(share < 0.01 for share in shares), (at, update)
+        assert update is None or shares, at
+
+
 @then("both together allow at most {count:d} requests")
 def _(context, count):
     assert 0.0 < context.allowed <= count + 1e-6, context.allowed
