Serving: a full buffer is never a stalled caller

The reads of a connection share one cancel scope since its deadline moves. While more is unread than may be buffered the deadline is off, and stays off whoever computes it anew. Found on reading; no order of events was found in which the timeout cut an upload, and the new scenario passed before as well.

--- a/hyssopfold/serving/connection.py
+++ b/hyssopfold/serving/connection.py
@@ -156,12 +156,15 @@
         """Read and process data until the caller has sent all of it."""
         while data := await self._receive():
             self._process_data(data)
-            while len(self._unparsed) >= self._limits.max_buffered_bytes:
+            while self._is_buffer_full():
                 self._buffer_drained = trio.Event()
                 self._read_scope.deadline = _NEVER
                 await self._buffer_drained.wait()
             self._read_scope.deadline = self._read_deadline()
 
+    def _is_buffer_full(self) -> bool:
+        return len(self._unparsed) >= self._limits.max_buffered_bytes
+
     async def _receive(self) -> bytes | bytearray:
         try:
             return await self._stream.receive_some(MAX_READ_BYTES)
@@ -186,8 +189,9 @@
             return self._linger_deadline
         if self._uploading_request is None:
             return self._head_deadline
-        if self._waiting_request is not None:
-            # The upload waits for earlier requests; the caller is not stalled.
+        if self._waiting_request is not None or self._is_buffer_full():
+            # The upload waits for earlier requests or for its server; the
+            # caller is not stalled.
             return _NEVER
         return trio.current_time() + self._limits.stall_timeout_s
 
--- a/tests/serving/connection.feature
+++ b/tests/serving/connection.feature
@@ -59,6 +59,11 @@
     When an upload stalls
     Then the connection is closed and no slot is in use
 
+  Scenario: an upload whose server is slow to read it is not a stalled one
+    The caller has sent more than is read ahead, and can send nothing more.
+    When an upload that fills the buffer follows another request
+    Then both get an answer
+
   Scenario: the connections of one caller are limited
     When one caller opens more connections than its limit
     Then the connections beyond the limit are closed
--- a/tests/steps/serving/connection_steps.py
+++ b/tests/steps/serving/connection_steps.py
@@ -5,6 +5,7 @@
 import msgspec
 import trio
 
+from hyssopfold import http
 from hyssopfold import serving
 from tests.support import datapath
 
@@ -243,6 +244,30 @@
     _run(context, step)
 
 
+@when("an upload that fills the buffer follows another request")
+def _(context):
+    async def app(scope, receive, send):
+        is_upload = scope["method"] == "POST"
+        await trio.sleep(3 * _LIMITS.stall_timeout_s if is_upload else 0.1)
+        await http.send_answer(send, http.json_answer({}))
+
+    async def step(path):
+        path.app = app
+        stream = await path.connect()
+        await stream.send_all(_GET + b"\r\n")
+        await stream.send_all(_POST + b"content-length: 1000000\r\n\r\n")
+        with trio.move_on_after(0.2):
+            await stream.send_all(b"x" * 900_000)
+        return (await datapath.read_all(stream))[0]
+
+    _run(context, step)
+
+
+@then("both get an answer")
+def _(context):
+    assert context.result.count(b"HTTP/1.1 200") == 2, context.result
+
+
 @then("another request is still served")
 def _(context):
     assert context.result.status == 200, context.result
