--- a/hyssopfold/core/limits/coordinator.py
+++ b/hyssopfold/core/limits/coordinator.py
@@ -58,6 +58,7 @@
         self._asked: Counter[int] = Counter()
         self._covered_s = 0.0
         self._total = 1
+        self._entries: Collection[str] = ()
         self._began_at = math.inf
         self._candidates: tuple[int, ...] = ()
         # Last reports of entries that have fallen silent, by name, and those
@@ -95,6 +96,7 @@
         self._covered_s += covered_s
         self._add(usages, 1)
         known = len(self._reports)
+        self._entries = entries
         self._total = total = max(known, len(entries))
         is_starting = now - self._began_at < MAX_START_S
         if is_starting and known < MIN_REPORTED_SHARE * total:
@@ -128,10 +130,15 @@
         limit = self._limits[key]
         budget = limit.rate * limiter.WINDOW_S + limit.burst
         part = budget / self._total
-        # The parts of silent and restarted entries are not in the share.
+        # The share leaves out the parts of restarted entries, and those of
+        # silent ones that still count among the entries.
         beyond_parts = sum(
             max(0.0, received.admitted(key) - part)
-            for received in (*self._silent.values(), *self._restarted)
+            for received in self._restarted
+        )
+        beyond_parts += sum(
+            max(0.0, received.admitted(key) - part * (name in self._entries))
+            for name, received in self._silent.items()
         )
         return max(0.0, budget * share - self._admitted[key] - beyond_parts)
 
