Limiter: an organisation that is limited stays so between report and answer

Cause (found on reading): an entry dropped the allowance of an organisation without requests in the last window with each report; until the answer, some 50 ms later, its next request was admitted without a limit.

Change: only organisations that are not limited are dropped. Names: usages, not accounts.

Refused below the limit the same.

--- a/hyssopfold/core/limits/coordinator.py
+++ b/hyssopfold/core/limits/coordinator.py
@@ -53,7 +53,7 @@
     def __init__(self) -> None:
         self._limits: Mapping[int, messages.Limit] = {}
         self._reports: dict[str, _Received] = {}
-        # Sums over the reports, by account key.
+        # Sums over the reports, by key of the organisation.
         self._admitted: Counter[int] = Counter()
         self._asked: Counter[int] = Counter()
         self._covered_s = 0.0
@@ -68,7 +68,7 @@
         self._searched_at = -math.inf
 
     def set_limits(self, limits: Mapping[int, messages.Limit]) -> None:
-        """Replace the limits, by account key."""
+        """Replace the limits, by key of the organisation."""
         self._limits = limits
 
     def receive(
--- a/hyssopfold/core/limits/limiter.py
+++ b/hyssopfold/core/limits/limiter.py
@@ -27,7 +27,7 @@
 _HASH_RANGE = float(1 << 32)
 
 
-class _Account:
+class _Usage:
     """Requests of one organisation at this entry."""
 
     def __init__(self) -> None:
@@ -60,7 +60,7 @@
     def __init__(self, now: float) -> None:
         self._started_at = now
         self._limits: Mapping[int, messages.Limit] = {}
-        self._accounts: dict[int, _Account] = {}
+        self._usages: dict[int, _Usage] = {}
         self._report_number = 0
         self._reported_at: dict[int, float] = {}
         self._answered_at = -math.inf
@@ -72,12 +72,10 @@
         return bool(self._limits)
 
     def set_limits(self, limits: Mapping[int, messages.Limit]) -> None:
-        """Replace the limits, by account key."""
+        """Replace the limits, by key of the organisation."""
         self._limits = limits
-        self._accounts = {
-            key: account
-            for key, account in self._accounts.items()
-            if key in limits
+        self._usages = {
+            key: usage for key, usage in self._usages.items() if key in limits
         }
 
     def set_entries(self, count: int, now: float) -> None:
@@ -93,7 +91,7 @@
         """Count a request and decide whether it may be sent.
 
         Args:
-            key: Account key of its organisation.
+            key: Key of its organisation.
             request_id: ID of the request; its hash draws when the allowance is
                 a fraction of a request.
             now: Time in seconds.
@@ -104,70 +102,71 @@
         limit = self._limits.get(key)
         if limit is None:
             return 0.0
-        account = self._accounts.setdefault(key, _Account())
-        account.asked += 1
+        usage = self._usages.setdefault(key, _Usage())
+        usage.asked += 1
         if now - self._answered_at > ANSWER_VALID_S:
-            self._refill_alone(account, limit, now)
-        if account.left is not None:
-            if _draw(request_id) >= min(account.left, account.share):
-                return account.wait_s
-            account.left = max(0.0, account.left - 1.0)
-        account.admitted.append(now)
+            self._refill_alone(usage, limit, now)
+        if usage.left is not None:
+            if _draw(request_id) >= min(usage.left, usage.share):
+                return usage.wait_s
+            usage.left = max(0.0, usage.left - 1.0)
+        usage.admitted.append(now)
         return 0.0
 
     def count_retry(self, key: int, now: float) -> None:
         """Count a request that is sent to a further server."""
-        account = self._accounts.get(key)
-        if account is None:
+        usage = self._usages.get(key)
+        if usage is None:
             return
-        account.admitted.append(now)
-        if account.left is not None:
-            account.left = max(0.0, account.left - 1.0)
+        usage.admitted.append(now)
+        if usage.left is not None:
+            usage.left = max(0.0, usage.left - 1.0)
 
     def give_back(self, key: int) -> None:
         """Return the part of a request that was admitted and did not run."""
-        account = self._accounts.get(key)
-        if account is None or not account.admitted:
+        usage = self._usages.get(key)
+        if usage is None or not usage.admitted:
             return
-        account.admitted.pop()
-        if account.left is not None:
-            account.left += 1.0
+        usage.admitted.pop()
+        if usage.left is not None:
+            usage.left += 1.0
 
     def _refill_alone(
-        self, account: _Account, limit: messages.Limit, now: float
+        self, usage: _Usage, limit: messages.Limit, now: float
     ) -> None:
         """Grant this entry's part of the limit, for the time since the last.
 
         At most the part of a whole window accumulates.
         """
-        account.share = 1.0
+        usage.share = 1.0
         share = 1.0 / self._entries
         if now - self._answered_at > CUT_OFF_AFTER_S:
             share *= CUT_OFF_SHARE
         window_part = (limit.rate * WINDOW_S + limit.burst) * share
-        if account.left is None or account.filled_at == -math.inf:
-            account.drop_old(now)
+        if usage.left is None or usage.filled_at == -math.inf:
+            usage.drop_old(now)
             covered_part = window_part * self._covered_s(now) / WINDOW_S
-            account.left = max(0.0, covered_part - len(account.admitted))
+            usage.left = max(0.0, covered_part - len(usage.admitted))
         else:
-            elapsed_s = max(0.0, now - account.filled_at)
+            elapsed_s = max(0.0, now - usage.filled_at)
             refill = window_part * elapsed_s / WINDOW_S
-            account.left = min(window_part, account.left + refill)
-        account.filled_at = now
-        account.wait_s = PERIOD_S
+            usage.left = min(window_part, usage.left + refill)
+        usage.filled_at = now
+        usage.wait_s = PERIOD_S
 
     def report(self, now: float) -> messages.UsageReport:
         """Return the report of this period, and begin the next period."""
         usages = []
-        for key, account in list(self._accounts.items()):
-            account.drop_old(now)
-            if account.admitted or account.asked:
+        for key, usage in list(self._usages.items()):
+            usage.drop_old(now)
+            if usage.admitted or usage.asked:
                 usages.append(
-                    messages.Usage(key, len(account.admitted), account.asked)
+                    messages.Usage(key, len(usage.admitted), usage.asked)
                 )
-            else:
-                del self._accounts[key]
-            account.asked = 0
+            elif usage.left is None:
+                # One that is limited stays so until the next answer.
+                del self._usages[key]
+            usage.asked = 0
         self._report_number += 1
         self._reported_at[self._report_number] = now
         self._reported_at.pop(self._report_number - 8, None)
@@ -189,25 +188,22 @@
         if reported_at is None or reported_at <= self._answered_at:
             return
         self._answered_at = reported_at
-        for account in self._accounts.values():
-            account.left = None
-            account.share = 1.0
-            account.filled_at = -math.inf
+        for usage in self._usages.values():
+            usage.left = None
+            usage.share = 1.0
+            usage.filled_at = -math.inf
         for allowance in update.allowances:
-            account = self._accounts.setdefault(allowance.key, _Account())
-            sent_since = sum(at > reported_at for at in account.admitted)
-            account.left = max(0.0, allowance.requests - sent_since)
-            account.share = allowance.share
-            account.wait_s = allowance.wait_s
+            usage = self._usages.setdefault(allowance.key, _Usage())
+            sent_since = sum(at > reported_at for at in usage.admitted)
+            usage.left = max(0.0, allowance.requests - sent_since)
+            usage.share = allowance.share
+            usage.wait_s = allowance.wait_s
 
     def in_use(self, now: float) -> dict[int, int]:
         """Return the requests of each organisation in the last window."""
-        for account in self._accounts.values():
-            account.drop_old(now)
-        return {
-            key: len(account.admitted)
-            for key, account in self._accounts.items()
-        }
+        for usage in self._usages.values():
+            usage.drop_old(now)
+        return {key: len(usage.admitted) for key, usage in self._usages.items()}
 
     def answer_age_s(self, now: float) -> float:
         """Return the age of the coordinator's last answer in seconds."""
