hyssopctl: a short key is masked whole; an entry without coordinator says so

Cause: the masked document showed the first two characters of any key, so of a key of four characters half was shown; and before the first answer of the limit coordinator 'hyssopctl organisations' reported an age of a million seconds. Change: a key shorter than 12 characters shows nothing; the age reads 'still to come'. Ruled out: masking every key whole, which makes two keys of one organisation impossible to tell apart while they are exchanged.

--- a/hyssopfold/cmd/status.py
+++ b/hyssopfold/cmd/status.py
@@ -20,6 +20,8 @@
 PATH = "/hyssop/v1/status"
 _TIMEOUT_S = 3.0
 _WORKERS = 16
+# An entry without any answer of the limit coordinator reports a greater age.
+_UNANSWERED_S = 1e6
 # Largest difference between the entries' clocks that is not reported, in
 # addition to the time that collecting the answers may take.
 _MAX_CLOCK_DIFFERENCE_S = 2.0
@@ -289,12 +291,13 @@
         most = rate * limiter.WINDOW_S + burst
         yield f"{name}: {in_window[name]} of {most:g} requests in 5 s"
     coordinators = Counter(report["coordinator"] for report in reports)
-    oldest_s = max(report["answer_age_s"] for report in reports)
     names = ", ".join(
         f"{name} ({count} entries)"
         for name, count in coordinators.most_common()
     )
-    yield f"limits coordinated by {names}; the oldest answer is {oldest_s:.1f} s old"
+    age_s = max(report["answer_age_s"] for report in reports)
+    age = f"{age_s:.1f} s old" if age_s < _UNANSWERED_S else "still to come"
+    yield f"limits coordinated by {names}; the oldest answer is {age}"
     if statuses.unreachable:
         yield f"no answer from {', '.join(statuses.unreachable)}"
 
--- a/hyssopfold/organisations.py
+++ b/hyssopfold/organisations.py
@@ -11,8 +11,10 @@
 
 MAX_KEY_CHARS = 256
 _KEY = re.compile(r"[!-~]{1,256}\Z")
-# Characters of a key that a masked document shows.
+# Characters of a key that a masked document shows, and the length from which on
+# it shows any.
 _SHOWN_KEY_CHARS = 2
+_MIN_SHOWN_KEY_CHARS = 12
 _MASK = "*" * 8
 
 
@@ -134,4 +136,5 @@
 
 def masked_key(key: str) -> str:
     """Return a key made unreadable, to be shown; the tables refuse it."""
-    return key[:_SHOWN_KEY_CHARS] + _MASK
+    is_long = len(key) >= _MIN_SHOWN_KEY_CHARS
+    return (key[:_SHOWN_KEY_CHARS] if is_long else "") + _MASK
