--- a/hyssopfold/core/limits/limiter.py
+++ b/hyssopfold/core/limits/limiter.py
@@ -24,6 +24,8 @@
 # others, which use its part: then it may only use what the limit tolerates.
 CUT_OFF_AFTER_S = 4.0
 CUT_OFF_SHARE = 0.03
+# Number of the last reports whose answers are applied.
+_KEPT_REPORTS = 8
 _HASH_RANGE = float(1 << 32)
 
 
@@ -169,7 +171,7 @@
             usage.asked = 0
         self._report_number += 1
         self._reported_at[self._report_number] = now
-        self._reported_at.pop(self._report_number - 8, None)
+        self._reported_at.pop(self._report_number - _KEPT_REPORTS, None)
         return messages.UsageReport(
             self._report_number, tuple(usages), self._covered_s(now)
         )
