hyssopctl tables diff: what an edit would change, before it is applied

Cause: operators who edit the tables of 88 organisations had no way to see what a file changes; comparing the outputs of 'tables get' needs the keys in the open, or hides that a key was replaced since masked keys look alike. Ruled out: a line difference of the YAML, for the same reason, and since other key order and defaults left out would show as differences. Change: both sides in the canonical form, row by row and field by field; keys are only counted.

--- a/hyssopfold/cmd/ctl.py
+++ b/hyssopfold/cmd/ctl.py
@@ -11,6 +11,7 @@
 import uuid
 
 import click
+import msgspec
 import yaml
 
 import hyssopfold
@@ -21,6 +22,7 @@
 from hyssopfold.cmd import explain as explain_module
 from hyssopfold.cmd import losses as losses_module
 from hyssopfold.cmd import status as status_module
+from hyssopfold.cmd import tables_diff
 from hyssopfold.control import client as control_client
 from hyssopfold.control import state_answers
 from hyssopfold.entry import blocks as blocks_module
@@ -63,7 +65,7 @@
 
 @cli.group()
 def tables() -> None:
-    """Get, check and apply the tables of routes, pools and organisations."""
+    """Edit the tables of routes, pools and organisations."""
 
 
 @tables.command("get")
@@ -110,6 +112,19 @@
     click.echo(f"{file}: tables are good")
 
 
+@tables.command("diff")
+@click.argument("file", type=click.Path(exists=True, dir_okay=False))
+@click.pass_obj
+def diff_tables(client: control_client.Client, file: str) -> None:
+    """Print what a tables file would change; keys are only counted."""
+    edited = tables_module.to_plain(tables_module.parse(_read(file), file))
+    body = client.get(_TABLES).body
+    changes = tables_diff.lines(body, msgspec.to_builtins(edited))
+    for line in changes or ["no difference"]:
+        click.echo(line)
+    click.echo(f"compared with revision {body['revision']}")
+
+
 @tables.command("apply")
 @click.argument("file", type=click.Path(exists=True, dir_okay=False))
 @click.option(
@@ -358,11 +373,15 @@
 
 
 def _parse(file: str) -> str:
-    text = pathlib.Path(file).read_text(encoding="utf-8")
+    text = _read(file)
     tables_module.parse(text, file)
     return text
 
 
+def _read(file: str) -> str:
+    return pathlib.Path(file).read_text(encoding="utf-8")
+
+
 def _raise_refusal(reply: control_client.Reply, source: str) -> None:
     body: dict[str, Any] = reply.body
     if reply.status == 409:
--- a/scripts/check_reference.py
+++ b/scripts/check_reference.py
@@ -22,11 +22,11 @@
 _TABLES_INTRODUCTION = """# The tables
 
 One YAML file contains the tables. `hyssopctl tables check FILE` lists every
-fault with its line; `hyssopctl tables apply FILE --expect REV` puts the file in
-force. Operators control the system through the rows of this file: to drain a
-server, a failure domain or a region, name it under `drains` of its pool; to
-move traffic, set the `weights` of a route. The caps on a move are fields of the
-pool.
+fault with its line; `hyssopctl tables diff FILE` prints what it would change;
+`hyssopctl tables apply FILE --expect REV` puts the file in force. Operators
+control the system through the rows of this file: to drain a server, a failure
+domain or a region, name it under `drains` of its pool; to move traffic, set the
+`weights` of a route. The caps on a move are fields of the pool.
 """
 _ORGANISATIONS_INTRODUCTION = """This table is optional. With it, each request carries the key of an organisation
 in the header `hyssop-key`, except on public routes; servers get the name of the
