Entry: how often polls confirm keys, and how much slack is used, decided by the product

Cause: two decisions stood in the platform's adapter: that polls are held for a third of the largest age of keys, and that half of the slack of a limit is used. So an operator who set max_key_age_s in the product's own settings got neither: with poll_s at its default of 10 s and one message in a hundred lost, a network of 4 entries let confirmations grow to 5.6 s with a largest age of 5 s, and all requests with keys would have been refused meanwhile, though control answered. docs/design/organisations.md already said that the product does this. Ruled out: a check that poll_s is below max_key_age_s, which leaves the work to operators and doesn't bound the pulls. Change: follower.Timing.within bounds holds and pulls; entry.limits uses half of limit_slack.

--- a/bench/limit_simulation.py
+++ b/bench/limit_simulation.py
@@ -21,13 +21,13 @@
 from hyssopfold.core.limits import coordinator
 from hyssopfold.core.limits import limiter
 from hyssopfold.core.limits import messages
+from hyssopfold.entry import limits as entry_limits
 
 WAYS = ("coordinator", "even", "leases")
 # What the limit of the users' platform tolerates beyond rate and burst.
 OVERSHOOT = 0.1
 SLACK = 20.0
-# The part of the slack that entries are told to use.
-USED_SLACK = 10.0
+USED_SLACK = entry_limits.USED_SLACK_SHARE * SLACK
 DELAY_RANGE_S = (0.003, 0.045)
 LOSS_SHARE = 0.01
 # Time until the others no longer count an entry that is gone or cut off.
--- a/hyssopfold/core/distribution/follower.py
+++ b/hyssopfold/core/distribution/follower.py
@@ -29,6 +29,8 @@
 MAX_PEERS = 8
 # Polls for a reported revision before the follower gives up.
 MAX_POLLS = 24
+# Polls in the largest age of a confirmation, so that one or two may be lost.
+POLLS_PER_AGE = 3.0
 
 
 class Timing(NamedTuple):
@@ -42,6 +44,17 @@
     hold_s: float = 10.0
     pull_s: float = 4.0
 
+    def within(self, max_age_s: float) -> "Timing":
+        """Return the timing that keeps confirmations younger than an age.
+
+        Args:
+            max_age_s: The age in seconds; 0 if any will do.
+        """
+        if not max_age_s:
+            return self
+        longest_s = max_age_s / POLLS_PER_AGE
+        return Timing(min(self.hold_s, longest_s), min(self.pull_s, longest_s))
+
 
 ALL_MODES = messages.UpdateModes()
 USUAL_TIMING = Timing()
--- a/hyssopfold/entry/limits.py
+++ b/hyssopfold/entry/limits.py
@@ -17,6 +17,9 @@
 
 logger = logging.getLogger(__name__)
 
+# Share of the slack that entries admit on purpose. The rest covers what is sent
+# before they learn that a limit is near.
+USED_SLACK_SHARE = 0.5
 # Stands for an infinite age in JSON.
 NEVER_S = 1e9
 
@@ -37,7 +40,7 @@
         gossip_service: gossip.Gossip,
         slack: float = 0.0,
     ) -> None:
-        self._slack = slack
+        self._used_slack = USED_SLACK_SHARE * slack
         self._config = config
         self._gossip = gossip_service
         self._limiter = limiter.Limiter(_now())
@@ -83,7 +86,7 @@
         self._revision = snapshot.revision
         limits = {
             messages.organisation_key(row.name): messages.Limit(
-                row.rate, row.burst + self._slack
+                row.rate, row.burst + self._used_slack
             )
             for row in snapshot.tables.organisations
             if row.rate
--- a/hyssopfold/entry_components.py
+++ b/hyssopfold/entry_components.py
@@ -139,7 +139,7 @@
             ],
             rpc.Clients(connection_config),
             self.rng,
-            timing=follower.Timing(hold_s=cfg.poll_s),
+            timing=follower.Timing(hold_s=cfg.poll_s).within(cfg.max_key_age_s),
             control_is_complete=bool(addresses),
         )
 
--- a/hyssopfold/setting_fields.py
+++ b/hyssopfold/setting_fields.py
@@ -371,8 +371,9 @@
         0.0,
         unit="requests",
         help="requests that each organisation may send beyond its limit in 5 s,"
-        " from all entries; they serve small organisations, whose requests come"
-        " to ever other entries",
+        " from all entries; half of them serve small organisations, whose"
+        " requests come to ever other entries, the rest covers what is sent"
+        " before entries learn that a limit is near",
     ),
     documents.Field(
         "max_key_age_s",
@@ -396,7 +397,7 @@
         10.0,
         unit="s",
         help="longest time that a control instance holds a poll for a newer"
-        " revision",
+        " revision; a third of `max_key_age_s` at most, if that is set",
     ),
     documents.Field(
         "lookup_ttl_s",
--- a/tests/core/distribution/follower.feature
+++ b/tests/core/distribution/follower.feature
@@ -79,6 +79,21 @@
     Then the cut distribution entry kept its old revision and reported its age
     And the distribution network has it in force everywhere within 13 s
 
+  Scenario Outline: keys with a largest age while nobody edits the tables
+    Entries refuse all keys that no majority has confirmed for this time, so
+    confirmations must come often enough without any change.
+
+    Given a distribution network of 4 entries that loses <loss> %
+    And distribution for confirmations of at most <age> s
+    When nothing changes for 300 s
+    Then no confirmation was older than <age> s
+
+    Examples:
+      | age | loss |
+      | 3   | 0    |
+      | 5   | 1    |
+      | 60  | 5    |
+
   Scenario: a process is stopped for minutes and continues
     Given a distribution network of 2 entries that loses 0 %
     And distribution by push, pull and piggyback
--- a/tests/entry/limits.feature
+++ b/tests/entry/limits.feature
@@ -10,6 +10,16 @@
     And at least 180 requests were admitted
     And all entries reported to the same entry
 
+  Scenario: a small organisation whose limit may be exceeded
+    Without the slack, most requests of an organisation with a limit of one a
+    second are refused when they come to ever other entries.
+
+    Given 3 entries that share a limit of 1 requests a second and a burst of 1
+    And the limit may be exceeded by 20 requests
+    When each entry is asked for 2 requests a second in 20 s
+    Then at most 26 requests were admitted in any 5 s
+    And at least 30 requests were admitted
+
   Scenario: the limit coordinator is lost
     Given 3 entries that share a limit of 20 requests a second and a burst of 20
     When each entry is asked for 40 requests a second in 10 s, and the coordinator is lost after 4 s
--- a/tests/platform/wire.feature
+++ b/tests/platform/wire.feature
@@ -81,6 +81,17 @@
     Then an entry's settings have its addresses, seeds and bounds
     And a control instance forms a cluster only at the first start
 
+  Scenario Outline: bounds on organisations are translated
+    Given a settings file of the platform with the bounds "<bounds>"
+    Then keys are valid for <age> s without control, and the slack is <slack>
+
+    Examples:
+      | bounds                                          | age | slack |
+      | quota_slack=20, strict_revoke=false, revoke_s=5 | 0   | 20    |
+      | quota_slack=20, strict_revoke=true, revoke_s=4  | 4   | 20    |
+      | strict_revoke=true                              | 5   | 0     |
+      | grace_s=6                                       | 0   | 0     |
+
   Scenario: a settings file without a required field is refused
     Given a settings file of the platform without "ip"
     Then the platform's settings are refused, naming "ip"
--- a/tests/steps/core/distribution/follower_steps.py
+++ b/tests/steps/core/distribution/follower_steps.py
@@ -40,6 +40,34 @@
     context.net.loss = context.loss
 
 
+@given("distribution for confirmations of at most {age:d} s")
+def _(context, age):
+    context.net = fake_distribution.FakeNetwork(
+        SEED,
+        entries=context.entries,
+        timing=follower.USUAL_TIMING.within(age),
+    )
+    context.net.change()
+    context.net.run(SETTLE_S)
+    context.net.loss = context.loss
+
+
+@when("nothing changes for {seconds:d} s")
+def _(context, seconds):
+    context.ages = []
+    for _ in range(10 * seconds):
+        context.net.run(0.1)
+        context.ages += [
+            entry.core.age_s(context.net.now)
+            for entry in context.net.entries.values()
+        ]
+
+
+@then("no confirmation was older than {age:d} s")
+def _(context, age):
+    assert max(context.ages) <= age, max(context.ages)
+
+
 @given("every push on the distribution network is lost")
 def _(context):
     context.net.push_lost = True
--- a/tests/steps/entry/limits_steps.py
+++ b/tests/steps/entry/limits_steps.py
@@ -101,12 +101,19 @@
 def _(context, count, rate, burst):
     context.names = [f"entry-{number}" for number in range(count)]
     context.first_limit = (float(rate), float(burst))
+    context.slack = 0.0
+
+
+@given("the limit may be exceeded by {slack:d} requests")
+def _(context, slack):
+    context.slack = float(slack)
 
 
 @given("{count:d} entries without limits")
 def _(context, count):
     context.names = [f"entry-{number}" for number in range(count)]
     context.first_limit = (0.0, 0.0)
+    context.slack = 0.0
 
 
 @when("each entry is asked for {rate:d} requests a second in {seconds:d} s")
@@ -168,7 +175,7 @@
     config.install(1, *context.first_limit)
     # What an entry admitted before its start is not known.
     components = {
-        name: limits.Limits(config, _Gossip(network, name))
+        name: limits.Limits(config, _Gossip(network, name), context.slack)
         for name in context.names
     }
     async with trio.open_nursery() as nursery:
--- a/tests/steps/platform/wire_steps.py
+++ b/tests/steps/platform/wire_steps.py
@@ -319,6 +319,25 @@
     _write_settings(context, SETTINGS)
 
 
+@given('a settings file of the platform with the bounds "{bounds}"')
+def _(context, bounds):
+    lines = [
+        f"bounds = {json.dumps(bounds.split(', '))}"
+        if line.startswith("bounds =")
+        else line
+        for line in SETTINGS.splitlines()
+    ]
+    _write_settings(context, "\n".join(lines))
+
+
+@then(
+    "keys are valid for {age:d} s without control, and the slack is {slack:d}"
+)
+def _(context, age, slack):
+    cfg = platform_settings.load_entry(str(context.boot))
+    assert (cfg.max_key_age_s, cfg.limit_slack) == (age, slack)
+
+
 @given('a settings file of the platform without "{field}"')
 def _(context, field):
     lines = SETTINGS.splitlines()
