hyssopctl: the text of the tables apart from the commands

Change: cmd/tables_format.py; the test of the round trip calls its public name instead of a private one of the commands. Behaviour as before.

--- a/hyssopfold/cmd/ctl.py
+++ b/hyssopfold/cmd/ctl.py
@@ -12,17 +12,16 @@
 
 import click
 import msgspec
-import yaml
 
 import hyssopfold
 from hyssopfold import errors
-from hyssopfold import organisations
 from hyssopfold import tables as tables_module
 from hyssopfold.cmd import daemon
 from hyssopfold.cmd import explain as explain_module
 from hyssopfold.cmd import losses as losses_module
 from hyssopfold.cmd import status as status_module
 from hyssopfold.cmd import tables_diff
+from hyssopfold.cmd import tables_format
 from hyssopfold.control import client as control_client
 from hyssopfold.control import state_answers
 from hyssopfold.entry import blocks as blocks_module
@@ -78,30 +77,8 @@
     """
     body = client.get(_TABLES).body
     if not keys:
-        _mask_keys(body)
-    click.echo(_format_tables(body), nl=False)
-
-
-def _mask_keys(body: dict[str, Any]) -> None:
-    for row in body.get("organisations", ()):
-        row["keys"] = [organisations.masked_key(key) for key in row["keys"]]
-
-
-def _format_tables(body: dict[str, Any]) -> str:
-    """Return tables as YAML that `apply` accepts.
-
-    Evacuated failure domains are written as comments: they belong to no version
-    of the tables and stay evacuated whatever tables are applied.
-    """
-    table_rows = {
-        key: value for key, value in body.items() if key != "evacuated"
-    }
-    text: str = yaml.safe_dump(table_rows, sort_keys=False)
-    for domain in body.get("evacuated", ()):
-        text = (
-            f"# evacuated: {domain} (end it: evacuate {domain} --end)\n{text}"
-        )
-    return text
+        tables_format.mask_keys(body)
+    click.echo(tables_format.to_yaml(body), nl=False)
 
 
 @tables.command("check")
--- a/tests/steps/control/round_trip_steps.py
+++ b/tests/steps/control/round_trip_steps.py
@@ -7,7 +7,7 @@
 
 from hyssopfold import state
 from hyssopfold import tables
-from hyssopfold.cmd import ctl
+from hyssopfold.cmd import tables_format
 from hyssopfold.core.steering import plans
 
 _TABLES = """
@@ -42,7 +42,7 @@
     body = {"revision": 7, **tables.to_plain(current.tables)}
     body["evacuated"] = current.evacuated
     answer = msgspec.json.decode(msgspec.json.encode(body))
-    context.round_printed = ctl._format_tables(answer)
+    context.round_printed = tables_format.to_yaml(answer)
     context.round_read = tables.parse(context.round_printed)
 
 
