--- a/hyssopfold/core/balancing/local.py
+++ b/hyssopfold/core/balancing/local.py
@@ -26,6 +26,7 @@
 from hyssopfold.core.balancing import object_locations
 from hyssopfold.core.balancing import server_stats
 from hyssopfold.core.balancing import silence_reports
+from hyssopfold.core.limits import server_limits
 from hyssopfold.core.membership import messages as membership
 
 # Servers that handle the requests for one object, whatever the load. On a
@@ -122,6 +123,7 @@
         self._estimates = estimates.Estimates()
         self._locations = object_locations.ObjectLocations()
         self._load_reports = load_reports.LoadReports()
+        self._server_limits = server_limits.ServerLimits()
 
     def choose(
         self, req: messages.Request, view: View
@@ -160,8 +162,14 @@
             expected_s=choice.expected_s,
             req=req,
             is_cold=is_cold,
+            rate_limit=self._rate_limit(server),
+            granted_at=view.now,
         )
 
+    def _rate_limit(self, server: membership.Server) -> float | None:
+        key = server_stats.incarnation_key(server.server_id, server.incarnation)
+        return self._server_limits.rate(key)
+
     def _prepared_pool(self, name: str, view: View) -> "_Pool":
         """Return a pool's servers and weights, rebuilt after changes."""
         servers = view.servers
@@ -400,6 +408,28 @@
         if result.load is not None and key is not None:
             self._load_reports.record_answer(key, result.load)
 
+    def record_rate_limit(
+        self, grant: messages.Grant, result: messages.AttemptResult, now: float
+    ) -> bool:
+        """Record whether the answer to a grant's request named a rate limit.
+
+        Args:
+            grant: The grant of this entry.
+            result: How its request ended.
+            now: Monotonic time in seconds.
+
+        Returns:
+            Whether the limit of the server has changed.
+        """
+        has_answer = result.kind in ("answered", "shed")
+        if result.address_reassigned or not (has_answer or result.rate_limit):
+            return False
+        server = grant.server
+        key = server_stats.incarnation_key(server.server_id, server.incarnation)
+        return self._server_limits.record_answer(
+            key, result.rate_limit, grant.granted_at, now
+        )
+
     def silent_keys(self, now: float) -> tuple[int, ...]:
         """Return the incarnation keys of silent servers, to be sent to others.
 
--- a/hyssopfold/core/balancing/messages.py
+++ b/hyssopfold/core/balancing/messages.py
@@ -55,7 +55,9 @@
     report in seconds. `expected_s` is the expected time until the answer.
     `req` is the request that the grant answers; it is set where the choice of
     servers learns from the result. `is_cold` is set when the server was
-    assumed to be cold.
+    assumed to be cold, `rate_limit` when it was known to limit the requests a
+    second from all entries together. `granted_at` is the monotonic time of the
+    choice in seconds.
     """
 
     server: membership.Server
@@ -67,6 +69,8 @@
     expected_s: float = 0.0
     req: Request | None = None
     is_cold: bool = False
+    rate_limit: float | None = None
+    granted_at: float = 0.0
 
 
 class Refused(NamedTuple):
@@ -112,6 +116,8 @@
     is set when the server accepted a connection, `healthy` when its answer is
     no failure of the server. `load` is the load reported with the answer.
     `address_reassigned` is set when another server now has the address.
+    `rate_limit` is the limit reported with the answer, in requests a second
+    from all entries together.
     """
 
     kind: str
@@ -120,6 +126,7 @@
     healthy: bool = True
     load: Load | None = None
     address_reassigned: bool = False
+    rate_limit: float | None = None
 
 
 class PoolRegion(NamedTuple):
--- a/hyssopfold/entry/answers.py
+++ b/hyssopfold/entry/answers.py
@@ -73,6 +73,11 @@
     return "never" if age_s >= messages.NEVER_S else f"{age_s:.3f}"
 
 
+def format_rate_limit(rate_limit: float | None) -> str:
+    """Return the text of a server's rate limit for a log line."""
+    return "none" if rate_limit is None else f"{rate_limit:g}"
+
+
 def content_length(answer: http1.Answer) -> int | None:
     """Return the `content-length` of an answer in bytes, or None."""
     for key, value in answer.headers:
--- a/hyssopfold/entry/carrier.py
+++ b/hyssopfold/entry/carrier.py
@@ -378,6 +378,7 @@
             is_healthy,
             self._dialect.parse_load(headers),
             self._dialect.is_misdirected(answer.status),
+            self._dialect.parse_rate_limit(headers),
         )
 
     def _failure_kind(self) -> str:
@@ -407,6 +408,10 @@
             server.server_id, now
         )
         budget_left = self._dependencies.retry_budget(self._pool.name).left
+        if grant.rate_limit is not None:
+            self._dependencies.meter.limited_requests.inc(
+                {"pool": self._pool.name}
+            )
         self._exchange.log.add(
             logger,
             "routing-decision",
@@ -420,6 +425,7 @@
             expected_s=round(grant.expected_s, 4),
             lease_left_s=round(lease_s, 3),
             cold=grant.is_cold,
+            rate_limit=answers.format_rate_limit(grant.rate_limit),
             attempt=len(effect.tried) + 1,
             budget_left=round(budget_left, 1),
             left_s=round(effect.deadline - now, 4),
@@ -442,6 +448,7 @@
             result=result.kind,
             status=status,
             sent=self._machine.last_sent.value,
+            rate_limit=answers.format_rate_limit(result.rate_limit),
             detail="" if result.healthy else self._machine.last_reason,
             took_s=round(result.duration_s, 4),
         )
--- a/hyssopfold/entry/dialect.py
+++ b/hyssopfold/entry/dialect.py
@@ -1,6 +1,7 @@
 """The headers that an entry exchanges with callers and backend servers."""
 
 from collections.abc import Callable
+import re
 from typing import NamedTuple
 
 from hyssopfold import http
@@ -8,6 +9,8 @@
 
 # The value is `running,waiting,slots`, three small numbers.
 _MAX_LOAD_CHARS = 32
+# A decimal number without sign or exponent.
+_RATE_LIMIT = re.compile(rb"[0-9]{1,9}(\.[0-9]{0,9})?")
 
 
 def _states_not_run(status: int, headers: dict[bytes, bytes]) -> bool:
@@ -32,6 +35,8 @@
         server_id: Header that names the intended server, so that another
             server at its address refuses the request.
         load: Header of answers with the load of the server.
+        rate_limit: Header of answers with the requests a second that the
+            server accepts from all entries together.
         signature_header: Header that a server adds to each of its answers.
         credential: Header with the key of the caller's organisation. It is
             never forwarded while there are organisations.
@@ -64,6 +69,7 @@
     outcome: bytes = b"hyssop-outcome"
     server_id: bytes = b""
     load: bytes = b""
+    rate_limit: bytes = b"hyssop-rate-limit"
     signature_header: bytes = b""
     credential: bytes = b"hyssop-key"
     organisation: bytes = b"hyssop-organisation"
@@ -110,5 +116,10 @@
             return None
         return messages.Load(*map(int, numbers))
 
+    def parse_rate_limit(self, headers: dict[bytes, bytes]) -> float | None:
+        """Return the rate limit in an answer, None without a valid one."""
+        value = headers.get(self.rate_limit, b"").strip()
+        return float(value) if _RATE_LIMIT.fullmatch(value) else None
+
 
 DEFAULT_DIALECT = Dialect()
--- a/hyssopfold/entry/local_placement.py
+++ b/hyssopfold/entry/local_placement.py
@@ -20,6 +20,7 @@
 from hyssopfold.core.balancing import reopened
 from hyssopfold.core.balancing import silence_reports
 from hyssopfold.core.membership import messages as membership
+from hyssopfold.entry import answers
 from hyssopfold.transport import datagram_wire
 from hyssopfold.transport import gossip
 
@@ -141,6 +142,18 @@
         )
         if self._chooser.has_busy:
             self._busy_event.set()
+        if self._chooser.record_rate_limit(grant, attempt_result, now):
+            logger.info(
+                logs.Event(
+                    "server-limit-changed",
+                    server=grant.server.server_id,
+                    pool=grant.server.pool,
+                    rate_limit=answers.format_rate_limit(
+                        attempt_result.rate_limit
+                    ),
+                    by="answer",
+                )
+            )
 
     def in_flight(self) -> dict[str, int]:
         """Return the number of running requests by server id."""
--- a/hyssopfold/metrics.py
+++ b/hyssopfold/metrics.py
@@ -61,6 +61,13 @@
             const_labels=labels,
             registry=self.registry,
         )
+        self.limited_requests = aioprometheus.collectors.Counter(
+            "hyssop_limited_server_requests_total",
+            "Requests of this entry to servers that limit their requests a"
+            " second, by pool",
+            const_labels=labels,
+            registry=self.registry,
+        )
         self.crashes = aioprometheus.collectors.Counter(
             "hyssop_crashed_requests_total",
             "Requests of this entry under which a server crashed, by pool",
--- a/tests/entry/dialect.feature
+++ b/tests/entry/dialect.feature
@@ -25,6 +25,23 @@
       | -1,2,3              | none  |
       | a,b,c               | none  |
 
+  # Guards against a limit that is not read, or read from another text.
+  Scenario Outline: the rate limit that an answer names
+    When an answer names the rate limit "<text>"
+    Then the parsed rate limit is <read>
+
+    Examples:
+      | text  | read |
+      | 4.8   | 4.8  |
+      | 12    | 12   |
+      | 0     | 0.0  |
+      | 0.0   | 0.0  |
+      | -1    | none |
+      | 1e3   | none |
+      | nan   | none |
+      | many  | none |
+      |       | none |
+
   Scenario Outline: answers with and without signature and request id
     When an answer of status <status> has the headers "<headers>"
     Then it is signed <signed>, not run <not_run>, misdirected <misdirected>
--- a/tests/steps/entry/dialect_steps.py
+++ b/tests/steps/entry/dialect_steps.py
@@ -11,6 +11,7 @@
 _DIALECT = dialect.Dialect(
     request_id=b"request-id",
     load=b"load",
+    rate_limit=b"limit",
     signature_header=b"signature",
     object_cookie=b"book",
     keeps_request_id=True,
@@ -82,3 +83,19 @@
     if event.not_run:
         # A refusal without an id belongs to the waiting request.
         assert event.echoed == "r1"
+
+
+@when('an answer names the rate limit "{text}"')
+def _(context, text):
+    context.rate_limit = _DIALECT.parse_rate_limit({b"limit": text.encode()})
+
+
+@when('an answer names the rate limit ""')
+def _(context):
+    context.rate_limit = _DIALECT.parse_rate_limit({b"limit": b""})
+
+
+@then("the parsed rate limit is {expected}")
+def _(context, expected):
+    value = None if expected == "none" else float(expected)
+    assert context.rate_limit == value, context.rate_limit
