--- a/hyssopfold/standin/server.py
+++ b/hyssopfold/standin/server.py
@@ -40,6 +40,8 @@
     fault by the header `standin-fault`. An unused connection is closed after
     `idle_s`. `ledger` names a file to which a line of JSON is appended for each
     run as it begins, so that the ledger of a killed server is complete.
+    `rate_limit` is the number of requests a second that the server names in its
+    answers as its limit.
     """
 
     server_id: str
@@ -58,6 +60,7 @@
     idle_s: float = float("inf")
     seed: int = 0
     ledger: str = ""
+    rate_limit: float | None = None
 
 
 def _no_crash() -> None:
@@ -67,6 +70,7 @@
 # A server gets the name of the caller's organisation and never its key.
 ORGANISATION_HEADER = b"hyssop-organisation"
 CREDENTIAL_HEADER = b"hyssop-key"
+RATE_LIMIT_HEADER = b"hyssop-rate-limit"
 
 
 class Server:
@@ -75,7 +79,8 @@
     `ledger` counts runs by request ID, `keys` by idempotency key; `post_keys`
     are the keys of requests that may run only once. `refused` counts requests
     that were answered as not run, `cancelled` those whose caller disconnected
-    during the run, both by request ID.
+    during the run, both by request ID. `received_at` has the monotonic time of
+    each request. `rate_limit` is named in all answers unless it is None.
 
     Args:
         options: Address, pool, location and behaviour.
@@ -94,6 +99,8 @@
         self.post_keys: set[str] = set()
         self.refused: Counter[str] = Counter()
         self.cancelled: Counter[str] = Counter()
+        self.received_at: list[float] = []
+        self.rate_limit = options.rate_limit
         self.max_running = 0
         self.open_connections: set[wire.Connection] = set()
         self.has_crashed = False
@@ -154,6 +161,7 @@
                 "cancelled": dict(self.cancelled),
             }
             return await conn.answer(200, msgspec.json.encode(ledger), ())
+        self.received_at.append(trio.current_time())
         fault = self._fault(req)
         echo = (b"hyssop-request-id", req.request_id.encode())
         if self._running >= self._options.slots and not fault:
@@ -181,7 +189,12 @@
             return await conn.answer_chunked(answer_bytes, echo)
         if fault:
             return await wire.send_faulty_answer(conn, fault, encoded, echo)
-        return await conn.answer(200, encoded, (echo,))
+        return await conn.answer(200, encoded, (echo, *self._limit_headers()))
+
+    def _limit_headers(self) -> tuple[wire.Header, ...]:
+        if self.rate_limit is None:
+            return ()
+        return ((RATE_LIMIT_HEADER, f"{self.rate_limit:g}".encode()),)
 
     def _fault(self, req: wire.Request) -> str:
         value = req.headers.get(FAULT_HEADER, b"").decode("latin-1")
@@ -205,7 +218,8 @@
         if fault == "shed":
             await conn.read_body()
             self.refused[req.request_id] += 1
-            return await conn.answer(503, b"", (echo, _NOT_RUN))
+            headers = (echo, _NOT_RUN, *self._limit_headers())
+            return await conn.answer(503, b"", headers)
         return await wire.send_faulty_refusal(conn, fault, echo)
 
     async def _run(
--- a/tests/support/running_entries.py
+++ b/tests/support/running_entries.py
@@ -59,6 +59,8 @@
     def __init__(self, count, servers):
         # Monotonic times at which servers crashed.
         self.crashed_at = []
+        # The last incarnation of each server, by number.
+        self.servers = {}
         self._servers = servers
         names = [f"entry-{number}" for number in range(count)]
         seeds = {name: loopback.free_address(2) for name in names}
@@ -133,6 +135,7 @@
                     0.01, (),
                 )
             )  # fmt: skip
+            self.servers[number] = server
             record = messages.Server(
                 name, "ledger", address, "dar", f"dar-{number}", 3, 330,
                 "ready", incarnation, 1, 0.0,
