Entries keep the limits that servers name, together

What users saw: servers of the catalogue that had named a limit of 4.1 to 4.8 requests a second got up to 65 in 4 s, 30 allowed; callers were answered. Cause: the answer's header was relayed to the caller and read by nothing. The choice of a server knows its load, health and cold time, and a server in need reports free slots, so it was chosen as before. Change: an entry that reads a limit tells all entries; each takes part of the limit by the token buckets that already share a cold server's rate among a few entries drawn by rendezvous hashing. Two entries and two more for each request a second of the limit: the buckets add at most one request each, so with any messages lost 4 s see at most 4 x limit + 2 + 2 x limit. A limit ends by an answer without it to a request sent since, or when nothing confirms it for 15 to 30 s, drawn by entry.

--- a/hyssopfold/core/balancing/local.py
+++ b/hyssopfold/core/balancing/local.py
@@ -24,9 +24,9 @@
 from hyssopfold.core.balancing import load_reports
 from hyssopfold.core.balancing import messages
 from hyssopfold.core.balancing import object_locations
+from hyssopfold.core.balancing import server_limits
 from hyssopfold.core.balancing import server_stats
 from hyssopfold.core.balancing import silence_reports
-from hyssopfold.core.limits import server_limits
 from hyssopfold.core.membership import messages as membership
 
 # Servers that handle the requests for one object, whatever the load. On a
@@ -118,12 +118,13 @@
         self._region = region
         self._server_stats = server_stats.ServerStatsTable()
         self._pools: dict[str, _Pool] = {}
-        self._allowance = allowance.ColdServerAllowance(name)
+        self._cold_allowance = allowance.ServerAllowance(name)
+        self._limit_allowance = allowance.ServerAllowance(name)
         self._silence_reports = silence_reports.SilenceReports()
         self._estimates = estimates.Estimates()
         self._locations = object_locations.ObjectLocations()
         self._load_reports = load_reports.LoadReports()
-        self._server_limits = server_limits.ServerLimits()
+        self._server_limits = server_limits.ServerLimits(name)
 
     def choose(
         self, req: messages.Request, view: View
@@ -152,7 +153,10 @@
         stats = self._server_stats.record_sent(server, req.goal_s, view.now)
         is_cold = self._is_cold(stats, server.server_id, view)
         if is_cold:
-            self._allowance.spend(server.server_id)
+            self._cold_allowance.spend(server.server_id)
+        rate_limit = self._rate_limit(server, view.now)
+        if rate_limit is not None:
+            self._limit_allowance.spend(server.server_id)
         age_s = min(messages.NEVER_S, view.now - stats.reported_at)
         return messages.Grant(
             server,
@@ -162,13 +166,17 @@
             expected_s=choice.expected_s,
             req=req,
             is_cold=is_cold,
-            rate_limit=self._rate_limit(server),
+            rate_limit=rate_limit,
             granted_at=view.now,
         )
 
-    def _rate_limit(self, server: membership.Server) -> float | None:
+    def _rate_limit(
+        self, server: membership.Server, now: float
+    ) -> float | None:
+        if self._server_limits.is_empty:
+            return None
         key = server_stats.incarnation_key(server.server_id, server.incarnation)
-        return self._server_limits.rate(key)
+        return self._server_limits.rate(key, now)
 
     def _prepared_pool(self, name: str, view: View) -> "_Pool":
         """Return a pool's servers and weights, rebuilt after changes."""
@@ -186,7 +194,7 @@
             weights = pool.weights
         by_id = {server.server_id: server for server in servers}
         for server_id in filter(view.is_cold, by_id):
-            self._allowance.record_cold(server_id, view.now)
+            self._cold_allowance.start(server_id, view.now)
         pool = _Pool(servers, by_id, weights, ranking)
         self._pools[name] = pool
         return pool
@@ -306,8 +314,8 @@
     def _is_available(self, server: membership.Server, view: View) -> bool:
         """Return whether requests may be sent to a server now.
 
-        Not to an ejected or silent server, nor to a cold one beyond this
-        entry's allowance.
+        Not to an ejected or silent server, nor to a cold or limited one beyond
+        this entry's allowance.
         """
         server_id = server.server_id
         stats = self._server_stats.current(server, view.now)
@@ -317,10 +325,27 @@
             server_id, view.now
         ):
             return False
+        return self._is_within_cold_rate(
+            stats, server_id, view
+        ) and self._is_within_limit(server, view)
+
+    def _is_within_cold_rate(
+        self, stats: server_stats.ServerStats, server_id: str, view: View
+    ) -> bool:
         if not self._is_cold(stats, server_id, view):
             return True
-        return self._allowance.may_send(
-            server_id, view.cold_rate, view.entries, view.now
+        rate = allowance.cold_rate(view.cold_rate)
+        return self._cold_allowance.may_send(
+            server_id, rate, view.entries, view.now
+        )
+
+    def _is_within_limit(self, server: membership.Server, view: View) -> bool:
+        rate_limit = self._rate_limit(server, view.now)
+        if rate_limit is None:
+            return True
+        rate = allowance.limited_rate(rate_limit, len(view.entries))
+        return self._limit_allowance.may_send(
+            server.server_id, rate, view.entries, view.now
         )
 
     def _is_cold(
@@ -430,6 +455,35 @@
             key, result.rate_limit, grant.granted_at, now
         )
 
+    @property
+    def has_limit_reports(self) -> bool:
+        """Return whether there are rate limits to report to other entries."""
+        return self._server_limits.has_reports
+
+    def take_limit_reports(
+        self, now: float
+    ) -> tuple[messages.ReportedLimit, ...]:
+        """Return the rate limits to report to other entries, each one once."""
+        return self._server_limits.take_reports(now)
+
+    def record_limit_reports(
+        self, reports: Iterable[messages.ReportedLimit], now: float
+    ) -> tuple[messages.ReportedLimit, ...]:
+        """Record the rate limits of servers that another entry reports.
+
+        Args:
+            reports: The limits.
+            now: Monotonic time in seconds.
+
+        Returns:
+            The limits that have changed.
+        """
+        return self._server_limits.record_reports(reports, now)
+
+    def server_id_of(self, key: int) -> str | None:
+        """Return the server with an incarnation key, None if it is unknown."""
+        return self._server_stats.server_id_of(key)
+
     def silent_keys(self, now: float) -> tuple[int, ...]:
         """Return the incarnation keys of silent servers, to be sent to others.
 
@@ -489,9 +543,17 @@
         """Return the requests under way by server."""
         return self._server_stats.in_flight()
 
-    def prune(self, server_ids: Collection[str]) -> None:
-        """Drop servers not in `server_ids` that have no requests under way."""
-        self._allowance.prune(server_ids)
+    def prune(self, server_ids: Collection[str], now: float) -> None:
+        """Drop servers that are gone, and rate limits that nothing confirms.
+
+        Args:
+            server_ids: The servers that are kept; others are dropped once they
+                have no requests under way.
+            now: Monotonic time in seconds.
+        """
+        self._server_limits.prune(now)
+        self._cold_allowance.prune(server_ids)
+        self._limit_allowance.prune(server_ids)
         self._locations.prune(server_ids)
         self._load_reports.prune(server_ids)
         self._silence_reports.prune(self._server_stats.prune(server_ids))
--- a/hyssopfold/core/balancing/messages.py
+++ b/hyssopfold/core/balancing/messages.py
@@ -98,6 +98,26 @@
     loads: tuple[tuple[int, int], ...]
 
 
+class ReportedLimit(NamedTuple):
+    """A rate limit that an answer of a server named.
+
+    `key` is the key of the server incarnation (see
+    `server_stats.incarnation_key`), `rate` the requests a second that it accepts
+    from all entries together, None without a limit, and `age_s` the time since
+    that answer in seconds.
+    """
+
+    key: int
+    rate: float | None
+    age_s: float
+
+
+class LimitedServers(NamedTuple):
+    """Message: rate limits of servers, as their answers named them."""
+
+    limits: tuple[ReportedLimit, ...]
+
+
 class SilentServers(NamedTuple):
     """Message: servers that answer none of the sender's pending requests.
 
@@ -294,6 +314,7 @@
     | SlotSync
     | SilentServers
     | BusyServers
+    | LimitedServers
 )
 
 
--- a/hyssopfold/entry/local_placement.py
+++ b/hyssopfold/entry/local_placement.py
@@ -7,6 +7,8 @@
 from collections.abc import Callable
 from collections.abc import Collection
 from collections.abc import Iterable
+from collections.abc import Iterator
+from collections.abc import Sequence
 import logging
 import random
 
@@ -40,6 +42,10 @@
 # Servers in one datagram, of 5 bytes each; no region has more silent or busy
 # servers at the same time.
 MAX_SERVERS_PER_DATAGRAM = 200
+# Time during which rate limits of servers are collected into one report.
+LIMIT_BATCH_S = 0.05
+# Rate limits in one datagram, of 24 bytes each.
+MAX_LIMITS_PER_DATAGRAM = 50
 
 
 class LocalPlacement:
@@ -74,6 +80,7 @@
         self._names: tuple[str, ...] = ()
         self._neighbours: tuple[str, ...] = ()
         self._busy_event = trio.Event()
+        self._limit_event = trio.Event()
 
     async def acquire(
         self, req: messages.Request, pool: tables.Pool
@@ -143,17 +150,11 @@
         if self._chooser.has_busy:
             self._busy_event.set()
         if self._chooser.record_rate_limit(grant, attempt_result, now):
-            logger.info(
-                logs.Event(
-                    "server-limit-changed",
-                    server=grant.server.server_id,
-                    pool=grant.server.pool,
-                    rate_limit=answers.format_rate_limit(
-                        attempt_result.rate_limit
-                    ),
-                    by="answer",
-                )
+            _log_limit(
+                grant.server.server_id, attempt_result.rate_limit, "answer"
             )
+        if self._chooser.has_limit_reports:
+            self._limit_event.set()
 
     def in_flight(self) -> dict[str, int]:
         """Return the number of running requests by server id."""
@@ -172,13 +173,16 @@
             nursery.start_soon(self._prune)
             nursery.start_soon(self._report_silent)
             nursery.start_soon(self._report_busy)
+            nursery.start_soon(self._report_limits)
             nursery.start_soon(self._receive)
 
     async def _prune(self) -> None:
         while True:
             await trio.sleep(_PRUNE_PERIOD_S)
             servers = self._directory.servers.records()
-            self._chooser.prune({server.server_id for server in servers})
+            self._chooser.prune(
+                {server.server_id for server in servers}, trio.current_time()
+            )
 
     async def _report_silent(self) -> None:
         """Report silent servers to entries of this region.
@@ -214,6 +218,21 @@
             loads = self._chooser.take_busy()[:MAX_SERVERS_PER_DATAGRAM]
             self._gossip.post_all(self._neighbours, messages.BusyServers(loads))
 
+    async def _report_limits(self) -> None:
+        """Report to all entries the rate limits that servers named."""
+        while True:
+            await self._limit_event.wait()
+            await trio.sleep(LIMIT_BATCH_S)
+            self._limit_event = trio.Event()
+            reports = self._chooser.take_limit_reports(trio.current_time())
+            names = [
+                name
+                for name in self._entry_names()
+                if name != self._gossip.myself.name
+            ]
+            for batch in _batches(reports, MAX_LIMITS_PER_DATAGRAM):
+                self._gossip.post_all(names, messages.LimitedServers(batch))
+
     async def _receive(self) -> None:
         received: datagram_wire.ReceivedMessage
         async for received in self._gossip.received_messages:
@@ -222,12 +241,23 @@
                     self._record_silent(received.sender, incarnation_keys)
                 case messages.BusyServers(loads):
                     self._chooser.record_loads(loads, trio.current_time())
+                case messages.LimitedServers(limits):
+                    self._record_limits(received.sender, limits)
                 case _:
                     # The sender is an entry that uses another placement.
                     logger.warning(
                         logs.Event("parcel-dropped", sender=received.sender)
                     )
 
+    def _record_limits(
+        self, sender: str, limits: tuple[messages.ReportedLimit, ...]
+    ) -> None:
+        now = trio.current_time()
+        for limit in self._chooser.record_limit_reports(limits, now):
+            # This entry may not have sent a request to the server yet.
+            server_id = self._chooser.server_id_of(limit.key)
+            _log_limit(server_id or f"key-{limit.key}", limit.rate, sender)
+
     def _record_silent(
         self, sender: str, incarnation_keys: tuple[int, ...]
     ) -> None:
@@ -243,3 +273,21 @@
                     held_s=silence_reports.REPORT_VALID_S,
                 )
             )
+
+
+def _log_limit(server_id: str, rate: float | None, source: str) -> None:
+    logger.info(
+        logs.Event(
+            "server-limit-changed",
+            server=server_id,
+            rate_limit=answers.format_rate_limit(rate),
+            by=source,
+        )
+    )
+
+
+def _batches(
+    reports: Sequence[messages.ReportedLimit], size: int
+) -> Iterator[tuple[messages.ReportedLimit, ...]]:
+    for begin in range(0, len(reports), size):
+        yield tuple(reports[begin : begin + size])
--- a/hyssopfold/transport/datagram_wire.py
+++ b/hyssopfold/transport/datagram_wire.py
@@ -39,6 +39,7 @@
     12: quarantine.QuarantineUpdate,
     13: limits.UsageReport,
     14: limits.AllowanceUpdate,
+    15: placement.LimitedServers,
 }
 _NUMBERS = {kind: number for number, kind in _KINDS.items()}
 
