Granted slots: the grantor keeps the limit that a server names

Cause: the same as on the data path with local placement; a grantor counts the slots of a server and ignored the limit of its requests a second. Found by looking for the same cause elsewhere. Change: the limit reaches the grantor with the released slot. It alone grants the slots of its servers, so it uses the whole rate by one token bucket. A successor learns the limit from the first release.

--- a/hyssopfold/core/balancing/grantor.py
+++ b/hyssopfold/core/balancing/grantor.py
@@ -6,11 +6,14 @@
 
 from hyssopfold import tables
 from hyssopfold.core.admission import queue
+from hyssopfold.core.balancing import allowance
 from hyssopfold.core.balancing import drains
 from hyssopfold.core.balancing import election
 from hyssopfold.core.balancing import health
 from hyssopfold.core.balancing import ledger
 from hyssopfold.core.balancing import messages
+from hyssopfold.core.balancing import server_limits
+from hyssopfold.core.balancing import server_stats
 from hyssopfold.core.membership import messages as membership
 
 MIN_RETRY_AFTER_S = 0.5
@@ -72,6 +75,10 @@
         self._grant_count = 0
         self._headroom = 0.0
         self._warm_up_s = 0.0
+        # It is the only one that grants the slots of its servers, so it uses
+        # the whole rate of a limited one.
+        self._server_limits = server_limits.ServerLimits("grantor")
+        self._allowance = allowance.ServerAllowance("grantor")
 
     def refresh(self, pool: PoolServers, now: float) -> None:
         """Update the pool's settings, its servers and their limits."""
@@ -114,7 +121,7 @@
         if request in self._queue.items():
             return []
         if all(self._is_constrained(queued) for queued in self._queue.items()):
-            server = self._choose_server(request)
+            server = self._choose_server(request, now)
             if server is not None:
                 return self._grant(request, server, now)
         if not self._queue.push(
@@ -146,6 +153,7 @@
         self._grant_count += 1
         self._last_granted[server.server_id] = self._grant_count
         self._health.record_use(server.server_id, self._warm_up_s, now)
+        self._allowance.spend(server.server_id)
         granted = messages.SlotGranted(
             self._pool_region, self.term, request.holder, request.number, server
         )
@@ -167,7 +175,7 @@
         return messages.Send(request.holder.name, denied)
 
     def _choose_server(
-        self, request: messages.SlotRequest
+        self, request: messages.SlotRequest, now: float
     ) -> membership.Server | None:
         if request.moved and not self._has_room_for_moved():
             return None
@@ -178,6 +186,7 @@
             and server_id not in request.avoid
             and server.failure_domain not in request.closed_domains
             and self._may_use(request.holder, server_id)
+            and self._is_within_limit(server, now)
         ]
         if not candidates:
             return None
@@ -185,6 +194,15 @@
             candidates, key=lambda server: self._preference(server, request)
         )
 
+    def _is_within_limit(self, server: membership.Server, now: float) -> bool:
+        """Return whether a server's rate limit allows a request now."""
+        key = server_stats.incarnation_key(server.server_id, server.incarnation)
+        rate_limit = self._server_limits.rate(key, now)
+        if rate_limit is None:
+            return True
+        rate = allowance.limited_rate(rate_limit, entry_count=1)
+        return self._allowance.may_send(server.server_id, rate, (), now)
+
     def _is_constrained(self, request: messages.SlotRequest) -> bool:
         """Return whether a request may wait although slots are free.
 
@@ -229,9 +247,25 @@
             self._withdraw(message.holder, message.number)
             return []
         self._health.record_result(slot.server_id, message.attempt_result, now)
+        self._record_rate_limit(slot, message.attempt_result, now)
         self._queue.record_free(now)
         return self.serve_queue(now)
 
+    def _record_rate_limit(
+        self,
+        slot: messages.HeldSlot,
+        result: messages.AttemptResult,
+        now: float,
+    ) -> None:
+        if not result.tells_rate_limit:
+            return
+        key = server_stats.incarnation_key(
+            slot.server_id, slot.server_incarnation
+        )
+        self._server_limits.record_answer(
+            key, result.rate_limit, now - result.duration_s, now
+        )
+
     def _withdraw(self, holder: messages.Member, number: int) -> None:
         for request in self._queue.items():
             if request.holder == holder and request.number == number:
@@ -257,7 +291,7 @@
             for request in self._queue.pop_expired(now)
         ]
         for request in self._queue.items():
-            server = self._choose_server(request)
+            server = self._choose_server(request, now)
             if server is None:
                 if self._is_constrained(request):
                     continue
@@ -268,6 +302,7 @@
 
     def expire_holders(self, now: float) -> None:
         """Free the slots of holders without a message for `HOLD_MAX_S`."""
+        self._server_limits.prune(now)
         for holder in self.ledger.holders():
             last_message_at = self._last_message_at.get(
                 holder, self._started_at
--- a/hyssopfold/core/balancing/local.py
+++ b/hyssopfold/core/balancing/local.py
@@ -446,8 +446,7 @@
         Returns:
             Whether the limit of the server has changed.
         """
-        has_answer = result.kind in ("answered", "shed")
-        if result.address_reassigned or not (has_answer or result.rate_limit):
+        if not result.tells_rate_limit:
             return False
         server = grant.server
         key = server_stats.incarnation_key(server.server_id, server.incarnation)
--- a/hyssopfold/core/balancing/messages.py
+++ b/hyssopfold/core/balancing/messages.py
@@ -148,6 +148,13 @@
     address_reassigned: bool = False
     rate_limit: float | None = None
 
+    @property
+    def tells_rate_limit(self) -> bool:
+        """Return whether it tells that the server has a rate limit, or none."""
+        has_answer = self.kind in ("answered", "shed")
+        has_limit = self.rate_limit is not None
+        return not self.address_reassigned and (has_answer or has_limit)
+
 
 class PoolRegion(NamedTuple):
     """A pool in a region: one grantor leases the slots of its servers."""
--- a/tests/core/balancing/node.feature
+++ b/tests/core/balancing/node.feature
@@ -124,6 +124,20 @@
     When the grantor learns that server "s0" leaves and requests a slot at once
     Then the grantor's request is refused or waits
 
+  # Guards against a grantor that ignores a server's limit of requests a second.
+  Scenario: the grantor keeps the limit that a server names
+    Given placement of 3 entries over 2 servers
+    When server "s0" limits its requests to 2 a second while all slots are used for 12 s
+    Then server "s0" was granted at most 17 times in any 4 s, and at least 12 times
+    And server "s1" was granted more than 100 times
+
+  # Guards against a grantor that keeps a limit which the server no longer names.
+  Scenario: the grantor lifts a limit that has ended
+    Given placement of 3 entries over 2 servers
+    When server "s0" limits its requests to 2 a second while all slots are used for 8 s
+    And the limit of server "s0" ends while all slots are used for 8 s
+    Then server "s0" was granted more than 100 times
+
   @soak
   Scenario: no server exceeds its slots in random runs
     When placement is run at random with faults
--- a/tests/steps/core/balancing/node_steps.py
+++ b/tests/steps/core/balancing/node_steps.py
@@ -1,5 +1,6 @@
 """Steps of core/balancing/node.feature."""
 
+import collections
 import os
 
 from behave import given
@@ -470,3 +471,60 @@
 @then("no server exceeded its slots in any run")
 def _(context):
     """The run itself asserts this after every event."""
+
+
+def _use_all_slots(context, seconds, rates):
+    """Request slots at all entries, and release each one after a tenth.
+
+    Args:
+        context: Context of the scenario.
+        seconds: Duration in seconds.
+        rates: Rate limits that servers name, by server id.
+    """
+    world = context.world
+    context.granted_at = getattr(
+        context, "granted_at", collections.defaultdict(list)
+    )
+    for _ in range(round(seconds * 10)):
+        for name in _live(world):
+            for _ in range(3):
+                world.request_slot(name)
+        world.run(0.1)
+        for name in _live(world):
+            for ticket, grant in list(world.entries[name].grants.items()):
+                server_id = grant.server.server_id
+                context.granted_at[server_id].append(world.now)
+                rate = rates.get(server_id)
+                world.release(name, ticket, seconds=0.1, rate_limit=rate)
+
+
+@when(
+    'server "{server_id}" limits its requests to {rate:g} a second while all'
+    " slots are used for {seconds:g} s"
+)
+def _(context, server_id, rate, seconds):
+    _use_all_slots(context, seconds, {server_id: rate})
+
+
+@when(
+    'the limit of server "{server_id}" ends while all slots are used for'
+    " {seconds:g} s"
+)
+def _(context, server_id, seconds):
+    _use_all_slots(context, seconds, {})
+
+
+@then(
+    'server "{server_id}" was granted at most {most:d} times in any 4 s, and'
+    " at least {fewest:d} times"
+)
+def _(context, server_id, most, fewest):
+    times = context.granted_at[server_id]
+    counts = [sum(at <= other < at + 4 for other in times) for at in times]
+    assert max(counts) <= most, counts
+    assert len(times) >= fewest, times
+
+
+@then('server "{server_id}" was granted more than {count:d} times')
+def _(context, server_id, count):
+    assert len(context.granted_at[server_id]) > count, context.granted_at
--- a/tests/support/fake_entries.py
+++ b/tests/support/fake_entries.py
@@ -143,10 +143,12 @@
         self.submit(name, node.Acquire(ticket, req))
         return ticket
 
-    def release(self, name, ticket, kind="answered", seconds=0.05):
+    def release(
+        self, name, ticket, kind="answered", seconds=0.05, rate_limit=None
+    ):
         """End the attempt on the slot of a granted ticket."""
         grant = self.entries[name].grants.pop(ticket)
-        result = messages.AttemptResult(kind, seconds)
+        result = messages.AttemptResult(kind, seconds, rate_limit=rate_limit)
         self.submit(name, node.Release(grant, result))
 
     def submit(self, name, event):
