--- a/bench/emulator/simulation.py
+++ b/bench/emulator/simulation.py
@@ -18,6 +18,7 @@
 from hyssopfold.core.balancing import reopened
 from hyssopfold.core.membership import directory
 from hyssopfold.core.membership import messages as membership
+from hyssopfold.entry import local_placement
 
 # Service time for an object that the server has cached, as a share of the full
 # service time.
@@ -73,6 +74,8 @@
         # accepts requests and doesn't answer.
         self.is_down = False
         self.is_unresponsive = False
+        # Requests a second that its answers name as its limit.
+        self.rate_limit: float | None = None
         self.cold_until = 0.0
         # Whether its announcements say that it is cold.
         self.announces_cold = True
@@ -186,6 +189,29 @@
             )
             self.schedule(span[1], self._set_slowdown, self.servers[name], 1.0)
 
+    def limit_rates(
+        self, pool: str, count: int, rate: float, begin_s: float
+    ) -> None:
+        """Let servers name a limit of their requests a second.
+
+        Args:
+            pool: Name of their pool.
+            count: Number of servers.
+            rate: The limit.
+            begin_s: Seconds from the start.
+        """
+        names = sorted(
+            record.server_id for record in self.records_by_pool[pool]
+        )
+        for name in self.rng.sample(names, count):
+            self.schedule(
+                begin_s, self._set_rate_limit, self.servers[name], rate
+            )
+
+    @staticmethod
+    def _set_rate_limit(server: Server, rate: float) -> None:
+        server.rate_limit = rate
+
     def add_burst(self, factor: float, span: tuple[float, float]) -> None:
         """Multiply the request rates during a span.
 
@@ -547,10 +573,17 @@
             return
         self._pending.remove(request.number)
         result = messages.AttemptResult(
-            "answered", self.now - sent, True, True, load
+            "answered",
+            self.now - sent,
+            load=load,
+            rate_limit=server.rate_limit,
         )
-        entry.learn(self.grants[request.number], result, self.now)
+        grant = self.grants[request.number]
+        entry.learn(grant, result, self.now)
         entry.record_done(server.record.server_id, result, 3.0, self.now)
+        entry.record_rate_limit(grant, result, self.now)
+        if entry.has_limit_reports:
+            self._send_limit_reports(entry.take_limit_reports(self.now))
         kind = request.kind
         duration_s = self.now + self.site.caller_delay_s - request.created_at
         if duration_s <= kind.goal_s:
@@ -558,6 +591,18 @@
         else:
             self._record_outcome(request, "late", LATE_WORTH_SHARE)
 
+    def _send_limit_reports(self, reports: Any) -> None:
+        due_at = self.now + local_placement.LIMIT_BATCH_S
+        for entries in self.entries.values():
+            for entry in entries:
+                self.schedule(
+                    due_at + self.site.remote_delay_s,
+                    self._record_limit_reports, entry, reports,
+                )  # fmt: skip
+
+    def _record_limit_reports(self, entry: Any, reports: Any) -> None:
+        entry.record_limit_reports(reports, self.now)
+
     def _refuse(self, request: CallerRequest, wait_s: float) -> None:
         left_s = request.created_at + request.kind.deadline_s - self.now
         wait_s *= self.rng.uniform(1, 3)
--- a/hyssopfold/core/balancing/local.py
+++ b/hyssopfold/core/balancing/local.py
@@ -34,6 +34,10 @@
 # as long: spreading an overload over more servers would make it larger, until
 # all servers are busy with objects that they don't have cached.
 SERVERS_PER_OBJECT = 2
+# Servers of one object that are passed over because they are at the rate limit
+# that they named. With many limited servers in a pool, the requests that they
+# turn away would take three times as long at the rest and overload it.
+MAX_LIMITED_PASSED_OVER = 4
 # Load, as a multiple of a server's slots, at which the server would soon refuse
 # requests.
 FULL_LOAD = 3.5
@@ -230,11 +234,16 @@
     ) -> Iterator[membership.Server]:
         """Yield the servers that may serve a request and accept requests."""
         closed = _closed_domains(req)
+        passed_over = 0
         for server_id in order:
             server = servers[server_id]
-            if _may_serve(server, req, closed) and self._is_available(
-                server, view
-            ):
+            if not _may_serve(server, req, closed):
+                continue
+            if not self._is_within_limit(server, view):
+                passed_over += 1
+                if passed_over == MAX_LIMITED_PASSED_OVER:
+                    return
+            elif self._is_available(server, view):
                 yield server
 
     def _by_expected_time(
@@ -305,6 +314,7 @@
             (self._load(server, view.now), server.server_id)
             for server in allowed
             if self._is_available(server, view)
+            and self._is_within_limit(server, view)
         ]
         load, server_id = min(loads, default=(math.inf, ""))
         if load >= FULL_LOAD:
@@ -314,8 +324,8 @@
     def _is_available(self, server: membership.Server, view: View) -> bool:
         """Return whether requests may be sent to a server now.
 
-        Not to an ejected or silent server, nor to a cold or limited one beyond
-        this entry's allowance.
+        Not to an ejected or silent server, nor to a cold one beyond this
+        entry's allowance.
         """
         server_id = server.server_id
         stats = self._server_stats.current(server, view.now)
@@ -325,13 +335,6 @@
             server_id, view.now
         ):
             return False
-        return self._is_within_cold_rate(
-            stats, server_id, view
-        ) and self._is_within_limit(server, view)
-
-    def _is_within_cold_rate(
-        self, stats: server_stats.ServerStats, server_id: str, view: View
-    ) -> bool:
         if not self._is_cold(stats, server_id, view):
             return True
         rate = allowance.cold_rate(view.cold_rate)
@@ -340,6 +343,7 @@
         )
 
     def _is_within_limit(self, server: membership.Server, view: View) -> bool:
+        """Return whether a server's rate limit allows a request now."""
         rate_limit = self._rate_limit(server, view.now)
         if rate_limit is None:
             return True
