Soak: servers that limit their requests, beside all other faults

Spans of limits (5 to 30 % of the servers, 0 to 6 a second) come beside slow, mute, dead and cold servers and lost entries; the check counts as the rule does. On by default in python -m bench.soak. The check of cold servers shares the function that finds the peak.

--- a/bench/emulator/simulation.py
+++ b/bench/emulator/simulation.py
@@ -4,6 +4,7 @@
 """
 
 import collections
+from collections.abc import Sequence
 import heapq
 import itertools
 import math
@@ -25,6 +26,8 @@
 CACHED_SHARE = 0.3
 # Factor on the service time of a cold server.
 COLD_FACTOR = 2.0
+# A limit binds an entry from this time after it got an answer that names it.
+LIMIT_BINDS_AFTER_S = 0.5
 # Seconds for which a server stays cold.
 WARM_UP_S = 3.0
 # Servers to which an entry may send one try of a caller's request; failed
@@ -56,6 +59,29 @@
     number: int = -1
 
 
+class LimitedSpan:
+    """The requests that a server got while it named a limit.
+
+    Args:
+        rate: The limit in requests a second.
+
+    Attributes:
+        rate: As above.
+        told_at: Times at which entries first got an answer with the limit.
+        arrivals: Times of the requests from entries that the limit binds.
+    """
+
+    def __init__(self, rate: float) -> None:
+        self.rate = rate
+        self.told_at: dict[Any, float] = {}
+        self.arrivals: list[float] = []
+
+    def count(self, entry: Any, sent_at: float, now: float) -> None:
+        """Count a request that arrives from an entry."""
+        if sent_at >= self.told_at.get(entry, math.inf) + LIMIT_BINDS_AFTER_S:
+            self.arrivals.append(now)
+
+
 class Server:
     """A simulated server with slots, a bounded queue and a cache of objects.
 
@@ -74,8 +100,10 @@
         # accepts requests and doesn't answer.
         self.is_down = False
         self.is_unresponsive = False
-        # Requests a second that its answers name as its limit.
+        # Requests a second that its answers name as its limit, and what it got
+        # under each of its limits.
         self.rate_limit: float | None = None
+        self.limited_spans: list[LimitedSpan] = []
         self.cold_until = 0.0
         # Whether its announcements say that it is cold.
         self.announces_cold = True
@@ -190,27 +218,25 @@
             self.schedule(span[1], self._set_slowdown, self.servers[name], 1.0)
 
     def limit_rates(
-        self, pool: str, count: int, rate: float, begin_s: float
+        self, names: Sequence[str], rate: float, span: tuple[float, float]
     ) -> None:
-        """Let servers name a limit of their requests a second.
+        """Let servers name a limit of their requests a second during a span.
 
         Args:
-            pool: Name of their pool.
-            count: Number of servers.
+            names: The servers.
             rate: The limit.
-            begin_s: Seconds from the start.
+            span: Begin and end, in seconds from the start.
         """
-        names = sorted(
-            record.server_id for record in self.records_by_pool[pool]
-        )
-        for name in self.rng.sample(names, count):
-            self.schedule(
-                begin_s, self._set_rate_limit, self.servers[name], rate
-            )
+        for name in names:
+            server = self.servers[name]
+            self.schedule(span[0], self._set_rate_limit, server, rate)
+            self.schedule(span[1], self._set_rate_limit, server, None)
 
     @staticmethod
-    def _set_rate_limit(server: Server, rate: float) -> None:
+    def _set_rate_limit(server: Server, rate: float | None) -> None:
         server.rate_limit = rate
+        if rate is not None:
+            server.limited_spans.append(LimitedSpan(rate))
 
     def add_burst(self, factor: float, span: tuple[float, float]) -> None:
         """Multiply the request rates during a span.
@@ -475,6 +501,8 @@
             return
         if self.now < server.cold_until:
             server.cold_arrivals.append(self.now)
+        if server.rate_limit is not None:
+            server.limited_spans[-1].count(entry, sent, self.now)
         if server.is_unresponsive:
             return
         if server.running < slots:
@@ -578,6 +606,8 @@
             load=load,
             rate_limit=server.rate_limit,
         )
+        if server.rate_limit is not None:
+            server.limited_spans[-1].told_at.setdefault(entry, self.now)
         grant = self.grants[request.number]
         entry.learn(grant, result, self.now)
         entry.record_done(server.record.server_id, result, 3.0, self.now)
--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -14,6 +14,7 @@
 @click.option("--seconds", default=40.0, show_default=True)
 @click.option("--load", default=0.8, show_default=True)
 @click.option("--evacuations/--no-evacuations", default=True)
+@click.option("--limits/--no-limits", default=True)
 @click.option("--workers", default=None, type=int, help="Parallel runs.")
 @click.option("--site", "site_names", multiple=True, default=soak_run.ALL_SITES)
 def main(
@@ -22,6 +23,7 @@
     seconds: float,
     load: float,
     evacuations: bool,
+    limits: bool,
     workers: int | None,
     site_names: tuple[str, ...],
 ) -> None:
@@ -32,7 +34,7 @@
             pool.submit(
                 soak_run.execute,
                 soak_run.SoakRun(
-                    site, seed + number, seconds, load, evacuations
+                    site, seed + number, seconds, load, evacuations, limits
                 ),
             )
             for number in range(days)
--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -10,6 +10,11 @@
 # the limits of the users' platform.
 COLD_OVERSHOOT = 1.5
 COLD_SLACK = 5.0
+# A server that named a limit must not get more than `LIMIT_OVERSHOOT` times that
+# and `LIMIT_SLACK` requests in `LIMIT_WINDOW_S`, by the same platform.
+LIMIT_OVERSHOOT = 1.5
+LIMIT_SLACK = 5.0
+LIMIT_WINDOW_S = 4.0
 # Least worth after the last fault, as a share of the worth of the same interval
 # without faults. A smaller share shows a self-sustaining overload.
 MIN_RECOVERED_SHARE = 0.9
@@ -26,7 +31,7 @@
         max_rate = pool.cold_rate * COLD_OVERSHOOT + COLD_SLACK
         for record in sim.records_by_pool[pool.name]:
             arrivals = sim.servers[record.server_id].cold_arrivals
-            peak = _peak_per_second(arrivals)
+            peak = _peak(arrivals, 1.0)
             if peak > max_rate:
                 findings.append(
                     f"{record.server_id}: {peak} requests in a second while"
@@ -35,15 +40,31 @@
     return findings
 
 
-def _peak_per_second(times: list[float]) -> int:
-    """Return the greatest number of `times` within one second.
+def find_exceeded_limits(sim: simulation.Simulation) -> list[str]:
+    """Return findings on servers that got more than the limit they named."""
+    findings = []
+    for server_id, server in sim.servers.items():
+        for span in server.limited_spans:
+            most = LIMIT_OVERSHOOT * LIMIT_WINDOW_S * span.rate + LIMIT_SLACK
+            peak = _peak(span.arrivals, LIMIT_WINDOW_S)
+            if peak > most:
+                findings.append(
+                    f"{server_id}: {peak} requests in {LIMIT_WINDOW_S:g} s at a"
+                    f" limit of {span.rate:.1f} a second, {most:.1f} are allowed"
+                )
+    return findings
+
+
+def _peak(times: list[float], window_s: float) -> int:
+    """Return the greatest number of `times` within a window.
 
     Args:
         times: Times in seconds, in ascending order.
+        window_s: Length of the window in seconds.
     """
     return max(
         (
-            bisect.bisect_left(times, at + 1.0) - number
+            bisect.bisect_left(times, at + window_s) - number
             for number, at in enumerate(times)
         ),
         default=0,
--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -13,6 +13,7 @@
 COLD = "cold"
 LOST_ENTRIES = "lost-entries"
 EVACUATED = "evacuated"
+LIMITED = "limited"
 KINDS = (SLOW, MUTE, DEAD, COLD, LOST_ENTRIES)
 
 # No faults occur at the start, when the servers' caches are empty, nor at the
@@ -23,6 +24,7 @@
 _DURATION_RANGE_S = (3.0, 8.0)
 _SHARE_RANGE = (0.05, 0.3)
 _FACTOR_RANGE = (3.0, 12.0)
+_LIMIT_RANGE = (0.0, 6.0)
 
 
 class Fault(NamedTuple):
@@ -30,7 +32,8 @@
 
     `begin_s` and `end_s` count from the start of the run. `share` is the share
     of the servers or entries that it affects; for an evacuation, it selects
-    the failure domain. `factor` is the slowdown of slow servers.
+    the failure domain. `factor` is the slowdown of slow servers, and the limit
+    in requests a second of limited ones.
     """
 
     kind: str
@@ -80,6 +83,24 @@
     return faults
 
 
+def plan_limits(seed: int, seconds: float) -> list[Fault]:
+    """Return spans in which servers limit their requests, one after the other.
+
+    Args:
+        seed: Seed of the random numbers.
+        seconds: Length of the run.
+    """
+    rng = random.Random(f"limits {seed}")
+    faults = []
+    begin_s = QUIET_START_S + rng.uniform(0.0, _MEAN_GAP_S)
+    while begin_s < seconds - QUIET_END_S:
+        end_s = begin_s + 2 * rng.uniform(*_DURATION_RANGE_S)
+        share, rate = rng.uniform(*_SHARE_RANGE), rng.uniform(*_LIMIT_RANGE)
+        faults.append(Fault(LIMITED, begin_s, end_s, share, rate))
+        begin_s = end_s + rng.uniform(0.0, _MEAN_GAP_S)
+    return faults
+
+
 def schedule(sim: simulation.Simulation, fault: Fault) -> None:
     """Schedule a fault in a simulation."""
     if fault.kind == SLOW:
@@ -92,7 +113,11 @@
     else:
         server_ids = sorted(sim.servers)
         count = max(1, round(fault.share * len(server_ids)))
-        for server_id in sim.rng.sample(server_ids, count):
+        drawn = sim.rng.sample(server_ids, count)
+        if fault.kind == LIMITED:
+            sim.limit_rates(drawn, fault.factor, (fault.begin_s, fault.end_s))
+            return
+        for server_id in drawn:
             _schedule_server_fault(sim, sim.servers[server_id], fault)
 
 
--- a/bench/soak/soak_run.py
+++ b/bench/soak/soak_run.py
@@ -17,7 +17,8 @@
 
     `site` is the name of the simulated deployment, `load` a factor on all its
     request rates. With `evacuations`, failure domains are evacuated too, and
-    their servers are cold afterwards.
+    their servers are cold afterwards. With `limits`, servers limit their
+    requests a second too.
     """
 
     site: str
@@ -25,6 +26,7 @@
     seconds: float
     load: float
     evacuations: bool = False
+    limits: bool = False
 
 
 class RunResult(NamedTuple):
@@ -39,9 +41,12 @@
     planned = faults.plan(run.seed, run.seconds)
     if run.evacuations:
         planned += faults.plan_evacuations(run.seed, run.seconds)
+    if run.limits:
+        planned += faults.plan_limits(run.seed, run.seconds)
     sim = simulate(run, planned)
     baseline = simulate(run, [])
     findings = checks.find_cold_overloads(sim)
+    findings += checks.find_exceeded_limits(sim)
     findings += checks.find_lost_worth(sim, baseline, run.seconds)
     kinds = ",".join(fault.kind for fault in planned)
     worth_shares = sim.worth()["day"], baseline.worth()["day"]
--- a/tests/steps/bench/soak/soak_steps.py
+++ b/tests/steps/bench/soak/soak_steps.py
@@ -47,6 +47,14 @@
     _patch(context, allowance, "SENDERS", 1)
 
 
+@given("a soak with entries that each use the whole limit of a server")
+def _(context):
+    def use_whole_limit(rate, entry_count):
+        return allowance.Rate(rate * entry_count, entry_count)
+
+    _patch(context, allowance, "limited_rate", use_whole_limit)
+
+
 @given(
     "a soak with entries that treat servers as warm unless announced as cold"
 )
@@ -89,6 +97,12 @@
     context.soak_result = soak_run.execute(run)
 
 
+@when('a soak runs "{site}" with seed {seed:d} and limits of servers')
+def _(context, site, seed):
+    run = soak_run.SoakRun(site, seed, _DURATION_S, 0.8, limits=True)
+    context.soak_result = soak_run.execute(run)
+
+
 @when('a soak runs "{site}" with seed {seed:d}')
 def _(context, site, seed):
     context.soak_result = soak_run.execute(
--- a/tests/steps/core/balancing/limited_pool_steps.py
+++ b/tests/steps/core/balancing/limited_pool_steps.py
@@ -25,9 +25,13 @@
     sim.enable_load_reports(
         local_placement.BUSY_BATCH_S, local_placement.NEIGHBOURS_EACH_SIDE
     )
-    assert len(sim.records_by_pool["cat"]) == context.servers
-    sim.limit_rates("cat", count, context.rate, _BEGIN_S)
-    sim.run(_BEGIN_S + context.seconds)
+    names = sorted(record.server_id for record in sim.records_by_pool["cat"])
+    assert len(names) == context.servers
+    end_s = _BEGIN_S + context.seconds
+    sim.limit_rates(
+        sim.rng.sample(names, count), context.rate, (_BEGIN_S, end_s)
+    )
+    sim.run(end_s)
     return sim.worth()
 
 
