--- a/hyssopfold/core/balancing/node.py
+++ b/hyssopfold/core/balancing/node.py
@@ -627,7 +627,12 @@
 
 @_receive.register
 def _(
-    message: messages.SilentServers, node: Node, sender: str, now: float
+    message: messages.SilentServers
+    | messages.BusyServers
+    | messages.LimitedServers,
+    node: Node,
+    sender: str,
+    now: float,
 ) -> list[messages.Effect]:
     # Sent by an entry that chooses servers by itself. With granted slots the
     # grantor judges the servers.
--- a/tests/core/balancing/node.feature
+++ b/tests/core/balancing/node.feature
@@ -138,6 +138,20 @@
     And the limit of server "s0" ends while all slots are used for 8 s
     Then server "s0" was granted more than 100 times
 
+  # Guards against a placement task that ends by a report of an entry that
+  # chooses servers by itself.
+  Scenario Outline: reports of entries with local placement are ignored
+    Given placement of 3 entries over 2 servers
+    When every entry gets a report of <servers> from an entry with local placement
+    And every entry requests 2 slots
+    Then 6 slots are in use, and the other requests were refused as not run
+
+    Examples:
+      | servers         |
+      | silent servers  |
+      | busy servers    |
+      | limited servers |
+
   @soak
   Scenario: no server exceeds its slots in random runs
     When placement is run at random with faults
--- a/tests/steps/core/balancing/node_steps.py
+++ b/tests/steps/core/balancing/node_steps.py
@@ -528,3 +528,21 @@
 @then('server "{server_id}" was granted more than {count:d} times')
 def _(context, server_id, count):
     assert len(context.granted_at[server_id]) > count, context.granted_at
+
+
+_LOCAL_REPORTS = {
+    "silent servers": messages.SilentServers((7,)),
+    "busy servers": messages.BusyServers(((7, 3),)),
+    "limited servers": messages.LimitedServers(
+        (messages.ReportedLimit(7, 2.0, 0.0),)
+    ),
+}
+
+
+@when(
+    "every entry gets a report of {servers} from an entry with local placement"
+)
+def _(context, servers):
+    for name in _live(context.world):
+        received = node.Received("entry-local", _LOCAL_REPORTS[servers])
+        context.world.submit(name, received)
