Test: the platform's header of a server's limit is read

The data path's names of headers had no test on the platform's side; without the name of this one the incident's cause would come back unseen.

--- a/tests/platform/wire.feature
+++ b/tests/platform/wire.feature
@@ -95,3 +95,8 @@
   Scenario: a settings file without a required field is refused
     Given a settings file of the platform without "ip"
     Then the platform's settings are refused, naming "ip"
+
+  # Guards against a server's limit that the data path of the platform ignores.
+  Scenario: the limit that a server names in its answers is read
+    When a platform server answers with the headers "Server-Load: 1,0,3" and "Server-Limit: 4.8"
+    Then the answer's rate limit is 4.8, and its load 1 of 3 slots
--- a/tests/steps/platform/wire_steps.py
+++ b/tests/steps/platform/wire_steps.py
@@ -9,6 +9,7 @@
 from behave import given
 from behave import then
 from behave import when
+from hyssop_platform import entry_api
 from hyssop_platform import settings as platform_settings
 from hyssop_platform import wire
 
@@ -374,3 +375,21 @@
         assert field in str(exc), exc
         return
     raise AssertionError("the settings were accepted")
+
+
+@when(
+    'a platform server answers with the headers "{load_line}" and "{limit_line}"'
+)
+def _(context, load_line, limit_line):
+    lines = [line.encode().split(b": ") for line in (load_line, limit_line)]
+    headers = {name.lower(): value for name, value in lines}
+    context.rate_limit = entry_api.DIALECT.parse_rate_limit(headers)
+    context.load = entry_api.DIALECT.parse_load(headers)
+
+
+@then(
+    "the answer's rate limit is {rate:g}, and its load {running:d} of {slots:d} slots"
+)
+def _(context, rate, running, slots):
+    assert context.rate_limit == rate, context.rate_limit
+    assert (context.load.running, context.load.slots) == (running, slots)
