Limited servers: the buckets hold what the limit tolerates

Change: the buckets of a server hold 3 requests together and two more for each request a second of its limit, one each at least: 6 x limit + 3 in 4 s, by construction (tolerated: 6 x limit + 5). Those of cold servers hold one as before.

--- a/hyssopfold/core/balancing/allowance.py
+++ b/hyssopfold/core/balancing/allowance.py
@@ -4,7 +4,7 @@
 need names the rate that it accepts. No entry knows how much the others send.
 Rendezvous hashing therefore assigns each server's rate to a few entries, each of
 which enforces its equal share with a token bucket. In any time they send at most
-what the rate allows plus one request each, whatever messages are lost.
+what the rate allows plus what the buckets hold, whatever messages are lost.
 """
 
 from collections.abc import Collection
@@ -18,20 +18,30 @@
 # Share of a cold server's rate that is used. The rest allows for jitter of
 # clocks and links, which can move the requests of one second into the next.
 RATE_FACTOR = 0.8
-# Entries that may send to a server that limits its requests: each adds one
-# request to the rate, and a server counts over some seconds.
+# Requests that the buckets of a server that limits its requests hold together, and
+# as many again for each request a second of its limit: the server counts over
+# some seconds. Each sender's bucket holds one request at least.
+LIMIT_BURST = 3.0
+LIMIT_BURST_PER_RATE = 2.0
+# Entries that may send to a server with a limit of 0.
 MIN_LIMIT_SENDERS = 2
-LIMIT_SENDERS_PER_RATE = 2.0
 # Lowest rate, in requests a second, at which a limited server is used: only its
 # answers tell that the limit has ended.
 MIN_LIMIT_RATE = 0.2
 
 
 class Rate(NamedTuple):
-    """Requests a second to one server, and how many entries share them."""
+    """The rate of requests to one server.
+
+    Attributes:
+        per_s: Requests a second from all entries together.
+        senders: Number of entries that share them.
+        burst: Requests that their token buckets hold together.
+    """
 
     per_s: float
     senders: int
+    burst: float
 
 
 class _Bucket(NamedTuple):
@@ -45,7 +55,7 @@
     An entry that does not know of all others may wrongly count itself among the
     senders, but its share is no larger.
     """
-    return Rate(rate * RATE_FACTOR, SENDERS)
+    return Rate(rate * RATE_FACTOR, SENDERS, SENDERS)
 
 
 def limited_rate(rate: float, entry_count: int) -> Rate:
@@ -55,8 +65,10 @@
         rate: The limit that the server named.
         entry_count: Number of entries.
     """
-    senders = MIN_LIMIT_SENDERS + int(rate * LIMIT_SENDERS_PER_RATE)
-    return Rate(max(rate, MIN_LIMIT_RATE), min(senders, max(1, entry_count)))
+    burst = LIMIT_BURST + rate * LIMIT_BURST_PER_RATE
+    most_senders = MIN_LIMIT_SENDERS + int(rate * LIMIT_BURST_PER_RATE)
+    senders = min(most_senders, max(1, entry_count))
+    return Rate(max(rate, MIN_LIMIT_RATE), senders, burst)
 
 
 class ServerAllowance:
@@ -97,7 +109,7 @@
         """
         if self._name not in self._draw_senders(server_id, rate, entries):
             return False
-        bucket = self._refilled(server_id, rate.per_s / rate.senders, now)
+        bucket = self._refilled(server_id, rate, now)
         self._buckets[server_id] = bucket
         return bucket.tokens >= 1
 
@@ -120,11 +132,12 @@
         if bucket is not None:
             self._buckets[server_id] = bucket._replace(tokens=bucket.tokens - 1)
 
-    def _refilled(self, server_id: str, rate: float, now: float) -> _Bucket:
+    def _refilled(self, server_id: str, rate: Rate, now: float) -> _Bucket:
         self.start(server_id, now)
         bucket = self._buckets[server_id]
-        tokens = min(1.0, bucket.tokens + (now - bucket.at) * rate)
-        return _Bucket(tokens, now)
+        earned = (now - bucket.at) * rate.per_s / rate.senders
+        most = max(1.0, rate.burst / rate.senders)
+        return _Bucket(min(most, bucket.tokens + earned), now)
 
     def prune(self, server_ids: Collection[str]) -> None:
         """Drop the servers that are not in `server_ids`."""
--- a/tests/steps/bench/soak/soak_steps.py
+++ b/tests/steps/bench/soak/soak_steps.py
@@ -50,7 +50,7 @@
 @given("a soak with entries that each use the whole limit of a server")
 def _(context):
     def use_whole_limit(rate, entry_count):
-        return allowance.Rate(rate * entry_count, entry_count)
+        return allowance.Rate(rate * entry_count, entry_count, entry_count)
 
     _patch(context, allowance, "limited_rate", use_whole_limit)
 
--- a/tests/steps/core/balancing/server_limits_steps.py
+++ b/tests/steps/core/balancing/server_limits_steps.py
@@ -207,19 +207,12 @@
 
 @given("entries that each use the whole limit of a server")
 def _(context):
-    def use_whole_rate(own_allowance, server_id, rate, entries):
-        return (own_allowance._name,)
+    def use_whole_limit(rate, entry_count):
+        return allowance.Rate(rate * entry_count, entry_count, entry_count)
 
-    original = allowance.ServerAllowance._draw_senders
-    allowance.ServerAllowance._draw_senders = use_whole_rate
-    context.add_cleanup(
-        setattr, allowance.ServerAllowance, "_draw_senders", original
-    )
-    original_senders = allowance.LIMIT_SENDERS_PER_RATE
-    allowance.LIMIT_SENDERS_PER_RATE = 0.0
-    context.add_cleanup(
-        setattr, allowance, "LIMIT_SENDERS_PER_RATE", original_senders
-    )
+    original = allowance.limited_rate
+    allowance.limited_rate = use_whole_limit
+    context.add_cleanup(setattr, allowance, "limited_rate", original)
 
 
 @then("each limited server got some requests after {begin_s:g} s")
