Limited servers: one class for both kinds of placement

Found by reading the diff: the chooser passed four methods through to the table of limits, and the grantor held the same pair of table and token buckets again. Change: server_limits.ServerLimiter has both; local.Chooser and grantor.Grantor use it. Behaviour as before.

--- a/bench/emulator/simulation.py
+++ b/bench/emulator/simulation.py
@@ -611,9 +611,13 @@
         grant = self.grants[request.number]
         entry.learn(grant, result, self.now)
         entry.record_done(server.record.server_id, result, 3.0, self.now)
-        entry.record_rate_limit(grant, result, self.now)
-        if entry.has_limit_reports:
-            self._send_limit_reports(entry.take_limit_reports(self.now))
+        server_limiter = entry.server_limiter
+        incarnation = (grant.server.server_id, grant.server.incarnation)
+        server_limiter.record_result(incarnation, result, sent, self.now)
+        if server_limiter.limits.has_reports:
+            self._send_limit_reports(
+                server_limiter.limits.take_reports(self.now)
+            )
         kind = request.kind
         duration_s = self.now + self.site.caller_delay_s - request.created_at
         if duration_s <= kind.goal_s:
@@ -631,7 +635,7 @@
                 )  # fmt: skip
 
     def _record_limit_reports(self, entry: Any, reports: Any) -> None:
-        entry.record_limit_reports(reports, self.now)
+        entry.server_limiter.limits.record_reports(reports, self.now)
 
     def _refuse(self, request: CallerRequest, wait_s: float) -> None:
         left_s = request.created_at + request.kind.deadline_s - self.now
--- a/hyssopfold/core/balancing/grantor.py
+++ b/hyssopfold/core/balancing/grantor.py
@@ -6,14 +6,12 @@
 
 from hyssopfold import tables
 from hyssopfold.core.admission import queue
-from hyssopfold.core.balancing import allowance
 from hyssopfold.core.balancing import drains
 from hyssopfold.core.balancing import election
 from hyssopfold.core.balancing import health
 from hyssopfold.core.balancing import ledger
 from hyssopfold.core.balancing import messages
 from hyssopfold.core.balancing import server_limits
-from hyssopfold.core.balancing import server_stats
 from hyssopfold.core.membership import messages as membership
 
 MIN_RETRY_AFTER_S = 0.5
@@ -77,8 +75,7 @@
         self._warm_up_s = 0.0
         # It is the only one that grants the slots of its servers, so it uses
         # the whole rate of a limited one.
-        self._server_limits = server_limits.ServerLimits("grantor")
-        self._allowance = allowance.ServerAllowance("grantor")
+        self._server_limiter = server_limits.ServerLimiter("grantor")
 
     def refresh(self, pool: PoolServers, now: float) -> None:
         """Update the pool's settings, its servers and their limits."""
@@ -153,7 +150,7 @@
         self._grant_count += 1
         self._last_granted[server.server_id] = self._grant_count
         self._health.record_use(server.server_id, self._warm_up_s, now)
-        self._allowance.spend(server.server_id)
+        self._server_limiter.spend(server, now)
         granted = messages.SlotGranted(
             self._pool_region, self.term, request.holder, request.number, server
         )
@@ -186,7 +183,7 @@
             and server_id not in request.avoid
             and server.failure_domain not in request.closed_domains
             and self._may_use(request.holder, server_id)
-            and self._is_within_limit(server, now)
+            and self._server_limiter.may_send(server, (), now)
         ]
         if not candidates:
             return None
@@ -194,15 +191,6 @@
             candidates, key=lambda server: self._preference(server, request)
         )
 
-    def _is_within_limit(self, server: membership.Server, now: float) -> bool:
-        """Return whether a server's rate limit allows a request now."""
-        key = server_stats.incarnation_key(server.server_id, server.incarnation)
-        rate_limit = self._server_limits.rate(key, now)
-        if rate_limit is None:
-            return True
-        rate = allowance.limited_rate(rate_limit, entry_count=1)
-        return self._allowance.may_send(server.server_id, rate, (), now)
-
     def _is_constrained(self, request: messages.SlotRequest) -> bool:
         """Return whether a request may wait although slots are free.
 
@@ -247,25 +235,14 @@
             self._withdraw(message.holder, message.number)
             return []
         self._health.record_result(slot.server_id, message.attempt_result, now)
-        self._record_rate_limit(slot, message.attempt_result, now)
+        incarnation = (slot.server_id, slot.server_incarnation)
+        sent_at = now - message.attempt_result.duration_s
+        self._server_limiter.record_result(
+            incarnation, message.attempt_result, sent_at, now
+        )
         self._queue.record_free(now)
         return self.serve_queue(now)
 
-    def _record_rate_limit(
-        self,
-        slot: messages.HeldSlot,
-        result: messages.AttemptResult,
-        now: float,
-    ) -> None:
-        if not result.tells_rate_limit:
-            return
-        key = server_stats.incarnation_key(
-            slot.server_id, slot.server_incarnation
-        )
-        self._server_limits.record_answer(
-            key, result.rate_limit, now - result.duration_s, now
-        )
-
     def _withdraw(self, holder: messages.Member, number: int) -> None:
         for request in self._queue.items():
             if request.holder == holder and request.number == number:
@@ -302,7 +279,7 @@
 
     def expire_holders(self, now: float) -> None:
         """Free the slots of holders without a message for `HOLD_MAX_S`."""
-        self._server_limits.prune(now)
+        self._server_limiter.prune(self._servers.keys(), now)
         for holder in self.ledger.holders():
             last_message_at = self._last_message_at.get(
                 holder, self._started_at
--- a/hyssopfold/core/balancing/local.py
+++ b/hyssopfold/core/balancing/local.py
@@ -116,6 +116,9 @@
     Args:
         name: Name of the entry.
         region: Region that the entry is in.
+
+    Attributes:
+        server_limiter: The servers that limit their requests a second.
     """
 
     def __init__(self, name: str, region: str = "") -> None:
@@ -128,7 +131,7 @@
         self._estimates = estimates.Estimates()
         self._locations = object_locations.ObjectLocations()
         self._load_reports = load_reports.LoadReports()
-        self._server_limits = server_limits.ServerLimits(name)
+        self.server_limiter = server_limits.ServerLimiter(name)
 
     def choose(
         self, req: messages.Request, view: View
@@ -158,9 +161,7 @@
         is_cold = self._is_cold(stats, server.server_id, view)
         if is_cold:
             self._cold_allowance.spend(server.server_id)
-        rate_limit = self._rate_limit(server, view.now)
-        if rate_limit is not None:
-            self._limit_allowance.spend(server.server_id)
+        rate_limit = self.server_limiter.spend(server, view.now)
         age_s = min(messages.NEVER_S, view.now - stats.reported_at)
         return messages.Grant(
             server,
@@ -174,14 +175,6 @@
             granted_at=view.now,
         )
 
-    def _rate_limit(
-        self, server: membership.Server, now: float
-    ) -> float | None:
-        if self._server_limits.is_empty:
-            return None
-        key = server_stats.incarnation_key(server.server_id, server.incarnation)
-        return self._server_limits.rate(key, now)
-
     def _prepared_pool(self, name: str, view: View) -> "_Pool":
         """Return a pool's servers and weights, rebuilt after changes."""
         servers = view.servers
@@ -239,7 +232,7 @@
             server = servers[server_id]
             if not _may_serve(server, req, closed):
                 continue
-            if not self._is_within_limit(server, view):
+            if not self.server_limiter.may_send(server, view.entries, view.now):
                 passed_over += 1
                 if passed_over == MAX_LIMITED_PASSED_OVER:
                     return
@@ -314,7 +307,7 @@
             (self._load(server, view.now), server.server_id)
             for server in allowed
             if self._is_available(server, view)
-            and self._is_within_limit(server, view)
+            and self.server_limiter.may_send(server, view.entries, view.now)
         ]
         load, server_id = min(loads, default=(math.inf, ""))
         if load >= FULL_LOAD:
@@ -342,16 +335,6 @@
             server_id, rate, view.entries, view.now
         )
 
-    def _is_within_limit(self, server: membership.Server, view: View) -> bool:
-        """Return whether a server's rate limit allows a request now."""
-        rate_limit = self._rate_limit(server, view.now)
-        if rate_limit is None:
-            return True
-        rate = allowance.limited_rate(rate_limit, len(view.entries))
-        return self._limit_allowance.may_send(
-            server.server_id, rate, view.entries, view.now
-        )
-
     def _is_cold(
         self, stats: server_stats.ServerStats, server_id: str, view: View
     ) -> bool:
@@ -437,52 +420,6 @@
         if result.load is not None and key is not None:
             self._load_reports.record_answer(key, result.load)
 
-    def record_rate_limit(
-        self, grant: messages.Grant, result: messages.AttemptResult, now: float
-    ) -> bool:
-        """Record whether the answer to a grant's request named a rate limit.
-
-        Args:
-            grant: The grant of this entry.
-            result: How its request ended.
-            now: Monotonic time in seconds.
-
-        Returns:
-            Whether the limit of the server has changed.
-        """
-        if not result.tells_rate_limit:
-            return False
-        server = grant.server
-        key = server_stats.incarnation_key(server.server_id, server.incarnation)
-        return self._server_limits.record_answer(
-            key, result.rate_limit, grant.granted_at, now
-        )
-
-    @property
-    def has_limit_reports(self) -> bool:
-        """Return whether there are rate limits to report to other entries."""
-        return self._server_limits.has_reports
-
-    def take_limit_reports(
-        self, now: float
-    ) -> tuple[messages.ReportedLimit, ...]:
-        """Return the rate limits to report to other entries, each one once."""
-        return self._server_limits.take_reports(now)
-
-    def record_limit_reports(
-        self, reports: Iterable[messages.ReportedLimit], now: float
-    ) -> tuple[messages.ReportedLimit, ...]:
-        """Record the rate limits of servers that another entry reports.
-
-        Args:
-            reports: The limits.
-            now: Monotonic time in seconds.
-
-        Returns:
-            The limits that have changed.
-        """
-        return self._server_limits.record_reports(reports, now)
-
     def server_id_of(self, key: int) -> str | None:
         """Return the server with an incarnation key, None if it is unknown."""
         return self._server_stats.server_id_of(key)
@@ -554,9 +491,8 @@
                 have no requests under way.
             now: Monotonic time in seconds.
         """
-        self._server_limits.prune(now)
         self._cold_allowance.prune(server_ids)
-        self._limit_allowance.prune(server_ids)
+        self.server_limiter.prune(server_ids, now)
         self._locations.prune(server_ids)
         self._load_reports.prune(server_ids)
         self._silence_reports.prune(self._server_stats.prune(server_ids))
--- a/hyssopfold/core/balancing/server_limits.py
+++ b/hyssopfold/core/balancing/server_limits.py
@@ -6,10 +6,14 @@
 answer to a request of their own names it.
 """
 
+from collections.abc import Collection
 from collections.abc import Iterable
 import zlib
 
+from hyssopfold.core.balancing import allowance
 from hyssopfold.core.balancing import messages
+from hyssopfold.core.balancing import server_stats
+from hyssopfold.core.membership import messages as membership
 
 # A limit that an answer confirms is reported again after this time, for entries
 # that have started since or missed a report.
@@ -25,7 +29,6 @@
     """The rate limits of servers, by incarnation key.
 
     A restarted server has another key, and no limit until it names one.
-    Used by `local.Chooser`.
 
     Args:
         name: Name of this entry.
@@ -141,3 +144,79 @@
                 del self._observed[key]
                 self._reported_at.pop(key, None)
                 self._unreported.discard(key)
+
+
+class ServerLimiter:
+    """Keeps the limits of servers: what this entry may send to each of them.
+
+    Used by `local.Chooser` and `grantor.Grantor`.
+
+    Args:
+        name: Name of this entry.
+
+    Attributes:
+        limits: The limits, and what to report of them to other entries.
+    """
+
+    def __init__(self, name: str) -> None:
+        self.limits = ServerLimits(name)
+        self._allowance = allowance.ServerAllowance(name)
+
+    def rate(self, server: membership.Server, now: float) -> float | None:
+        """Return a server's limit in requests a second, None without one."""
+        if self.limits.is_empty:
+            return None
+        key = server_stats.incarnation_key(server.server_id, server.incarnation)
+        return self.limits.rate(key, now)
+
+    def may_send(
+        self, server: membership.Server, entries: Collection[str], now: float
+    ) -> bool:
+        """Return whether the limit of a server allows a request now.
+
+        Args:
+            server: The server.
+            entries: Names of the entries that serve callers; the same object
+                as long as none of them changes.
+            now: Monotonic time in seconds.
+        """
+        limit = self.rate(server, now)
+        if limit is None:
+            return True
+        rate = allowance.limited_rate(limit, len(entries))
+        return self._allowance.may_send(server.server_id, rate, entries, now)
+
+    def spend(self, server: membership.Server, now: float) -> float | None:
+        """Count a request sent to a server; return its limit, None without."""
+        limit = self.rate(server, now)
+        if limit is not None:
+            self._allowance.spend(server.server_id)
+        return limit
+
+    def record_result(
+        self,
+        incarnation: tuple[str, int],
+        result: messages.AttemptResult,
+        sent_at: float,
+        now: float,
+    ) -> bool:
+        """Record whether the answer to a request named a limit.
+
+        Args:
+            incarnation: Id and incarnation of the server.
+            result: How the request ended.
+            sent_at: Time at which it was sent.
+            now: Monotonic time in seconds.
+
+        Returns:
+            Whether the limit of the server has changed.
+        """
+        if not result.tells_rate_limit:
+            return False
+        key = server_stats.incarnation_key(*incarnation)
+        return self.limits.record_answer(key, result.rate_limit, sent_at, now)
+
+    def prune(self, server_ids: Collection[str], now: float) -> None:
+        """Drop limits that nothing confirms, and servers not in `server_ids`."""
+        self.limits.prune(now)
+        self._allowance.prune(server_ids)
--- a/hyssopfold/entry/local_placement.py
+++ b/hyssopfold/entry/local_placement.py
@@ -149,11 +149,24 @@
         )
         if self._chooser.has_busy:
             self._busy_event.set()
-        if self._chooser.record_rate_limit(grant, attempt_result, now):
-            _log_limit(
-                grant.server.server_id, attempt_result.rate_limit, "answer"
-            )
-        if self._chooser.has_limit_reports:
+        self._record_rate_limit(grant, attempt_result, now)
+
+    def _record_rate_limit(
+        self,
+        grant: messages.Grant,
+        attempt_result: messages.AttemptResult,
+        now: float,
+    ) -> None:
+        server = grant.server
+        server_limiter = self._chooser.server_limiter
+        if server_limiter.record_result(
+            (server.server_id, server.incarnation),
+            attempt_result,
+            grant.granted_at,
+            now,
+        ):
+            _log_limit(server.server_id, attempt_result.rate_limit, "answer")
+        if server_limiter.limits.has_reports:
             self._limit_event.set()
 
     def in_flight(self) -> dict[str, int]:
@@ -224,7 +237,9 @@
             await self._limit_event.wait()
             await trio.sleep(LIMIT_BATCH_S)
             self._limit_event = trio.Event()
-            reports = self._chooser.take_limit_reports(trio.current_time())
+            reports = self._chooser.server_limiter.limits.take_reports(
+                trio.current_time()
+            )
             names = [
                 name
                 for name in self._entry_names()
@@ -253,7 +268,8 @@
         self, sender: str, limits: tuple[messages.ReportedLimit, ...]
     ) -> None:
         now = trio.current_time()
-        for limit in self._chooser.record_limit_reports(limits, now):
+        known_limits = self._chooser.server_limiter.limits
+        for limit in known_limits.record_reports(limits, now):
             # This entry may not have sent a request to the server yet.
             server_id = self._chooser.server_id_of(limit.key)
             _log_limit(server_id or f"key-{limit.key}", limit.rate, sender)
--- a/tests/steps/core/balancing/server_limits_steps.py
+++ b/tests/steps/core/balancing/server_limits_steps.py
@@ -116,9 +116,13 @@
             self._told_at.setdefault((name, server_id), self.now)
         result = messages.AttemptResult("answered", _RUN_S, rate_limit=rate)
         chooser.record_done(server_id, result, 0.0, self.now)
-        chooser.record_rate_limit(grant, result, self.now)
-        if chooser.has_limit_reports:
-            reports = chooser.take_limit_reports(self.now)
+        server_limiter = chooser.server_limiter
+        incarnation = (server_id, grant.server.incarnation)
+        server_limiter.record_result(
+            incarnation, result, grant.granted_at, self.now
+        )
+        if server_limiter.limits.has_reports:
+            reports = server_limiter.limits.take_reports(self.now)
             for other in self._choosers.values():
                 if self._rng.random() >= self.lost_share:
                     self._schedule(
@@ -126,7 +130,7 @@
                     )
 
     def _report(self, chooser, reports):
-        chooser.record_limit_reports(reports, self.now)
+        chooser.server_limiter.limits.record_reports(reports, self.now)
 
     def most_in_window(self, server_id):
         """Return the most requests in any 4 s that count for a limit."""
