Limited servers: larger shares for the entries of the server's region

Cause: a limit was split evenly, but most requests for a server come from entries of its own region: they ran out while the others' shares lapsed. Change: an entry of the server's region has five times the share of another, of the rate and of what the buckets hold; their sum is as before, so the bound is too. Shares of cold servers are as before. Tests: 83 scenarios of placement and soak passed.

--- a/bench/emulator/simulation.py
+++ b/bench/emulator/simulation.py
@@ -186,6 +186,10 @@
             for region, count in site.entries.items()
             for n in range(count)
         ]
+        self.names_by_region = {
+            region: {f"{region}-{n}" for n in range(count)}
+            for region, count in site.entries.items()
+        }
         self.outcome_counts = {
             kind.name: collections.Counter() for kind in site.kinds
         }
@@ -453,6 +457,7 @@
             WARM_UP_S,
             self.entry_names,
             self.now,
+            self.names_by_region,
         )
         answer = entry.choose(req, view)
         if isinstance(answer, messages.Refused):
--- a/hyssopfold/core/balancing/allowance.py
+++ b/hyssopfold/core/balancing/allowance.py
@@ -3,7 +3,7 @@
 A cold server crashes under a rate that a warm one sustains, and a server in
 need names the rate that it accepts. No entry knows how much the others send.
 Rendezvous hashing therefore assigns each server's rate to a few entries, each of
-which enforces its equal share with a token bucket. In any time they send at most
+which enforces its share with a token bucket. In any time they send at most
 what the rate allows plus what the buckets hold, whatever messages are lost.
 """
 
@@ -25,6 +25,9 @@
 LIMIT_BURST_PER_RATE = 2.0
 # Entries that may send to a server with a limit of 0.
 MIN_LIMIT_SENDERS = 2
+# Share of an entry in the server's own region, as a multiple of that of others:
+# most requests for a server come from its region.
+HOME_SHARE_FACTOR = 5.0
 # Lowest rate, in requests a second, at which a limited server is used: only its
 # answers tell that the limit has ended.
 MIN_LIMIT_RATE = 0.2
@@ -96,7 +99,12 @@
         self._buckets.setdefault(server_id, _Bucket(0.0, now))
 
     def may_send(
-        self, server_id: str, rate: Rate, entries: Collection[str], now: float
+        self,
+        server_id: str,
+        rate: Rate,
+        entries: Collection[str],
+        now: float,
+        home_entries: Collection[str] = (),
     ) -> bool:
         """Return whether a request may be sent to a server now.
 
@@ -106,23 +114,39 @@
             entries: Names of the entries that serve callers; the same object
                 as long as none of them changes.
             now: Monotonic time in seconds.
+            home_entries: Those of them that get larger shares.
         """
-        if self._name not in self._draw_senders(server_id, rate, entries):
+        senders = self._draw_senders(server_id, rate, entries, home_entries)
+        if self._name not in senders:
             return False
-        bucket = self._refilled(server_id, rate, now)
+        factors = [_share_factor(name, home_entries) for name in senders]
+        # Without all other senders the share is no larger.
+        missing = rate.senders - len(senders)
+        own_factor = _share_factor(self._name, home_entries)
+        share = own_factor / (sum(factors) + missing)
+        bucket = self._refilled(server_id, rate, share, now)
         self._buckets[server_id] = bucket
         return bucket.tokens >= 1
 
     def _draw_senders(
-        self, server_id: str, rate: Rate, entries: Collection[str]
+        self,
+        server_id: str,
+        rate: Rate,
+        entries: Collection[str],
+        home_entries: Collection[str],
     ) -> tuple[str, ...]:
         if entries is not self._entries:
             self._entries = entries
             self._ranked.clear()
         ranked = self._ranked.get(server_id)
         if ranked is None:
-            names = {*entries, self._name}
-            ranked = affinity.rank_unweighted(server_id, names)
+            ranked = affinity.rank_weighted(
+                server_id,
+                {
+                    name: _share_factor(name, home_entries)
+                    for name in {*entries, self._name}
+                },
+            )
             self._ranked[server_id] = ranked
         return ranked[: rate.senders]
 
@@ -132,14 +156,21 @@
         if bucket is not None:
             self._buckets[server_id] = bucket._replace(tokens=bucket.tokens - 1)
 
-    def _refilled(self, server_id: str, rate: Rate, now: float) -> _Bucket:
+    def _refilled(
+        self, server_id: str, rate: Rate, share: float, now: float
+    ) -> _Bucket:
         self.start(server_id, now)
         bucket = self._buckets[server_id]
-        earned = (now - bucket.at) * rate.per_s / rate.senders
-        most = max(1.0, rate.burst / rate.senders)
+        earned = (now - bucket.at) * rate.per_s * share
+        # One request for each sender, and a share of the rest.
+        most = 1.0 + (rate.burst - rate.senders) * share
         return _Bucket(min(most, bucket.tokens + earned), now)
 
     def prune(self, server_ids: Collection[str]) -> None:
         """Drop the servers that are not in `server_ids`."""
         for server_id in self._buckets.keys() - set(server_ids):
             del self._buckets[server_id]
+
+
+def _share_factor(name: str, home_entries: Collection[str]) -> float:
+    return HOME_SHARE_FACTOR if name in home_entries else 1.0
--- a/hyssopfold/core/balancing/local.py
+++ b/hyssopfold/core/balancing/local.py
@@ -66,6 +66,7 @@
         warm_up_s: Seconds for which a server of the pool stays cold.
         entries: Names of the entries that serve callers.
         now: Monotonic time in seconds.
+        entries_by_region: The names of the entries of each region.
     """
 
     servers: Sequence[membership.Server]
@@ -74,6 +75,7 @@
     warm_up_s: float
     entries: Collection[str]
     now: float
+    entries_by_region: Mapping[str, Collection[str]] = {}
 
 
 class _Pool(NamedTuple):
@@ -232,7 +234,7 @@
             server = servers[server_id]
             if not _may_serve(server, req, closed):
                 continue
-            if not self.server_limiter.may_send(server, view.entries, view.now):
+            if not self._is_within_limit(server, view):
                 passed_over += 1
                 if passed_over == MAX_LIMITED_PASSED_OVER:
                     return
@@ -307,7 +309,7 @@
             (self._load(server, view.now), server.server_id)
             for server in allowed
             if self._is_available(server, view)
-            and self.server_limiter.may_send(server, view.entries, view.now)
+            and self._is_within_limit(server, view)
         ]
         load, server_id = min(loads, default=(math.inf, ""))
         if load >= FULL_LOAD:
@@ -335,6 +337,13 @@
             server_id, rate, view.entries, view.now
         )
 
+    def _is_within_limit(self, server: membership.Server, view: View) -> bool:
+        """Return whether a server's rate limit allows a request now."""
+        home_entries = view.entries_by_region.get(server.region, ())
+        return self.server_limiter.may_send(
+            server, view.entries, view.now, home_entries
+        )
+
     def _is_cold(
         self, stats: server_stats.ServerStats, server_id: str, view: View
     ) -> bool:
--- a/hyssopfold/core/balancing/server_limits.py
+++ b/hyssopfold/core/balancing/server_limits.py
@@ -170,7 +170,11 @@
         return self.limits.rate(key, now)
 
     def may_send(
-        self, server: membership.Server, entries: Collection[str], now: float
+        self,
+        server: membership.Server,
+        entries: Collection[str],
+        now: float,
+        home_entries: Collection[str] = (),
     ) -> bool:
         """Return whether the limit of a server allows a request now.
 
@@ -179,12 +183,15 @@
             entries: Names of the entries that serve callers; the same object
                 as long as none of them changes.
             now: Monotonic time in seconds.
+            home_entries: Those of them in the server's region.
         """
         limit = self.rate(server, now)
         if limit is None:
             return True
         rate = allowance.limited_rate(limit, len(entries))
-        return self._allowance.may_send(server.server_id, rate, entries, now)
+        return self._allowance.may_send(
+            server.server_id, rate, entries, now, home_entries
+        )
 
     def spend(self, server: membership.Server, now: float) -> float | None:
         """Count a request sent to a server; return its limit, None without."""
--- a/hyssopfold/entry/local_placement.py
+++ b/hyssopfold/entry/local_placement.py
@@ -78,6 +78,7 @@
         # the entries change.
         self._entries: tuple[membership.Instance, ...] = ()
         self._names: tuple[str, ...] = ()
+        self._names_by_region: dict[str, set[str]] = {}
         self._neighbours: tuple[str, ...] = ()
         self._busy_event = trio.Event()
         self._limit_event = trio.Event()
@@ -105,6 +106,7 @@
             pool.warm_up_s,
             self._entry_names(),
             now,
+            self._names_by_region,
         )
         return self._chooser.choose(req, view)
 
@@ -122,6 +124,10 @@
         if entries is not self._entries:
             self._entries = entries
             self._names = tuple(entry.name for entry in entries)
+            self._names_by_region = {}
+            for entry in entries:
+                names = self._names_by_region.setdefault(entry.region, set())
+                names.add(entry.name)
             self._neighbours = self._find_neighbours()
         return self._names
 
--- a/tests/steps/bench/soak/soak_steps.py
+++ b/tests/steps/bench/soak/soak_steps.py
@@ -40,7 +40,7 @@
 
 @given("a soak with entries that each use the whole allowance of a cold server")
 def _(context):
-    def draw_this_entry(cold_allowance, server_id, rate, entries):
+    def draw_this_entry(cold_allowance, server_id, rate, entries, home):
         return (cold_allowance._name,)
 
     _patch(context, allowance.ServerAllowance, "_draw_senders", draw_this_entry)
--- a/tests/steps/core/balancing/server_limits_steps.py
+++ b/tests/steps/core/balancing/server_limits_steps.py
@@ -41,6 +41,10 @@
 
     def __init__(self, entries, servers, demand):
         self.names = tuple(f"entry-{number}" for number in range(entries))
+        self.names_by_region = {
+            region.name: set(self.names[index :: len(_REGIONS)])
+            for index, region in enumerate(_REGIONS)
+        }
         self.servers = tuple(_server(number) for number in range(servers))
         self.demand = demand
         self.limited = ()
@@ -92,8 +96,9 @@
         name = self._rng.choice(self.names)
         chooser = self._choosers[name]
         view = local.View(
-            self.servers, lambda _: False, 0.0, 0.0, self.names, self.now
-        )
+            self.servers, lambda _: False, 0.0, 0.0, self.names, self.now,
+            self.names_by_region,
+        )  # fmt: skip
         req = messages.Request(
             "r", "shop", _REGIONS, 1, 1e9, (),
             f"o{self._rng.randrange(_OBJECTS)}", 0.25, "all",
