--- a/hyssopfold/core/balancing/allowance.py
+++ b/hyssopfold/core/balancing/allowance.py
@@ -3,8 +3,8 @@
 A cold server crashes under a rate that a warm one sustains, and a server in
 need names the rate that it accepts. No entry knows how much the others send.
 Rendezvous hashing therefore assigns each server's rate to a few entries, each of
-which enforces its share with a token bucket. In any time they send at most
-what the rate allows plus what the buckets hold, whatever messages are lost.
+which enforces its share with a token bucket. In any time they send at most what
+the rate allows plus what the buckets hold, whatever messages are lost.
 """
 
 from collections.abc import Collection
@@ -18,9 +18,9 @@
 # Share of a cold server's rate that is used. The rest allows for jitter of
 # clocks and links, which can move the requests of one second into the next.
 RATE_FACTOR = 0.8
-# Requests that the buckets of a server that limits its requests hold together, and
-# as many again for each request a second of its limit: the server counts over
-# some seconds. Each sender's bucket holds one request at least.
+# Requests that the buckets of a limited server hold together, and those that they
+# hold in addition for each request a second of its limit. Each sender's bucket
+# holds one at least, so the number of senders follows from these.
 LIMIT_BURST = 3.0
 LIMIT_BURST_PER_RATE = 2.0
 # Entries that may send to a server with a limit of 0.
