--- a/hyssopfold/core/balancing/local.py
+++ b/hyssopfold/core/balancing/local.py
@@ -339,6 +339,8 @@
 
     def _is_within_limit(self, server: membership.Server, view: View) -> bool:
         """Return whether a server's rate limit allows a request now."""
+        if self.server_limiter.limits.is_empty:
+            return True
         home_entries = view.entries_by_region.get(server.region, ())
         return self.server_limiter.may_send(
             server, view.entries, view.now, home_entries
--- a/hyssopfold/core/balancing/server_limits.py
+++ b/hyssopfold/core/balancing/server_limits.py
@@ -218,6 +218,8 @@
         Returns:
             Whether the limit of the server has changed.
         """
+        if result.rate_limit is None and self.limits.is_empty:
+            return False
         if not result.tells_rate_limit:
             return False
         key = server_stats.incarnation_key(*incarnation)
