--- a/hyssopfold/core/balancing/allowance.py
+++ b/hyssopfold/core/balancing/allowance.py
@@ -3,8 +3,9 @@
 A cold server crashes under a rate that a warm one sustains, and a server in
 need names the rate that it accepts. No entry knows how much the others send.
 Rendezvous hashing therefore assigns each server's rate to a few entries, each of
-which enforces its share with a token bucket. In any time they send at most what
-the rate allows plus what the buckets hold, whatever messages are lost.
+which enforces its share with a token bucket. Entries that know the rate and the
+same entries send at most what the rate allows plus what the buckets hold; no
+message is needed for that.
 """
 
 from collections.abc import Collection
