--- a/hyssopfold/control/announcement_acks.py
+++ b/hyssopfold/control/announcement_acks.py
@@ -7,13 +7,18 @@
 reachable; otherwise the server announces itself to another instance.
 """
 
+import logging
+
 import trio
 
+from hyssopfold import logs
 from hyssopfold.control import instance as control_instance
 from hyssopfold.core.membership import messages
 from hyssopfold.transport import gossip
 from hyssopfold.transport import publisher
 
+logger = logging.getLogger(__name__)
+
 # Servers wait one second for an answer; a majority in other regions answers
 # within two round trips, some 0.2 s.
 CONFIRM_TIMEOUT_S = 0.8
@@ -47,7 +52,7 @@
         """Spread an announcement; return whether to acknowledge it."""
         self._gossip.announce(server)
         if server.state == "leaving":
-            return await self._confirm()
+            return await self._confirm(server.server_id)
         if not self._instance.register.members:
             # No cluster is formed yet, so there is no majority that this
             # instance could be cut off from.
@@ -64,9 +69,20 @@
             server_id: The server that is leaving.
         """
         self._gossip.dismiss(server_id)
-        return await self._confirm()
+        return await self._confirm(server_id)
 
-    async def _confirm(self) -> bool:
+    async def _confirm(self, server_id: str) -> bool:
+        """Return whether to acknowledge that a server is leaving; log it."""
+        began = trio.current_time()
+        is_confirmed = False
         with trio.move_on_after(CONFIRM_TIMEOUT_S):
-            return await self._instance.confirm()
-        return False
+            is_confirmed = await self._instance.confirm()
+        logger.info(
+            logs.Event(
+                "leave-decision",
+                server=server_id,
+                acknowledged=is_confirmed,
+                took_s=trio.current_time() - began,
+            )
+        )
+        return is_confirmed
--- a/hyssopfold/control/api.py
+++ b/hyssopfold/control/api.py
@@ -26,6 +26,7 @@
 from hyssopfold.core.orders import orders
 from hyssopfold.core.steering import plans
 from hyssopfold.transport import gossip
+from hyssopfold.transport import publisher
 
 logger = logging.getLogger(__name__)
 
@@ -55,6 +56,7 @@
         meter: Metrics of this process.
         operators: Authenticates operators.
         announcers: Authenticates backend servers.
+        revision_publisher: Answers polls for newer revisions.
 
     Attributes:
         orders: Executes orders of operators.
@@ -67,6 +69,7 @@
         meter: metrics.Metrics,
         operators: access.Guard,
         announcers: access.Guard,
+        revision_publisher: publisher.Publisher,
     ) -> None:
         self._operators = operators
         self._announcers = announcers
@@ -74,6 +77,7 @@
         self.orders = control_orders.Orders(instance, gossip_service.directory)
         self._gossip = gossip_service
         self._meter = meter
+        self._publisher = revision_publisher
 
     async def __call__(
         self, scope: http.Scope, receive: http.Receive, send: http.Send
@@ -134,6 +138,9 @@
                 revision = self._instance.register.revision
                 self._meter.revision.set({}, revision)
                 self._meter.set_gossip(self._gossip.sent_bytes)
+                self._meter.set_poll_answers(
+                    self._publisher.answers, self._publisher.answered_bytes
+                )
                 return self._meter.render()
         return http.json_answer(
             {"error": "not-found", "remedy": "see docs/operators"}, 404
@@ -206,7 +213,7 @@
         return state_answers.order_answer(result, name)
 
     async def _get_tables(self) -> http.Answer:
-        result = await self._instance.read()
+        result = await self.orders.read_register()
         if not isinstance(result, messages.ReadDone):
             return state_answers.answer(result, "")
         current = state.decode(result.register.value)
--- a/hyssopfold/control/instance.py
+++ b/hyssopfold/control/instance.py
@@ -303,6 +303,7 @@
                 revision=register.revision,
                 epoch=register.epoch,
                 members=len(register.members),
+                value_bytes=len(register.value),
             )
         )
 
@@ -353,6 +354,16 @@
     await instance.learn(effect.register)
 
 
+@_execute.register
+async def _(effect: messages.MembersLearned, instance: Instance) -> None:
+    names = sorted(member.name for member in effect.members)
+    logger.info(
+        logs.Event(
+            "members-in-force", epoch=effect.epoch, members=",".join(names)
+        )
+    )
+
+
 @_execute.register
 async def _(effect: messages.FaultChanged, instance: Instance) -> None:
     if effect.fault:
--- a/hyssopfold/control/orders.py
+++ b/hyssopfold/control/orders.py
@@ -149,11 +149,29 @@
 
     async def read(self) -> state_module.State | None:
         """Return the newest state, or None if no majority answered."""
-        result = await self._instance.read()
+        result = await self.read_register()
         if isinstance(result, messages.ReadDone):
             return state_module.decode(result.register.value)
         return None
 
+    async def read_register(self) -> messages.Result:
+        """Read the register for an operator and log how the read ended."""
+        began = trio.current_time()
+        result = await self._instance.read()
+        reason = ""
+        if isinstance(result, messages.EditNotAccepted):
+            reason = result.reason
+        logger.info(
+            logs.Event(
+                "configuration-read",
+                result=type(result).__name__,
+                reason=reason,
+                revision=self._instance.register.revision,
+                took_s=trio.current_time() - began,
+            )
+        )
+        return result
+
 
 @functools.singledispatch
 def _result_of_edit(result: messages.Result) -> Result:
--- a/hyssopfold/control_components.py
+++ b/hyssopfold/control_components.py
@@ -101,6 +101,7 @@
             metrics.Metrics(cfg.name),
             self.security.operators,
             self.security.announcers,
+            self._publisher,
         )
         self.apps: dict[str, http.App] = {
             cfg.http_address: adapters.operators(self._create_interfaces())
--- a/hyssopfold/core/consensus/messages.py
+++ b/hyssopfold/core/consensus/messages.py
@@ -398,6 +398,13 @@
     register: Register
 
 
+class MembersLearned(NamedTuple):
+    """Effect: report the members of a chosen register."""
+
+    epoch: int
+    members: tuple[Member, ...]
+
+
 class FaultChanged(NamedTuple):
     """Effect: report why this instance does not vote ("" if it votes)."""
 
@@ -470,6 +477,7 @@
     | SaveObservedStarts
     | Send
     | Learned
+    | MembersLearned
     | FaultChanged
     | Reply
 )
--- a/hyssopfold/core/consensus/replica.py
+++ b/hyssopfold/core/consensus/replica.py
@@ -82,6 +82,9 @@
         self.chosen = register
         if register.revision > old.revision or not old.members:
             effects.append(messages.Learned(register))
+        if register.epoch > old.epoch or not old.members:
+            members = messages.MembersLearned(register.epoch, register.members)
+            effects.append(members)
 
     def vote(
         self,
--- a/hyssopfold/entry/app.py
+++ b/hyssopfold/entry/app.py
@@ -121,6 +121,8 @@
         )
         meter.log_lines_left_out.set({}, left_out)
         meter.set_gossip(self._gossip.sent_bytes)
+        poll_server = self._config.publisher
+        meter.set_poll_answers(poll_server.answers, poll_server.answered_bytes)
         in_flight = self._placement.in_flight()
         for pool in self._config.snapshot.tables.pools:
             ready_servers = directory.ready_servers(pool.name)
--- a/hyssopfold/log_output.py
+++ b/hyssopfold/log_output.py
@@ -17,6 +17,9 @@
 # Largest number of lines that a process writes in a second. It limits CPU time:
 # a line costs about 50 us, so 400 take 2 % of a core.
 LINES_PER_S = 400.0
+# Share of these lines that one logger may write. Hundreds of servers that
+# change at once must not hide the lines of the other parts of the process.
+MAX_LOGGER_SHARE = 0.75
 
 
 class BoundedHandler(logging.Handler):
@@ -41,6 +44,7 @@
         self._buffered_bytes = 0
         self._second = 0
         self._lines_in_second = 0
+        self._lines_by_logger: collections.Counter[str] = collections.Counter()
         self._unreported = 0
         self.left_out = 0
         self._poll = select.poll()
@@ -60,11 +64,17 @@
         if second != self._second:
             self._write_left_out(record)
             self._second, self._lines_in_second = second, 0
-        self._lines_in_second += 1
-        if self._lines_in_second > self._lines_per_s:
+            self._lines_by_logger.clear()
+        logger_lines = self._lines_by_logger[record.name]
+        if (
+            self._lines_in_second >= self._lines_per_s
+            or logger_lines >= self._lines_per_s * MAX_LOGGER_SHARE
+        ):
             self._unreported += 1
             self.left_out += 1
             return False
+        self._lines_in_second += 1
+        self._lines_by_logger[record.name] += 1
         return True
 
     def _write_left_out(self, record: logging.LogRecord) -> None:
--- a/hyssopfold/metrics.py
+++ b/hyssopfold/metrics.py
@@ -129,6 +129,18 @@
             const_labels=labels,
             registry=self.registry,
         )
+        self.poll_answers = aioprometheus.collectors.Gauge(
+            "hyssop_poll_answers",
+            "Answers to polls for newer revisions since the start, by content",
+            const_labels=labels,
+            registry=self.registry,
+        )
+        self.poll_answer_bytes = aioprometheus.collectors.Gauge(
+            "hyssop_poll_answer_bytes",
+            "Bytes of the updates in these answers, by content",
+            const_labels=labels,
+            registry=self.registry,
+        )
         self.lease_age = aioprometheus.collectors.Gauge(
             "hyssop_lease_age_seconds",
             "Time since the last word of a server or instance",
@@ -157,6 +169,20 @@
             labels = {"purpose": purpose, "distance": distance}
             self.gossip_bytes.set(labels, count)
 
+    def set_poll_answers(
+        self, answers: Mapping[str, int], answered_bytes: Mapping[str, int]
+    ) -> None:
+        """Set the answers to polls.
+
+        Args:
+            answers: Number of answers since the start, by content.
+            answered_bytes: Bytes of their updates, by content.
+        """
+        for content, count in answers.items():
+            self.poll_answers.set({"content": content}, count)
+        for content, count in answered_bytes.items():
+            self.poll_answer_bytes.set({"content": content}, count)
+
     def render(self) -> http.Answer:
         """Return the metrics in the text format of Prometheus."""
         content, headers = aioprometheus.renderer.render(self.registry, [])
--- a/hyssopfold/transport/publisher.py
+++ b/hyssopfold/transport/publisher.py
@@ -1,5 +1,6 @@
 """Serves polls of other instances for newer revisions."""
 
+import collections
 from collections.abc import Awaitable
 from collections.abc import Callable
 import logging
@@ -33,6 +34,11 @@
             given the monotonic time in seconds.
         confirm: Returns whether a majority confirms now that the published
             revision is the newest; None if this instance can't ask a majority.
+
+    Attributes:
+        answers: Number of answers, by what they contain: `whole-value`,
+            `difference` or `nothing`.
+        answered_bytes: Bytes of the updates in these answers.
     """
 
     def __init__(
@@ -46,6 +52,8 @@
         self._confirm = confirm
         self._published = trio.Event()
         self._waiting = 0
+        self.answers: collections.Counter[str] = collections.Counter()
+        self.answered_bytes: collections.Counter[str] = collections.Counter()
 
     def publish(self, revision: int, value: bytes) -> None:
         """Store a revision; if it is newer, answer all waiting polls.
@@ -77,13 +85,22 @@
         else:
             logger.warning(logs.Event("poll-not-held", asker=req.instance))
         now = trio.current_time()
+        update = self.revisions.update_since(req.have, req.digest)
+        self._count(update)
         return poll_wire.PollAnswer(
-            self.revisions.update_since(req.have, req.digest),
+            update,
             strong,
             min(self._age_s(now), messages.NEVER_S),
             now - began,
         )
 
+    def _count(self, update: messages.Update) -> None:
+        content = "difference" if update.base else "whole-value"
+        if not update.payload:
+            content = "nothing"
+        self.answers[content] += 1
+        self.answered_bytes[content] += len(update.payload)
+
     async def _wait_for_newer(self, req: poll_wire.Poll) -> None:
         # A faulty peer may send NaN or infinity, which must not keep a poll
         # waiting forever.
--- a/tests/steps/logs_steps.py
+++ b/tests/steps/logs_steps.py
@@ -1,7 +1,9 @@
 """Steps of logs.feature."""
 
+import collections
 import json
 import logging
+import os
 import re
 
 from behave import then
@@ -9,6 +11,7 @@
 import hypothesis
 from hypothesis import strategies
 
+from hyssopfold import log_output
 from hyssopfold import logs
 
 _FIELD = re.compile(r'(\w+)=("(?:[^"\\]|\\.)*"|[^" ]*)(?: |\Z)')
@@ -82,3 +85,26 @@
 def _(context):
     assert context.written.count("place-decision") == 10
     assert context.written.count("started") == 3
+
+
+@when("{many:d} lines of one logger and then {few:d} of another are written in"
+      " a second")  # fmt: skip
+def _(context, many, few):
+    reader, writer = os.pipe()
+    handler = log_output.BoundedHandler(writer, lines_per_s=100)
+    names = ["gossip"] * many + ["instance"] * few
+    for name in names:
+        record = logging.LogRecord(name, logging.INFO, "", 0, name, None, None)
+        record.created = 1.0
+        handler.emit(record)
+    os.close(writer)
+    with os.fdopen(reader) as output:
+        context.written = collections.Counter(output.read().split())
+
+
+@then("{many:d} lines of the one and {few:d} of the other are written at"
+      " {limit:d} in a second")  # fmt: skip
+def _(context, many, few, limit):
+    written = context.written
+    assert written == {"gossip": many, "instance": few}, written
+    assert written.total() <= limit
