Distribution: compressed updates, and polls that wait for answers over slow links

Cause: an answer with the whole tables (610 KB at 1400 routes) takes 2.4 s on a link of 2 Mbit/s; a first poll gives up after 2.5 s, and polls that overlap share the link, so no answer is ever complete. Each of them is prepared anew and held by the control instance. The class: work that is thrown away at a timeout which does not depend on its size, and is then repeated, until it takes all there is.

Change: updates are compressed for followers that accept it (610 KB to some 60 KB), and the update for followers of one revision is made once. After four polls in a row that timed out, the timeout doubles, so that tables of any size arrive at last.

Ruled out by the same model: the number of control instances and the back-off between polls.

--- a/hyssopfold/core/distribution/follower.py
+++ b/hyssopfold/core/distribution/follower.py
@@ -5,11 +5,17 @@
 import random
 from typing import NamedTuple
 
+from hyssopfold.core.distribution import compression
 from hyssopfold.core.distribution import difference
 from hyssopfold.core.distribution import messages
 from hyssopfold.core.distribution import rows
 
 FETCH_TIMEOUT_S = 1.5
+# Polls in a row that time out before the timeout of the next ones is doubled:
+# the link may be too slow for an answer of this size. Fewer are more likely
+# lost.
+OVERDUE_BEFORE_DOUBLING = 4
+MAX_TIMEOUT_DOUBLINGS = 4
 # Time until the next source is polled while the last poll is pending.
 HEDGE_DELAY_S = 0.25
 # A hint arrives before the push of its revision by up to a round trip between
@@ -121,6 +127,7 @@
         # Revisions that peers reported, by their addresses.
         self._peer_revisions: dict[str, int] = {}
         self._catch_up_polls = 0
+        self._overdue_polls = 0
         self._next_catch_up_at = -messages.NEVER_S
         self._next_watch_at = -messages.NEVER_S
         self._next_pull_at = -messages.NEVER_S
@@ -201,6 +208,7 @@
             # The answer came after the deadline of its poll: its transmission
             # time and so its age are unknown.
             return
+        self._overdue_polls = 0
         # The answer was sent at this moment or later.
         answered_at = min(now, poll.sent_at + max(0.0, event.waited_s))
         confirmed_at = answered_at - max(0.0, event.age_s)
@@ -291,10 +299,13 @@
     ) -> bytes | None:
         """Return the value after an update, or None if it cannot be applied."""
         try:
+            payload = update.payload
+            if update.is_compressed:
+                payload = compression.decompress(payload)
             if update.base == 0:
-                value = update.payload
+                value = payload
             elif update.base == self.revision:
-                value = difference.apply(self.value, update.payload)
+                value = difference.apply(self.value, payload)
             else:
                 # Another answer brought a newer revision in the meantime.
                 return None
@@ -353,6 +364,7 @@
             if poll.deadline <= now
         ]
         for poll_id in overdue:
+            self._overdue_polls += 1
             if self._pending.pop(poll_id).kind == "watch":
                 self._delay_watch(now)
 
@@ -431,7 +443,10 @@
         if not self.revision:
             wait_s = min(FIRST_HOLD_S, self._timing.hold_s)
         margin_s = WATCH_MARGIN_S if kind == "watch" else FETCH_TIMEOUT_S
-        timeout_s = wait_s + margin_s
+        doublings = self._overdue_polls // OVERDUE_BEFORE_DOUBLING
+        timeout_s = wait_s + margin_s * 2 ** min(
+            doublings, MAX_TIMEOUT_DOUBLINGS
+        )
         self._pending[self._last_poll_id] = _PendingPoll(
             source, kind, now, now + timeout_s
         )
--- a/hyssopfold/core/distribution/history.py
+++ b/hyssopfold/core/distribution/history.py
@@ -3,12 +3,16 @@
 import collections
 from typing import NamedTuple
 
+from hyssopfold.core.distribution import compression
 from hyssopfold.core.distribution import difference
 from hyssopfold.core.distribution import messages
 from hyssopfold.core.distribution import rows
 
 MAX_REVISIONS = 600
 MAX_ROWS = 200_000
+# Updates kept to answer followers of the same revision alike. After an edit
+# nearly all followers have one of the last few revisions, or none.
+MAX_CACHED_UPDATES = 8
 
 
 class _StoredRevision(NamedTuple):
@@ -37,6 +41,7 @@
         self._max_rows = max_rows
         self._stored: collections.deque[_StoredRevision] = collections.deque()
         self._row_count = 0
+        self._cached_updates: dict[tuple[int, bool], messages.Update] = {}
         self.revision = 0
         self.value = b""
         self.digest = rows.digest(b"")
@@ -57,6 +62,7 @@
         count = sum(len(section) for section in split.sections)
         self._stored.append(_StoredRevision(revision, digest, split, count))
         self._row_count += count
+        self._cached_updates.clear()
         self.revision, self.value, self.digest = revision, value, digest
         self._trim()
         return True
@@ -68,7 +74,9 @@
         ):
             self._row_count -= self._stored.popleft().row_count
 
-    def update_since(self, have: int, digest: bytes) -> messages.Update:
+    def update_since(
+        self, have: int, digest: bytes, compress: bool = False
+    ) -> messages.Update:
         """Return the update that brings a follower to the newest revision.
 
         It is a difference if the follower's revision is stored here with the
@@ -77,10 +85,25 @@
         Args:
             have: The follower's revision.
             digest: Digest of its value.
+            compress: Whether the follower accepts a compressed payload.
         """
         if have >= self.revision:
             return messages.Update(self.revision, self.digest)
         base = self._find(have, digest)
+        key = (have if base is not None else 0, compress)
+        update = self._cached_updates.get(key)
+        if update is None:
+            update = self._make_update(have, base)
+            if compress:
+                update = _compressed(update)
+            if len(self._cached_updates) >= MAX_CACHED_UPDATES:
+                self._cached_updates.pop(next(iter(self._cached_updates)))
+            self._cached_updates[key] = update
+        return update
+
+    def _make_update(
+        self, have: int, base: _StoredRevision | None
+    ) -> messages.Update:
         if base is not None:
             change = difference.between(base.rows, self._stored[-1].rows)
             if len(change) < len(self.value):
@@ -96,6 +119,13 @@
         return None
 
 
+def _compressed(update: messages.Update) -> messages.Update:
+    if len(update.payload) < compression.MIN_COMPRESSED_BYTES:
+        return update
+    payload = compression.compress(update.payload)
+    return update._replace(payload=payload, is_compressed=True)
+
+
 def _shared(new: rows.Rows, last: rows.Rows) -> rows.Rows:
     """Return `new` with the row objects of `last` where they are equal."""
     last_rows = {row: row for section in last.sections for row in section}
--- a/hyssopfold/core/distribution/messages.py
+++ b/hyssopfold/core/distribution/messages.py
@@ -13,12 +13,14 @@
     `base` is the revision that `payload` is a difference from; 0 means that
     the payload is the whole value. An empty payload means that the sender has
     nothing newer. `digest` is that of the whole value at `revision`.
+    `is_compressed` says whether the payload is, see `compression`.
     """
 
     revision: int
     digest: bytes
     base: int = 0
     payload: bytes = b""
+    is_compressed: bool = False
 
 
 class UpdateModes(NamedTuple):
--- a/hyssopfold/entry/configuration.py
+++ b/hyssopfold/entry/configuration.py
@@ -179,6 +179,7 @@
             effect.wait_s,
             effect.digest,
             effect.strong,
+            accepts_compressed=True,
         )
         try:
             answer = await client.call(poll_wire.POLL, req, effect.timeout_s)
--- a/hyssopfold/transport/poll_wire.py
+++ b/hyssopfold/transport/poll_wire.py
@@ -18,6 +18,7 @@
         wait_s: Longest wait for a newer revision, in seconds.
         digest: Digest of the value that the caller has at `have`.
         strong: Whether a majority shall confirm the revision first.
+        accepts_compressed: Whether the caller can decompress the update.
     """
 
     instance: str
@@ -25,6 +26,7 @@
     wait_s: float
     digest: bytes = b""
     strong: bool = False
+    accepts_compressed: bool = False
 
 
 class PollAnswer(NamedTuple):
--- a/hyssopfold/transport/publisher.py
+++ b/hyssopfold/transport/publisher.py
@@ -85,7 +85,9 @@
         else:
             logger.warning(logs.Event("poll-not-held", asker=req.instance))
         now = trio.current_time()
-        update = self.revisions.update_since(req.have, req.digest)
+        update = self.revisions.update_since(
+            req.have, req.digest, req.accepts_compressed
+        )
         self._count(update)
         return poll_wire.PollAnswer(
             update,
--- a/tests/core/distribution/difference.feature
+++ b/tests/core/distribution/difference.feature
@@ -26,3 +26,14 @@
   Scenario: bytes that are no difference
     When distribution differences of random bytes are applied
     Then each was refused as a distribution mismatch or gave some value
+
+  Scenario: large answers are compressed for those that accept it
+    Given a distribution history of 2 revisions with 400 rows
+    When a distribution follower without a revision is answered compressed
+    Then the compressed distribution answer is shorter than the value
+    And it gives the bytes of revision 2
+
+  Scenario: compressed bytes that are invalid or decompress to too much
+    When compressed distribution payloads of random bytes are decompressed
+    And one of 100 MB of zeros is decompressed
+    Then each was refused as a distribution mismatch or gave some value
--- a/tests/steps/core/distribution/difference_steps.py
+++ b/tests/steps/core/distribution/difference_steps.py
@@ -7,6 +7,7 @@
 from hypothesis import strategies
 import msgspec
 
+from hyssopfold.core.distribution import compression
 from hyssopfold.core.distribution import difference
 from hyssopfold.core.distribution import history
 from hyssopfold.core.distribution import rows
@@ -122,3 +123,47 @@
 @then("each was refused as a distribution mismatch or gave some value")
 def _(context):
     assert context.refused > 100, context.refused
+
+
+@when("a distribution follower without a revision is answered compressed")
+def _(context):
+    context.update = context.recent.update_since(0, b"", compress=True)
+
+
+@then("the compressed distribution answer is shorter than the value")
+def _(context):
+    assert context.update.is_compressed
+    assert len(context.update.payload) < len(context.recent.value) / 2
+
+
+@then("it gives the bytes of revision {revision:d}")
+def _(context, revision):
+    value = compression.decompress(context.update.payload)
+    assert context.update.revision == revision
+    assert value == context.recent.value
+
+
+@when("compressed distribution payloads of random bytes are decompressed")
+def _(context):
+    context.refused = 0
+
+    @hypothesis.given(strategies.binary(max_size=200))
+    @hypothesis.settings(max_examples=300)
+    def check(payload):
+        _decompress(context, payload)
+
+    check()
+
+
+@when("one of {megabytes:d} MB of zeros is decompressed")
+def _(context, megabytes):
+    before = context.refused
+    _decompress(context, compression.compress(bytes(megabytes * 1_000_000)))
+    assert context.refused == before + 1, "a payload without a limit"
+
+
+def _decompress(context, payload):
+    try:
+        compression.decompress(payload)
+    except difference.MismatchError:
+        context.refused += 1
--- a/tests/support/fake_distribution.py
+++ b/tests/support/fake_distribution.py
@@ -193,7 +193,9 @@
             self._answer(control, *poll)
 
     def _answer(self, control, entry, core, effect, strong, received_at):
-        update = control.recent.update_since(effect.have, effect.digest)
+        update = control.recent.update_since(
+            effect.have, effect.digest, compress=True
+        )
         age = self.now - control.confirmed_at
         waited = self.now - received_at
         if self.push_lost and waited > 0 and update.payload:
@@ -284,7 +286,9 @@
     def _receive_poll_at_peer(self, peer, entry, core, effect):
         if not peer.running:
             return
-        update = peer.recent.update_since(effect.have, effect.digest)
+        update = peer.recent.update_since(
+            effect.have, effect.digest, compress=True
+        )
         age = peer.core.age_s(self.now)
         answered = messages.PollAnswered(effect.poll_id, update, False, age)
         size = FRAME_BYTES + len(msgspec.msgpack.encode(answered))
