Consensus: two voters never remove a member each at the same time

Control answered no read for seconds when two of four voters were out, although six instances ran.

Cause: a voter checks that there are more members than wanted when it requests a removal, and nothing checks it again when the removal is applied. Two that request one at the same moment, of different members, leave one voter too few for one to three seconds; the class is a check whose result is used after the state has changed. Admissions already check again.

The check of AddMember now applies to RemoveMember: wanted is checked when applied.

--- a/hyssopfold/core/consensus/messages.py
+++ b/hyssopfold/core/consensus/messages.py
@@ -323,12 +323,15 @@
 
     With `retires` its id is never admitted again. A member that was removed
     only because it was silent keeps its data folder and may be added again
-    once it is back.
+    once it is back. With `wanted` above 0 it is removed only while there are
+    more than `wanted` members, which is checked again when the operation is
+    applied, as for `AddMember`.
     """
 
     request: int
     name: str
     retires: bool = True
+    wanted: int = 0
 
 
 class ReplaceMember(NamedTuple):
--- a/hyssopfold/core/consensus/operations.py
+++ b/hyssopfold/core/consensus/operations.py
@@ -121,6 +121,9 @@
     old = register.member(operation.name)
     if old is None:
         return _members_unchanged(register)
+    if operation.wanted and len(register.members) <= operation.wanted:
+        # Another instance has removed a member at the same moment.
+        return _members_unchanged(register)
     members = tuple(m for m in register.members if m != old)
     if not members:
         return _refuse(register, "the last member cannot be removed")
--- a/hyssopfold/core/consensus/peers.py
+++ b/hyssopfold/core/consensus/peers.py
@@ -368,7 +368,9 @@
             return None
         lost = self._silent_members(LOST_S, now)
         if lost:
-            return messages.RemoveMember(0, lost[0], retires=False)
+            return messages.RemoveMember(
+                0, lost[0], retires=False, wanted=wanted
+            )
         if self._silent_members(SUSPECT_S, now):
             # The suspected member soon either counts as lost or sends a status.
             return None
@@ -377,7 +379,7 @@
         )
         me = self._replica.identity.member.name
         return messages.RemoveMember(
-            0, selection.least_needed(me), retires=False
+            0, selection.least_needed(me), retires=False, wanted=wanted
         )
 
     def _regions(self) -> dict[str, str]:
--- a/tests/core/consensus/discovery.feature
+++ b/tests/core/consensus/discovery.feature
@@ -82,6 +82,24 @@
     And the discovery members run for 5 s
     Then the discovery edit "ana" is accepted
 
+  # Guards against: voters remove one member too many at the same time.
+  Scenario Outline: no fewer voters than wanted after a member was silent
+    A member is silent for three seconds and a sixth instance is added beside
+    it. Once it is back, two voters each remove another of the six: with four
+    voters left, the loss of two leaves no majority.
+
+    Given 6 discovery members with 3 seed addresses and seed <seed>
+    When the discovery members run for 6 s
+    And a discovery voter is isolated for 3 s
+    And the discovery members run for 12 s
+    Then there were never fewer than 5 discovery voters since then
+
+    Examples:
+      | seed |
+      | 1    |
+      | 9    |
+      | 10   |
+
   Scenario Outline: no region has a majority of the voters
     Nine control instances run in three regions and five of them vote. If three
     of the five voters were in one region, its loss would leave no majority and
--- a/tests/steps/core/consensus/discovery_steps.py
+++ b/tests/steps/core/consensus/discovery_steps.py
@@ -1,6 +1,7 @@
 """Steps of core/consensus/discovery.feature."""
 
 import collections
+import functools
 
 from behave import given
 from behave import then
@@ -139,6 +140,10 @@
 
 @when("a discovery voter is isolated for {seconds:d} s")
 def _(context, seconds):
+    context.voter_counts = []
+    context.discovery.observers.append(
+        functools.partial(_record_voters, context.voter_counts)
+    )
     context.isolated_voter = max(context.discovery.members())
     context.discovery.isolate(context.isolated_voter)
     context.discovery.run(seconds)
@@ -146,6 +151,17 @@
     context.discovery.heal()
 
 
+def _record_voters(voter_counts, name, effect):
+    if isinstance(effect, messages.MembersLearned):
+        voter_counts.append(len(effect.members))
+
+
+@then("there were never fewer than {least:d} discovery voters since then")
+def _(context, least):
+    assert context.voter_counts, "the members did not change"
+    assert min(context.voter_counts) >= least, context.voter_counts
+
+
 @then("the isolated discovery voter is no longer a voter")
 def _(context):
     assert context.isolated_voter not in context.members_during_isolation
