Orders: an instance with an empty disk redirects no order to itself

Cause: an instance that does not vote redirects to a voter, found by address; the voter at its own address is its former incarnation. The scenario fails before (redirected to control-1) and is redirected to the next voter now.

--- a/hyssopfold/control/orders.py
+++ b/hyssopfold/control/orders.py
@@ -105,6 +105,9 @@
         if self._directory is None or replica.is_blank or replica.is_voter:
             return None
         voters = {member.address for member in replica.register.members}
+        # With an empty disk, this instance does not vote although its address
+        # is still that of a voter.
+        voters.discard(replica.identity.member.address)
         for record in self._directory.instances.records():
             if record.rpc_address in voters and record.state == "ready":
                 return Elsewhere(record.address)
--- a/tests/control/orders.feature
+++ b/tests/control/orders.feature
@@ -35,3 +35,9 @@
     Given a member that executes orders and whose peers are lost
     When order "one" puts version 2 on base 0
     Then the orders' results are Unsettled
+
+  # Guards against: orders redirected to the same instance for ever.
+  Scenario: an instance that lost its disk redirects no order to itself
+    Given an instance with an empty disk at the address of voter 1 of 3
+    When order "one" puts version 2 on base 0
+    Then the order is redirected to voter 2
--- a/tests/steps/control/orders_steps.py
+++ b/tests/steps/control/orders_steps.py
@@ -15,6 +15,8 @@
 from hyssopfold.control import orders as control_orders
 from hyssopfold.core.consensus import messages
 from hyssopfold.core.consensus import node
+from hyssopfold.core.membership import directory
+from hyssopfold.core.membership import messages as membership
 from hyssopfold.core.orders import orders
 
 _TEXT = "pools: [{name: ledger, slots: 3}]\nroutes: [{name: r, pool: ledger}]"
@@ -49,16 +51,18 @@
     call(*values)
 
 
-def _member(context, peers):
-    endpoints = [
+def _endpoints(count):
+    return [
         messages.Endpoint(f"control-{n}", f"127.0.0.1:{n}")
-        for n in range(1, peers + 2)
+        for n in range(1, count + 1)
     ]
+
+
+def _member(context, peers, durable=node.BLANK):
+    endpoints = _endpoints(peers + 1)
     member = messages.Member(*endpoints[0], "i1")
     identity = messages.Identity(member, 1, "n1")
-    consensus_node = node.Node(
-        identity, endpoints, node.BLANK, random.Random(1)
-    )
+    consensus_node = node.Node(identity, endpoints, durable, random.Random(1))
     context.order_instance = control_instance.Instance(
         consensus_node,
         _Records(),
@@ -67,6 +71,7 @@
     )
     context.order_calls = []
     context.order_results = []
+    context.order_directory = None
 
 
 @given("a single member that executes orders")
@@ -74,6 +79,46 @@
     _member(context, 0)
 
 
+@given("an instance with an empty disk at the address of voter 1 of {count:d}")
+def _(context, count):
+    # It has fetched the register, which lists its former incarnation.
+    voters = tuple(
+        messages.Member(*endpoint, "i0") for endpoint in _endpoints(count)
+    )
+    ballot = messages.Ballot(1, voters[0].id)
+    register = messages.Register(cluster="c1", members=voters)
+    durable = messages.DurableState(ballot, ballot, register)
+    _member(context, count - 1, durable)
+    records = [
+        membership.Instance(
+            name=voter.name,
+            role="control",
+            address=f"http-{voter.name}",
+            gossip_address=f"gossip-{voter.name}",
+            region="dar",
+            failure_domain="dar-1",
+            state="ready",
+            incarnation=1,
+            sequence=1,
+            revision=0,
+            load=0.0,
+            rpc_address=voter.address,
+        )
+        for voter in voters
+    ]
+    context.order_directory = directory.Directory(60.0)
+    for record in records:
+        context.order_directory.instances.update(record.name, record, 0.0)
+
+
+@then("the order is redirected to voter {number:d}")
+def _(context, number):
+    _execute_orders(context)
+    result = context.order_results[0]
+    assert isinstance(result, control_orders.Elsewhere), result
+    assert result.address == f"http-control-{number}", result
+
+
 @given("a member that executes orders and whose peers are lost")
 def _(context):
     _member(context, 2)
@@ -120,7 +165,9 @@
         return
 
     async def main():
-        executor = control_orders.Orders(context.order_instance)
+        executor = control_orders.Orders(
+            context.order_instance, context.order_directory
+        )
 
         async def execute(name, order):
             result = await executor.execute(name, order)
