--- a/hyssopfold/core/balancing/messages.py
+++ b/hyssopfold/core/balancing/messages.py
@@ -137,7 +137,9 @@
     no failure of the server. `load` is the load reported with the answer.
     `address_reassigned` is set when another server now has the address.
     `rate_limit` is the limit reported with the answer, in requests a second
-    from all entries together.
+    from all entries together. `rest_s` is the time in seconds for which the
+    server wants no requests from this entry, `is_leaving` is set when the
+    answer says that the server leaves.
     """
 
     kind: str
@@ -147,6 +149,8 @@
     load: Load | None = None
     address_reassigned: bool = False
     rate_limit: float | None = None
+    rest_s: float = 0.0
+    is_leaving: bool = False
 
     @property
     def tells_rate_limit(self) -> bool:
--- a/hyssopfold/entry/carrier.py
+++ b/hyssopfold/entry/carrier.py
@@ -379,6 +379,8 @@
             self._dialect.parse_load(headers),
             self._dialect.is_misdirected(answer.status),
             self._dialect.parse_rate_limit(headers),
+            self._dialect.parse_rest_s(answer.status, headers),
+            self._dialect.is_leaving(headers),
         )
 
     def _failure_kind(self) -> str:
@@ -449,6 +451,8 @@
             status=status,
             sent=self._machine.last_sent.value,
             rate_limit=answers.format_rate_limit(result.rate_limit),
+            rest_s=result.rest_s,
+            leaving=result.is_leaving,
             detail="" if result.healthy else self._machine.last_reason,
             took_s=round(result.duration_s, 4),
         )
--- a/hyssopfold/entry/dialect.py
+++ b/hyssopfold/entry/dialect.py
@@ -10,7 +10,11 @@
 # The value is `running,waiting,slots`, three small numbers.
 _MAX_LOAD_CHARS = 32
 # A decimal number without sign or exponent.
-_RATE_LIMIT = re.compile(rb"[0-9]{1,9}(\.[0-9]{0,9})?")
+_DECIMAL = re.compile(rb"[0-9]{1,9}(\.[0-9]{0,9})?")
+# Longest time that a server may ask for, so that a faulty value does not take
+# it out for ever.
+MAX_REST_S = 3600.0
+_LEAVING_VALUES = (b"1", b"true")
 
 
 def _states_not_run(status: int, headers: dict[bytes, bytes]) -> bool:
@@ -37,6 +41,7 @@
         load: Header of answers with the load of the server.
         rate_limit: Header of answers with the requests a second that the
             server accepts from all entries together.
+        leaving: Header of answers of a server that leaves.
         signature_header: Header that a server adds to each of its answers.
         credential: Header with the key of the caller's organisation. It is
             never forwarded while there are organisations.
@@ -70,6 +75,7 @@
     server_id: bytes = b""
     load: bytes = b""
     rate_limit: bytes = b"hyssop-rate-limit"
+    leaving: bytes = b"hyssop-leaving"
     signature_header: bytes = b""
     credential: bytes = b"hyssop-key"
     organisation: bytes = b"hyssop-organisation"
@@ -119,7 +125,23 @@
     def parse_rate_limit(self, headers: dict[bytes, bytes]) -> float | None:
         """Return the rate limit in an answer, None without a valid one."""
         value = headers.get(self.rate_limit, b"").strip()
-        return float(value) if _RATE_LIMIT.fullmatch(value) else None
+        return float(value) if _DECIMAL.fullmatch(value) else None
+
+    def parse_rest_s(self, status: int, headers: dict[bytes, bytes]) -> float:
+        """Return the time for which the server wants no requests, or 0.
+
+        It asks for that by `retry-after` in seconds when it turns a request
+        away with 503; a date in its place is ignored.
+        """
+        value = headers.get(b"retry-after", b"").strip()
+        if status != 503 or not _DECIMAL.fullmatch(value):
+            return 0.0
+        return min(float(value), MAX_REST_S)
+
+    def is_leaving(self, headers: dict[bytes, bytes]) -> bool:
+        """Return whether an answer says that its server leaves."""
+        value = headers.get(self.leaving, b"").strip().lower()
+        return value in _LEAVING_VALUES
 
 
 DEFAULT_DIALECT = Dialect()
--- a/hyssopfold/standin/server.py
+++ b/hyssopfold/standin/server.py
@@ -71,6 +71,7 @@
 ORGANISATION_HEADER = b"hyssop-organisation"
 CREDENTIAL_HEADER = b"hyssop-key"
 RATE_LIMIT_HEADER = b"hyssop-rate-limit"
+LEAVING_HEADER = b"hyssop-leaving"
 
 
 class Server:
@@ -80,7 +81,9 @@
     are the keys of requests that may run only once. `refused` counts requests
     that were answered as not run, `cancelled` those whose caller disconnected
     during the run, both by request ID. `received_at` has the monotonic time of
-    each request. `rate_limit` is named in all answers unless it is None.
+    each request. `rate_limit` is named in all answers unless it is None. With
+    `rest_s` the server turns all requests away and asks for so many seconds
+    without requests; with `is_leaving` it says in its answers that it leaves.
 
     Args:
         options: Address, pool, location and behaviour.
@@ -101,6 +104,8 @@
         self.cancelled: Counter[str] = Counter()
         self.received_at: list[float] = []
         self.rate_limit = options.rate_limit
+        self.rest_s: float | None = None
+        self.is_leaving = False
         self.max_running = 0
         self.open_connections: set[wire.Connection] = set()
         self.has_crashed = False
@@ -164,7 +169,8 @@
         self.received_at.append(trio.current_time())
         fault = self._fault(req)
         echo = (b"hyssop-request-id", req.request_id.encode())
-        if self._running >= self._options.slots and not fault:
+        is_full = self._running >= self._options.slots
+        if self.rest_s is not None or (is_full and not fault):
             fault = "shed"
         if fault in wire.BEFORE_RUN:
             return await self._answer_without_run(conn, req, fault, echo)
@@ -189,12 +195,16 @@
             return await conn.answer_chunked(answer_bytes, echo)
         if fault:
             return await wire.send_faulty_answer(conn, fault, encoded, echo)
-        return await conn.answer(200, encoded, (echo, *self._limit_headers()))
+        return await conn.answer(200, encoded, (echo, *self._state_headers()))
 
-    def _limit_headers(self) -> tuple[wire.Header, ...]:
-        if self.rate_limit is None:
-            return ()
-        return ((RATE_LIMIT_HEADER, f"{self.rate_limit:g}".encode()),)
+    def _state_headers(self) -> tuple[wire.Header, ...]:
+        headers: tuple[wire.Header, ...] = ()
+        if self.rate_limit is not None:
+            limit = f"{self.rate_limit:g}".encode()
+            headers = ((RATE_LIMIT_HEADER, limit),)
+        if self.is_leaving:
+            headers = (*headers, (LEAVING_HEADER, b"1"))
+        return headers
 
     def _fault(self, req: wire.Request) -> str:
         value = req.headers.get(FAULT_HEADER, b"").decode("latin-1")
@@ -218,7 +228,10 @@
         if fault == "shed":
             await conn.read_body()
             self.refused[req.request_id] += 1
-            headers = (echo, _NOT_RUN, *self._limit_headers())
+            headers = (echo, _NOT_RUN, *self._state_headers())
+            if self.rest_s is not None:
+                rest = f"{self.rest_s:g}".encode()
+                headers = (*headers, (b"retry-after", rest))
             return await conn.answer(503, b"", headers)
         return await wire.send_faulty_refusal(conn, fault, echo)
 
--- a/tests/entry/dialect.feature
+++ b/tests/entry/dialect.feature
@@ -53,3 +53,18 @@
       | 200    | signature            | False  | False   | False       |
       | 503    | refused              | False  | True    | False       |
       | 421    |                      | False  | False   | True        |
+
+  # Guards against a time without requests that is not read, or is endless.
+  Scenario Outline: the time for which a server wants no requests
+    When an answer with status <status> has retry-after "<text>"
+    Then the server wants no requests for <rest> s
+
+    Examples:
+      | status | text                          | rest   |
+      | 503    | 3                             | 3.0    |
+      | 503    | 0.25                          | 0.25   |
+      | 503    | 999999999                     | 3600.0 |
+      | 503    | -1                            | 0.0    |
+      | 503    | Wed, 21 Oct 2026 07:28:00 GMT | 0.0    |
+      | 503    |                               | 0.0    |
+      | 429    | 3                             | 0.0    |
--- a/tests/steps/entry/dialect_steps.py
+++ b/tests/steps/entry/dialect_steps.py
@@ -99,3 +99,19 @@
 def _(context, expected):
     value = None if expected == "none" else float(expected)
     assert context.rate_limit == value, context.rate_limit
+
+
+@when('an answer with status {status:d} has retry-after "{text}"')
+def _(context, status, text):
+    headers = {b"retry-after": text.encode()}
+    context.rest_s = dialect.DEFAULT_DIALECT.parse_rest_s(status, headers)
+
+
+@when('an answer with status {status:d} has retry-after ""')
+def _(context, status):
+    context.rest_s = dialect.DEFAULT_DIALECT.parse_rest_s(status, {})
+
+
+@then("the server wants no requests for {seconds:g} s")
+def _(context, seconds):
+    assert context.rest_s == seconds, context.rest_s
