Local placement: servers that ask for a time without requests get none

Cause: the entry read from a 503 that a server turned a request away, not for how long, and passed it over for 0.1 s. It reports no load then and ranks first for its objects again.

Change: an entry keeps the longest time that a server asked for, until the server restarts. Like servers at their limit, four of an object's servers are passed over at most; then the request is refused at once, and the caller told when the first of them is back.

--- a/hyssopfold/core/balancing/local.py
+++ b/hyssopfold/core/balancing/local.py
@@ -15,7 +15,6 @@
 from collections.abc import Mapping
 from collections.abc import Sequence
 import itertools
-import math
 from typing import NamedTuple
 
 from hyssopfold.core.balancing import affinity
@@ -35,9 +34,10 @@
 # all servers are busy with objects that they don't have cached.
 SERVERS_PER_OBJECT = 2
 # Servers of one object that are passed over because they are at the rate limit
-# that they named. With many limited servers in a pool, the requests that they
-# turn away would take three times as long at the rest and overload it.
-MAX_LIMITED_PASSED_OVER = 4
+# that they named, or want no requests for some time. With many such servers in
+# a pool, their requests would take three times as long at the rest and overload
+# it.
+MAX_DECLINING_PASSED_OVER = 4
 # Load, as a multiple of a server's slots, at which the server would soon refuse
 # requests.
 FULL_LOAD = 3.5
@@ -209,9 +209,7 @@
         usable = self._usable(req, order, servers, view)
         candidates = tuple(itertools.islice(usable, SERVERS_PER_OBJECT))
         if not candidates:
-            return messages.Refused(
-                _refusal_reason(req, servers.values()), RETRY_AFTER_S
-            )
+            return self._refuse(req, order, servers, view.now)
         choices = self._by_expected_time(req, candidates, view.now)
         for choice in choices:
             if _has_room(req, choice):
@@ -234,9 +232,9 @@
             server = servers[server_id]
             if not _may_serve(server, req, closed):
                 continue
-            if not self._is_within_limit(server, view):
+            if self._is_declining(server, view):
                 passed_over += 1
-                if passed_over == MAX_LIMITED_PASSED_OVER:
+                if passed_over == MAX_DECLINING_PASSED_OVER:
                     return
             elif self._is_available(server, view):
                 yield server
@@ -309,9 +307,12 @@
             (self._load(server, view.now), server.server_id)
             for server in allowed
             if self._is_available(server, view)
-            and self._is_within_limit(server, view)
+            and not self._is_declining(server, view)
         ]
-        load, server_id = min(loads, default=(math.inf, ""))
+        if not loads:
+            retry_after_s = self._retry_after_s(allowed, view.now)
+            return messages.Refused("no-slot", retry_after_s)
+        load, server_id = min(loads)
         if load >= FULL_LOAD:
             return messages.Refused("no-slot", RETRY_AFTER_S)
         return _Choice(servers[server_id], "least-loaded", load)
@@ -337,6 +338,50 @@
             server_id, rate, view.entries, view.now
         )
 
+    def _is_declining(self, server: membership.Server, view: View) -> bool:
+        """Return whether a server wants no more requests from this entry now.
+
+        It asked for a time without requests, or is at its rate limit.
+        """
+        stats = self._server_stats.current(server, view.now)
+        return stats.resting_until > view.now or not self._is_within_limit(
+            server, view
+        )
+
+    def _refuse(
+        self,
+        req: messages.Request,
+        order: Sequence[str],
+        servers: Mapping[str, membership.Server],
+        now: float,
+    ) -> messages.Refused:
+        """Return the refusal of a request that no server may get now."""
+        closed = _closed_domains(req)
+        ranked = (servers[server_id] for server_id in order)
+        allowed = (
+            server for server in ranked if _may_serve(server, req, closed)
+        )
+        passed_over = itertools.islice(allowed, MAX_DECLINING_PASSED_OVER)
+        return messages.Refused(
+            _refusal_reason(req, servers.values()),
+            self._retry_after_s(passed_over, now),
+        )
+
+    def _retry_after_s(
+        self, servers: Iterable[membership.Server], now: float
+    ) -> float:
+        """Return the time until the first of some servers accepts requests.
+
+        Args:
+            servers: Servers of which none is usable now.
+            now: Monotonic time in seconds.
+        """
+        rests_s = [
+            self._server_stats.current(server, now).resting_until - now
+            for server in servers
+        ]
+        return max(RETRY_AFTER_S, min(rests_s, default=RETRY_AFTER_S))
+
     def _is_within_limit(self, server: membership.Server, view: View) -> bool:
         """Return whether a server's rate limit allows a request now."""
         if self.server_limiter.limits.is_empty:
--- a/hyssopfold/core/balancing/server_stats.py
+++ b/hyssopfold/core/balancing/server_stats.py
@@ -49,6 +49,8 @@
         ejections: Ejections in a row; reduced by one with each good answer.
         ejected_until: Time at which the ejection ends.
         cold_until: Time until which the server is treated as cold.
+        resting_until: Time until which the server wants no requests from this
+            entry, by its own answers.
     """
 
     incarnation: int
@@ -62,6 +64,7 @@
     ejections: int = 0
     ejected_until: float = -math.inf
     cold_until: float = -math.inf
+    resting_until: float = -math.inf
 
     def estimated_requests(self, now: float) -> float:
         """Return the estimated number of requests at the server.
@@ -157,6 +160,10 @@
                 reported_at=now,
                 in_flight_at_report=stats.in_flight,
             )
+        if result.rest_s:
+            # Answers to requests sent before may name a shorter time or none.
+            resting_until = max(stats.resting_until, now + result.rest_s)
+            stats = stats._replace(resting_until=resting_until)
         if result.kind != "cancelled":
             stats = _update_health(stats, result, warm_up_s, now)
         self._stats[server_id] = stats
--- a/tests/steps/core/balancing/limited_pool_steps.py
+++ b/tests/steps/core/balancing/limited_pool_steps.py
@@ -52,9 +52,9 @@
 
 @then("more was earned than if requests were passed on to all servers")
 def _(context):
-    original = local.MAX_LIMITED_PASSED_OVER
-    context.add_cleanup(setattr, local, "MAX_LIMITED_PASSED_OVER", original)
-    local.MAX_LIMITED_PASSED_OVER = context.servers + 1
+    original = local.MAX_DECLINING_PASSED_OVER
+    context.add_cleanup(setattr, local, "MAX_DECLINING_PASSED_OVER", original)
+    local.MAX_DECLINING_PASSED_OVER = context.servers + 1
     worth_passed_on = _worth(context, context.count)
     assert context.worth["day"] > worth_passed_on["day"], worth_passed_on
 
