Local placement: servers whose answers say that they leave get no more requests

Requests reached servers that had said they leave in their answers (90 later than 2.5 s after, on loopback); what is under way there when the server exits is lost to callers.

Change: an entry uses such a server no more until it restarts.

--- a/hyssopfold/core/balancing/local.py
+++ b/hyssopfold/core/balancing/local.py
@@ -320,12 +320,12 @@
     def _is_available(self, server: membership.Server, view: View) -> bool:
         """Return whether requests may be sent to a server now.
 
-        Not to an ejected or silent server, nor to a cold one beyond this
-        entry's allowance.
+        Not to an ejected, silent or leaving server, nor to a cold one beyond
+        this entry's allowance.
         """
         server_id = server.server_id
         stats = self._server_stats.current(server, view.now)
-        if stats.ejected_until > view.now:
+        if stats.is_leaving or stats.ejected_until > view.now:
             return False
         if stats.is_silent(view.now) or self._silence_reports.is_confirmed(
             server_id, view.now
--- a/hyssopfold/core/balancing/server_stats.py
+++ b/hyssopfold/core/balancing/server_stats.py
@@ -51,6 +51,8 @@
         cold_until: Time until which the server is treated as cold.
         resting_until: Time until which the server wants no requests from this
             entry, by its own answers.
+        is_leaving: Whether an answer of the server said that it leaves, which
+            is final for an incarnation.
     """
 
     incarnation: int
@@ -65,6 +67,7 @@
     ejected_until: float = -math.inf
     cold_until: float = -math.inf
     resting_until: float = -math.inf
+    is_leaving: bool = False
 
     def estimated_requests(self, now: float) -> float:
         """Return the estimated number of requests at the server.
@@ -160,10 +163,12 @@
                 reported_at=now,
                 in_flight_at_report=stats.in_flight,
             )
-        if result.rest_s:
+        if result.rest_s and not result.address_reassigned:
             # Answers to requests sent before may name a shorter time or none.
             resting_until = max(stats.resting_until, now + result.rest_s)
             stats = stats._replace(resting_until=resting_until)
+        if result.is_leaving and not result.address_reassigned:
+            stats = stats._replace(is_leaving=True)
         if result.kind != "cancelled":
             stats = _update_health(stats, result, warm_up_s, now)
         self._stats[server_id] = stats
--- a/tests/core/balancing/server_rest.feature
+++ b/tests/core/balancing/server_rest.feature
@@ -32,3 +32,11 @@
     When a request to server "s0" is turned away for 60 s
     And backend server "s0" restarts
     Then the chooser sends some of 40 requests to "s0"
+
+  # Guards against a server that leaves and is used again once it reports no load.
+  Scenario: a server that leaves is not used until it restarts
+    When an answer of server "s0" says that it leaves
+    And 100 s pass for the chooser
+    Then the chooser sends none of 40 requests to "s0"
+    When backend server "s0" restarts
+    Then the chooser sends some of 40 requests to "s0"
