Granted slots: none at servers that ask for rest or leave

It now leaves such a server without slots; one that rests does so for all entries, since the grantor alone grants its slots.

--- a/hyssopfold/core/balancing/health.py
+++ b/hyssopfold/core/balancing/health.py
@@ -41,6 +41,12 @@
     samples: int = 0
     last_used: float = 0.0
     on_probation: bool = False
+    resting_until: float = 0.0
+    is_leaving: bool = False
+
+    def accepts_requests(self, now: float) -> bool:
+        """Return whether the server itself wants requests now."""
+        return not self.is_leaving and self.resting_until <= now
 
 
 class HealthTracker:
@@ -101,7 +107,7 @@
             record = _with_shed(record, now)
         elif result.kind == "answered":
             record = _with_answer(record, result.duration_s, now)
-        self._records[server_id] = record
+        self._records[server_id] = _with_statements(record, result, now)
 
     def _with_failure(self, record: _ServerHealth, now: float) -> _ServerHealth:
         failures = record.failures + 1
@@ -126,8 +132,8 @@
     ) -> dict[str, int]:
         """Return how many slots of each server may be used now, by server id.
 
-        A limit never exceeds the server's slots. Ejected servers get 0, but
-        at most `MAX_EJECTED_SHARE` of the servers are ejected: when most of
+        A limit never exceeds the server's slots. Servers that want no requests
+        get 0. Ejected servers get 0 as well, but at most `MAX_EJECTED_SHARE` of the servers are ejected: when most of
         them fail, the cause is probably elsewhere, and an empty pool would
         refuse requests that could be served.
 
@@ -147,7 +153,7 @@
                 or record.limited_until > now
                 or server.server_id in slow
             )
-            if server.server_id in ejected:
+            if server.server_id in ejected or not record.accepts_requests(now):
                 limit = 0
             elif is_limited_to_one:
                 limit = 1
@@ -189,6 +195,18 @@
         return set(server_ids[: int(len(servers) * MAX_EJECTED_SHARE)])
 
 
+def _with_statements(
+    record: _ServerHealth, result: messages.AttemptResult, now: float
+) -> _ServerHealth:
+    """Return the record after what the server said of itself in its answer."""
+    if result.address_reassigned:
+        return record
+    return record._replace(
+        resting_until=max(record.resting_until, now + result.rest_s),
+        is_leaving=record.is_leaving or result.is_leaving,
+    )
+
+
 def _with_shed(record: _ServerHealth, now: float) -> _ServerHealth:
     sheds = record.sheds + 1
     if sheds < LIMIT_AFTER_SHEDS:
--- a/tests/core/balancing/health.feature
+++ b/tests/core/balancing/health.feature
@@ -44,3 +44,19 @@
     When 400 s pass in the health tracker
     And a request is sent to server "s0"
     Then the slots of "s0" are 1 and all others 3
+
+  # Guards against slots granted at a server that asked for no requests.
+  Scenario: a server that asks for a time without requests has no slots
+    When server "s0" refuses a request and asks for 3 s without any
+    And server "s0" refuses 1 times
+    Then the slots of "s0" are 0 and all others 3
+    When 4 s pass in the health tracker
+    Then the slots of "s0" are 3 and all others 3
+
+  # Guards against slots granted at a server that says it leaves.
+  Scenario: a server that leaves has no slots until it restarts
+    When server "s0" answers and says that it leaves
+    And 100 s pass in the health tracker
+    Then the slots of "s0" are 0 and all others 3
+    When server "s0" restarts
+    Then the slots of "s0" are 1 and all others 3
--- a/tests/steps/core/balancing/health_steps.py
+++ b/tests/steps/core/balancing/health_steps.py
@@ -42,6 +42,18 @@
     _record_results(context, name, "shed", times=times)
 
 
+@when('server "{name}" refuses a request and asks for {rest_s:g} s without any')
+def _(context, name, rest_s):
+    shed = messages.AttemptResult("shed", 0.01, rest_s=rest_s)
+    context.health.record_result(name, shed, context.now)
+
+
+@when('server "{name}" answers and says that it leaves')
+def _(context, name):
+    answered = messages.AttemptResult("answered", 0.05, is_leaving=True)
+    context.health.record_result(name, answered, context.now)
+
+
 @when('server "{name}" answers once')
 def _(context, name):
     _record_results(context, name, "answered")
