Distribution: only fetches wait longer after polls that timed out

A watch that is pending at a control instance that was cut off would otherwise end up to half a minute later.

--- a/hyssopfold/core/balancing/health.py
+++ b/hyssopfold/core/balancing/health.py
@@ -133,9 +133,10 @@
         """Return how many slots of each server may be used now, by server id.
 
         A limit never exceeds the server's slots. Servers that want no requests
-        get 0. Ejected servers get 0 as well, but at most `MAX_EJECTED_SHARE` of the servers are ejected: when most of
-        them fail, the cause is probably elsewhere, and an empty pool would
-        refuse requests that could be served.
+        get 0. Ejected servers get 0 as well, but at most `MAX_EJECTED_SHARE`
+        of the servers are ejected: when most of them fail, the cause is
+        probably elsewhere, and an empty pool would refuse requests that could
+        be served.
 
         Args:
             servers: Servers that were given to `update_server`.
--- a/hyssopfold/core/distribution/follower.py
+++ b/hyssopfold/core/distribution/follower.py
@@ -11,9 +11,8 @@
 from hyssopfold.core.distribution import rows
 
 FETCH_TIMEOUT_S = 1.5
-# Polls in a row that time out before the timeout of the next ones is doubled:
-# the link may be too slow for an answer of this size. Fewer are more likely
-# lost.
+# Polls in a row that time out before the timeout of the next fetches doubles:
+# the link may be too slow for an answer of this size. Fewer were probably lost.
 OVERDUE_BEFORE_DOUBLING = 4
 MAX_TIMEOUT_DOUBLINGS = 4
 # Time until the next source is polled while the last poll is pending.
@@ -440,16 +439,19 @@
         self._control_index = (self._control_index + 1) % len(self._control)
         return self._control[self._control_index]
 
+    def _timeout_factor(self) -> int:
+        doublings = self._overdue_polls // OVERDUE_BEFORE_DOUBLING
+        return int(2 ** min(doublings, MAX_TIMEOUT_DOUBLINGS))
+
     def _poll(self, source: str, kind: str, now: float) -> messages.SendPoll:
         self._last_poll_id += 1
         wait_s = self._timing.hold_s if kind == "watch" else 0.0
         if not self.revision:
             wait_s = min(FIRST_HOLD_S, self._timing.hold_s)
-        margin_s = WATCH_MARGIN_S if kind == "watch" else FETCH_TIMEOUT_S
-        doublings = self._overdue_polls // OVERDUE_BEFORE_DOUBLING
-        timeout_s = wait_s + margin_s * 2 ** min(
-            doublings, MAX_TIMEOUT_DOUBLINGS
-        )
+        margin_s = WATCH_MARGIN_S
+        if kind == "fetch":
+            margin_s = FETCH_TIMEOUT_S * self._timeout_factor()
+        timeout_s = wait_s + margin_s
         self._pending[self._last_poll_id] = _PendingPoll(
             source, kind, now, now + timeout_s
         )
