Steering: work of an entry does not grow with the square of the routes

Cause: each update of a pool's shares, five times a second, discarded what was prepared for requests, and the next request looked up the weights of each route by going through all routes. The distance between two layouts had the same search. The class: a cost that nobody sees while tables are small.

Change: weights by route in a dict; the parts are prepared anew only when the mixture or the lost regions change.

--- a/bench/shift_simulation.py
+++ b/bench/shift_simulation.py
@@ -206,7 +206,7 @@
             node.shares.step(self.now, utc_s, {self.pool.name: ready})
             parts = node.shares.reports()[0].parts
             node.has_weights = any(
-                layouts.weights_of(part.layout, self.route.name)
+                layouts.weights_by_route(part.layout).get(self.route.name)
                 for part in parts
             )
         self._send(running, ready)
--- a/hyssopfold/core/steering/layouts.py
+++ b/hyssopfold/core/steering/layouts.py
@@ -1,11 +1,15 @@
 """Layouts: how the tables distribute a pool's traffic, and their distance."""
 
 from collections.abc import Iterable
+from collections.abc import Mapping
 import functools
 
 from hyssopfold import state
 from hyssopfold import tables
 
+# The weights of the routes of a layout, by the name of the route.
+Weights = Mapping[str, tuple[state.RegionWeight, ...]]
+
 
 def of_pool(revision_tables: tables.Tables, pool: tables.Pool) -> state.Layout:
     """Return the layout that the tables specify for the traffic of `pool`."""
@@ -34,14 +38,9 @@
     return layout._replace(closed_regions=(), closed_domains=())
 
 
-def weights_of(
-    layout: state.Layout, route: str
-) -> tuple[state.RegionWeight, ...] | None:
-    """Return the weights of a route, or None when the layout lacks it."""
-    for route_weights in layout.routes:
-        if route_weights.route == route:
-            return route_weights.weights
-    return None
+def weights_by_route(layout: state.Layout) -> Weights:
+    """Return the weights of each route of a layout."""
+    return {row.route: row.weights for row in layout.routes}
 
 
 @functools.lru_cache(maxsize=1024)
@@ -60,8 +59,9 @@
     if old.closed_domains != new.closed_domains:
         return 1.0
     max_distance = 0.0
+    new_weights_by_route = weights_by_route(new)
     for route_weights in old.routes:
-        new_weights = weights_of(new, route_weights.route)
+        new_weights = new_weights_by_route.get(route_weights.route)
         if new_weights is not None:
             before = open_weights(route_weights.weights, old.closed_regions)
             after = open_weights(new_weights, new.closed_regions)
--- a/hyssopfold/core/steering/shares.py
+++ b/hyssopfold/core/steering/shares.py
@@ -82,6 +82,22 @@
         self.turned_back = 0
 
 
+class _ActivePart(NamedTuple):
+    """A part of the mixture in force, prepared for requests.
+
+    Attributes:
+        number: Its position in the order of all parts.
+        layout: Its layout.
+        share: Share of the requests that it decides, from 0 to 1.
+        weights: The weights of the layout's routes.
+    """
+
+    number: int
+    layout: state.Layout
+    share: float
+    weights: layouts.Weights
+
+
 class _PoolShares:
     """The mixture in force for one pool.
 
@@ -115,7 +131,8 @@
         self._last_step_at = now
         self._window = _OutcomeWindow(now)
         self._held_until = 0.0
-        self._part_cache: list[tuple[state.Layout, float]] | None = None
+        self._active_parts: list[_ActivePart] = []
+        self._target_weights: layouts.Weights = {}
         self._has_weights: dict[str, bool] = {}
         self._decision_cache: dict[object, regions.Decision] = {}
 
@@ -130,7 +147,7 @@
         if plan != self.plan:
             self.plan_received_at = now
         self.pool, self.target, self.plan = pool, target, plan
-        self._part_cache = None
+        self._active_parts = []
 
     def adopt(
         self, parts: Iterable[state.Part], seen_regions: Iterable[str]
@@ -145,7 +162,7 @@
         total = sum(mixture.values())
         if mixture and abs(total - 1.0) < 1e-3:
             self.mixture = plans.mix(mixture, mixture, 0.0)
-            self._part_cache = None
+            self._active_parts = []
             # The system is already running: a region that gets ready servers
             # from now on has come back, and its traffic returns by a shift.
             self._start_grace_until = -math.inf
@@ -162,12 +179,14 @@
         # elapsed time at once: the share would jump.
         elapsed_s = min(max(0.0, now - self._last_step_at), MAX_STEP_S)
         self._last_step_at = now
+        former = (self.mixture, self.lost)
         self._update_ready(ready, now)
         window = self._window
         self._evaluate_window(window, now)
         previous = (self.phase, self.reason)
         self._move(now, utc_s, elapsed_s)
-        self._part_cache = None
+        if (self.mixture, self.lost) != former:
+            self._active_parts = []
         if (self.phase, self.reason) == previous:
             return None
         return PhaseChange(
@@ -302,17 +321,18 @@
     ) -> regions.Decision:
         """Return the regions that may serve a request, best first."""
         numbers = regions.hash_draws(key)
-        layout = _select_layout(
-            self._sorted_parts(), regions.to_fraction(numbers[0])
-        )
+        if not self._active_parts:
+            self._prepare_parts()
+        part = _select_part(self._active_parts, regions.to_fraction(numbers[0]))
         has_weights = self._has_weights.get(route.name, True)
         names = (
-            self._preference_order(layout, route, ctx, numbers)
+            self._preference_order(part.weights, route, ctx, numbers)
             if has_weights
             else ()
         )
+        # Not the layout, whose hash takes long with many routes.
         cache_key = (
-            layout,
+            part.number,
             route.name,
             ctx.home_region,
             ctx.regions_by_delay,
@@ -325,25 +345,28 @@
         if decision is not None and (not has_weights or len(self.mixture) == 1):
             return decision
         if not names:
-            names = self._preference_order(layout, route, ctx, numbers)
-        decision = self._new_decision(layout, names, route, ctx, numbers)
+            names = self._preference_order(part.weights, route, ctx, numbers)
+        decision = self._new_decision(part.layout, names, route, ctx, numbers)
         self._decision_cache[cache_key] = decision
         return decision
 
-    def _sorted_parts(self) -> list[tuple[state.Layout, float]]:
-        """Return the mixture in an order that is the same at all entries."""
-        if self._part_cache is None:
-            self._part_cache = sorted(self.mixture.items())
-            self._decision_cache.clear()
-            used_layouts = [*self.mixture, self.target]
-            self._has_weights = {
-                route_weights.route: any(
-                    layouts.weights_of(layout, route_weights.route)
-                    for layout in used_layouts
-                )
-                for route_weights in self.target.routes
-            }
-        return self._part_cache
+    def _prepare_parts(self) -> None:
+        """Prepare the mixture in force for requests, until it changes."""
+        self._decision_cache.clear()
+        # The order is the same at all entries.
+        self._active_parts = [
+            _ActivePart(number, layout, share, layouts.weights_by_route(layout))
+            for number, (layout, share) in enumerate(
+                sorted(self.mixture.items())
+            )
+        ]
+        self._target_weights = layouts.weights_by_route(self.target)
+        used = [part.weights for part in self._active_parts]
+        used.append(self._target_weights)
+        self._has_weights = {
+            route: any(weights.get(route) for weights in used)
+            for route in self._target_weights
+        }
 
     def _new_decision(
         self,
@@ -373,14 +396,14 @@
 
     def _preference_order(
         self,
-        layout: state.Layout,
+        weights_by_route: layouts.Weights,
         route: tables.Route,
         ctx: regions.SteeringContext,
         numbers: tuple[int, ...],
     ) -> tuple[str, ...]:
-        weights = layouts.weights_of(layout, route.name)
+        weights = weights_by_route.get(route.name)
         if weights is None:
-            weights = layouts.weights_of(self.target, route.name) or ()
+            weights = self._target_weights.get(route.name, ())
         return regions.preference_order(weights, ctx, numbers)
 
     def _previous_region(
@@ -396,7 +419,8 @@
         if not others:
             return names[0]
         largest = max(others, key=lambda layout: self.mixture[layout])
-        names = self._preference_order(largest, route, ctx, numbers)
+        weights_by_route = layouts.weights_by_route(largest)
+        names = self._preference_order(weights_by_route, route, ctx, numbers)
         return regions.first_open(names, largest)
 
     def report(self) -> Report:
@@ -546,14 +570,12 @@
     return shares
 
 
-def _select_layout(
-    parts: list[tuple[state.Layout, float]], draw: float
-) -> state.Layout:
-    """Return the layout that decides a request with a draw in (0, 1)."""
+def _select_part(parts: list[_ActivePart], draw: float) -> _ActivePart:
+    """Return the part that decides a request with a draw in (0, 1)."""
     upper_bound = 0.0
-    for layout, share in parts:
-        upper_bound += share
+    for part in parts:
+        upper_bound += part.share
         if draw < upper_bound:
-            return layout
+            return part
     # The sum of the shares is 1 except for rounding.
-    return parts[-1][0]
+    return parts[-1]
--- /dev/null
+++ b/tests/steps/core/steering/many_routes_steps.py
@@ -0,0 +1,73 @@
+"""Steps of core/steering/many_routes.feature."""
+
+import time
+
+from behave import given
+from behave import then
+from behave import when
+
+from hyssopfold import state
+from hyssopfold import tables
+from hyssopfold.core.steering import regions
+from hyssopfold.core.steering import shares
+
+UPDATES_PER_S = 5
+READY = frozenset({"dar", "arusha"})
+UTC_S = 1e9
+
+
+def _state(pools, routes, extra=0):
+    rows = [f"  - {{name: pool-{pool}, slots: 3}}" for pool in range(pools)]
+    text = "\n".join(["pools:", *rows, "routes:"])
+    for pool in range(pools):
+        for route in range(routes + extra * (pool == 0)):
+            text += (
+                f"\n  - {{name: r-{pool}-{route},"
+                f" path_prefix: /{pool}/{route}/, pool: pool-{pool}}}"
+            )
+    return state.State(tables.parse(text))
+
+
+@given("traffic shares of {pools:d} pools with {routes:d} routes each")
+def _(context, pools, routes):
+    context.states = (_state(pools, routes), _state(pools, routes, extra=1))
+    context.shares = shares.TrafficShares()
+    context.shares.install(context.states[0], 0.0, UTC_S)
+    context.busy_s = 0.0
+
+
+@when("an edit changes one route")
+def _(context):
+    began = time.process_time()
+    context.shares.install(context.states[1], 1.0, UTC_S)
+    context.busy_s += time.process_time() - began
+
+
+@when(
+    "the shares are updated for {seconds:d} s while {requests:d} requests are"
+    " decided"
+)
+def _(context, seconds, requests):
+    context.seconds = seconds
+    all_tables = context.states[1].tables
+    domains = {region: {f"{region}-1"} for region in READY}
+    ctx = regions.SteeringContext(
+        "dar", regions.by_delay("dar", domains, {"arusha": 35.0}), domains
+    )
+    ready = {pool.name: READY for pool in all_tables.pools}
+    updates = seconds * UPDATES_PER_S
+    began = time.process_time()
+    for number in range(updates):
+        now = 1.0 + number / UPDATES_PER_S
+        context.shares.step(now, UTC_S + now, ready)
+        for request in range(requests // updates):
+            route = all_tables.routes[(number * 7 + request) % 1400]
+            key = f"{number}-{request}"
+            context.shares.decide(route, ctx, key, route.pool)
+    context.busy_s += time.process_time() - began
+
+
+@then("that took at most {percent:g} % of a core")
+def _(context, percent):
+    share = 100 * context.busy_s / context.seconds
+    assert share <= percent, f"{share:.1f} %"
