Steering: decisions are still made anew after each update of the shares

They also depend on the failure domains of a region that have servers, which the key of the cache does not name: an entry could have gone on with a domain that is gone. Found when reading the change; the update clears decisions again, which costs little now.

--- a/hyssopfold/core/steering/shares.py
+++ b/hyssopfold/core/steering/shares.py
@@ -185,6 +185,8 @@
         self._evaluate_window(window, now)
         previous = (self.phase, self.reason)
         self._move(now, utc_s, elapsed_s)
+        # A decision also depends on the failure domains that have servers.
+        self._decision_cache.clear()
         if (self.mixture, self.lost) != former:
             self._active_parts = []
         if (self.phase, self.reason) == previous:
