--- a/tests/core/steering/many_routes.feature
+++ b/tests/core/steering/many_routes.feature
@@ -8,3 +8,10 @@
     When an edit changes one route
     And the shares are updated for 10 s while 130 requests are decided
     Then that took at most 3.3 % of a core
+
+  # Guards against decisions that are kept when failure domains come or go.
+  Scenario: a drained failure domain has servers again
+    Given traffic shares of a pool whose failure domain "dar-1" is drained
+    When only "dar-2" has servers and a request is decided
+    And "dar-1, dar-2" have servers, the shares are updated and it is decided
+    Then only the second decision closes "dar-1"
--- a/tests/steps/core/steering/many_routes_steps.py
+++ b/tests/steps/core/steering/many_routes_steps.py
@@ -71,3 +71,48 @@
 def _(context, percent):
     share = 100 * context.busy_s / context.seconds
     assert share <= percent, f"{share:.1f} %"
+
+
+@given('traffic shares of a pool whose failure domain "{domain}" is drained')
+def _(context, domain):
+    text = (
+        f"pools: [{{name: p, slots: 3, drains: {{failure_domains: [{domain}]}}}}]"
+        "\nroutes: [{name: r, pool: p, path_prefix: /}]"
+    )
+    context.tables = tables.parse(text)
+    context.shares = shares.TrafficShares()
+    context.shares.install(state.State(context.tables), 0.0, UTC_S)
+    context.now = 0.0
+    context.decisions = []
+
+
+def _decide(context, names):
+    domains = {"dar": set(names.split(", "))}
+    ctx = regions.SteeringContext(
+        "dar", regions.by_delay("dar", domains, {}), domains
+    )
+    context.now += 1 / UPDATES_PER_S
+    ready = {"p": frozenset({"dar"})}
+    context.shares.step(context.now, UTC_S + context.now, ready)
+    route = context.tables.routes[0]
+    decision = context.shares.decide(route, ctx, "key", "p")
+    context.decisions.append(decision)
+
+
+@when('only "{names}" has servers and a request is decided')
+def _(context, names):
+    _decide(context, names)
+
+
+@when('"{names}" have servers, the shares are updated and it is decided')
+def _(context, names):
+    _decide(context, names)
+
+
+@then('only the second decision closes "{domain}"')
+def _(context, domain):
+    closed = [
+        any(domain in region.closed_domains for region in decision.regions)
+        for decision in context.decisions
+    ]
+    assert closed == [False, True], context.decisions
