Logs: what a control instance knew of a server that leaves, and conflicting records

The hypotheses of the incident can't be told apart by the lines there are: leave-decision gets the state and sequence number known before and the age of the instance; leave-conflict says that a leaving and a ready record of one incarnation met, and which was kept; attempt-ended gets the time from the choice of the server to the first byte. No decision changes.

--- a/hyssopfold/control/announcement_acks.py
+++ b/hyssopfold/control/announcement_acks.py
@@ -50,9 +50,10 @@
 
     async def announce(self, server: messages.Server) -> bool:
         """Spread an announcement; return whether to acknowledge it."""
+        known = self._gossip.directory.servers.get(server.server_id)
         self._gossip.announce(server)
         if server.state == "leaving":
-            return await self._confirm(server.server_id)
+            return await self._confirm(server.server_id, known)
         if not self._instance.register.members:
             # No cluster is formed yet, so there is no majority that this
             # instance could be cut off from.
@@ -68,11 +69,19 @@
         Args:
             server_id: The server that is leaving.
         """
+        known = self._gossip.directory.servers.get(server_id)
         self._gossip.dismiss(server_id)
-        return await self._confirm(server_id)
+        return await self._confirm(server_id, known)
 
-    async def _confirm(self, server_id: str) -> bool:
-        """Return whether to acknowledge that a server is leaving; log it."""
+    async def _confirm(
+        self, server_id: str, known: messages.Server | None
+    ) -> bool:
+        """Return whether to acknowledge that a server is leaving; log it.
+
+        Args:
+            server_id: The server.
+            known: What was known of it before; None if nothing was.
+        """
         began = trio.current_time()
         is_confirmed = False
         with trio.move_on_after(CONFIRM_TIMEOUT_S):
@@ -83,6 +92,9 @@
                 server=server_id,
                 acknowledged=is_confirmed,
                 took_s=trio.current_time() - began,
+                known=known.state if known is not None else "no",
+                known_sequence=known.sequence if known is not None else 0,
+                age_s=round(self._gossip.age_s, 3),
             )
         )
         return is_confirmed
--- a/hyssopfold/core/membership/effects.py
+++ b/hyssopfold/core/membership/effects.py
@@ -32,4 +32,21 @@
     cold_left_s: float = 0.0
 
 
-Effect = Send | Changed
+class LeaveConflict(NamedTuple):
+    """Effect: log that records of one incarnation disagree on its leaving.
+
+    One of the two, the record known here and the one that `sender` sent, says
+    that the server leaves, the other that it is ready. `kept` is the state
+    that the server has here from now on.
+    """
+
+    server: str
+    sender: str
+    known_state: str
+    known_sequence: int
+    received_state: str
+    received_sequence: int
+    kept: str
+
+
+Effect = Send | Changed | LeaveConflict
--- a/hyssopfold/core/membership/gossip_protocol.py
+++ b/hyssopfold/core/membership/gossip_protocol.py
@@ -131,9 +131,13 @@
         """Return whether another instance has sent all its records."""
         return self._synced
 
+    def age_s(self, now: float) -> float:
+        """Return the seconds since this instance started."""
+        return now - self._started_at
+
     def ready(self, now: float) -> bool:
         """Return whether all records were received or the wait for them ended."""
-        return self._synced or now - self._started_at >= START_ALONE_S
+        return self._synced or self.age_s(now) >= START_ALONE_S
 
     def instance_lease_s(self) -> float:
         """Return the seconds after which a silent instance is gone.
@@ -312,7 +316,9 @@
                 if datagram.introduce:
                     self._broadcasts.add_news(instance.name)
         for server in datagram.servers:
+            record = self.directory.servers.get(server.server_id)
             effects += self._receive_server(server, now)
+            effects += self._find_conflict(record, server, datagram.sender)
         self._heartbeats.follow(self.directory)
         for suspicion in datagram.suspects:
             if suspicion.name != self.myself.name and self._heartbeats.suspect(
@@ -352,6 +358,35 @@
             return []
         return [_changed(server)]
 
+    def _find_conflict(
+        self,
+        record: messages.Server | None,
+        server: messages.Server,
+        sender: str,
+    ) -> Effects:
+        """Return the conflict between a known and a received record, if any."""
+        if record is None or record.incarnation != server.incarnation:
+            return []
+        if {record.state, server.state} != {"ready", "leaving"}:
+            return []
+        if server.state == "leaving" and received_announcements.is_newer(
+            server, record
+        ):
+            # The usual case: the server was ready and leaves now.
+            return []
+        kept = self.directory.servers.get(server.server_id)
+        return [
+            effects_module.LeaveConflict(
+                server.server_id,
+                sender,
+                record.state,
+                record.sequence,
+                server.state,
+                server.sequence,
+                kept.state if kept is not None else "",
+            )
+        ]
+
     def _is_acceptable(self, instance: messages.Instance, sender: str) -> bool:
         """Return whether a received record of an instance is accepted."""
         name = instance.name
--- a/hyssopfold/entry/carrier.py
+++ b/hyssopfold/entry/carrier.py
@@ -77,6 +77,7 @@
         )
         self._grant: messages.Grant | None = None
         self._granted_at = 0.0
+        self._first_byte_at: float | None = None
         self._answer_scope = trio.CancelScope()
         # Whether the connection of the current attempt failed.
         self._connection_failed = False
@@ -172,6 +173,7 @@
             dependencies.limits.count_retry(self._exchange.organisation)
         self._grant = result
         self._granted_at = trio.current_time()
+        self._first_byte_at = None
         self._log_grant(result, effect)
         return events.Granted(result.server.server_id)
 
@@ -276,6 +278,7 @@
         await self._relay.buffer_short_answer()
 
     def _on_bytes_sent(self) -> None:
+        self._first_byte_at = trio.current_time()
         self._handle(events.BytesSent())
 
     async def _stream_body(
@@ -454,5 +457,12 @@
             rest_s=result.rest_s,
             leaving=result.is_leaving,
             detail="" if result.healthy else self._machine.last_reason,
+            sent_after_s=self._format_send_delay(),
             took_s=round(result.duration_s, 4),
         )
+
+    def _format_send_delay(self) -> float | str:
+        """Return the seconds from the choice of the server to the first byte."""
+        if self._first_byte_at is None:
+            return "none"
+        return round(self._first_byte_at - self._granted_at, 4)
--- a/hyssopfold/transport/gossip.py
+++ b/hyssopfold/transport/gossip.py
@@ -177,6 +177,11 @@
         """Return the bytes of datagrams sent, by purpose and distance."""
         return self._traffic_counter.sent_bytes
 
+    @property
+    def age_s(self) -> float:
+        """Return the seconds since this instance began to gossip."""
+        return self._protocol.age_s(trio.current_time())
+
     @property
     def ready(self) -> bool:
         """Return whether the directory is complete, or no peer was found."""
@@ -228,6 +233,8 @@
                         effect.address, effect.purpose, data
                     )
                     self._send(effect.address, data)
+            elif isinstance(effect, effects_module.LeaveConflict):
+                logger.info(logs.Event("leave-conflict", **effect._asdict()))
             else:
                 logger.info(logs.Event("member-changed", **effect._asdict()))
         if self._protocol.has_news:
