Test of a server that leaves: counts from its first answer that says so

Cause, in the test and not in the entry: the stand-in works 10 ms on a request. When the last one before the change is received within these 10 ms, its answer already says that the server leaves, and the entry rightly sends none after it. Ruled out: the server had not been ejected, it got all 20 requests of the second before.

--- a/hyssopfold/standin/server.py
+++ b/hyssopfold/standin/server.py
@@ -106,6 +106,8 @@
         self.rate_limit = options.rate_limit
         self.rest_s: float | None = None
         self.is_leaving = False
+        # Monotonic time of the first answer that said so.
+        self.first_leaving_answer_at: float | None = None
         self.max_running = 0
         self.open_connections: set[wire.Connection] = set()
         self.has_crashed = False
@@ -203,6 +205,8 @@
             limit = f"{self.rate_limit:g}".encode()
             headers = ((RATE_LIMIT_HEADER, limit),)
         if self.is_leaving:
+            if self.first_leaving_answer_at is None:
+                self.first_leaving_answer_at = trio.current_time()
             headers = (*headers, (LEAVING_HEADER, b"1"))
         return headers
 
--- a/tests/steps/entry/server_rest_steps.py
+++ b/tests/steps/entry/server_rest_steps.py
@@ -49,6 +49,7 @@
             for at in entries.servers[0].received_at
             if at >= context.changed_at
         ]
+        context.said_at = entries.servers[0].first_leaving_answer_at
 
 
 async def _change_server(context, entries):
@@ -91,8 +92,9 @@
     " so"
 )
 def _(context, seconds):
-    first, *others = context.received_at
-    late = [at - first for at in others if at - first > seconds]
+    first = context.said_at
+    assert first is not None, "no answer of the server said that it leaves"
+    late = [at - first for at in context.received_at if at - first > seconds]
     assert not late, f"{len(late)} requests, the last after {late[-1]:.1f} s"
 
 
