Failing tests: servers that leave while instances restart or monitors change

Four faults: - a dismissal at an instance without the server's record changes nothing, and is acknowledged; - a ready record with the same number as the dismissal, or a higher one, wins; - a server that left and is gone is ready again after a delayed announcement; - a server that falls silent after a restart of its monitor stays ready at all instances, since they renew its lease as long as the monitor's name is a member. Six servers were acknowledged at 3.00 to 3.08 s and became known as ready afterwards; they counted as leaving only when they asked again, 3.6 to 5.2 s later.

--- a/tests/support/fake_gossip.py
+++ b/tests/support/fake_gossip.py
@@ -104,12 +104,28 @@
         number = next(self._numbers)
         me = _instance(number, self.regions, self.domains, self.control)
         self._region_of_address[me.gossip_address] = me.region
+        self._start_protocol(me)
+        return me.name
+
+    def _start_protocol(self, me):
         rng = random.Random(self.rng.random())
         member_directory = directory.Directory(LEASE_S)
         self.protocols[me.name] = gossip_protocol.GossipProtocol(
             me, self.seeds, member_directory, LEASE_S, rng, self.now
         )
-        return me.name
+
+    def restart(self, name):
+        """Restart an instance, which forgets all that it knew."""
+        me = self.protocols[name].myself
+        self._start_protocol(
+            me._replace(incarnation=me.incarnation + 1000, sequence=0)
+        )
+
+    def dismiss(self, server_id, name):
+        """Ask an instance to remove a server, which falls silent."""
+        self.silent.add(server_id)
+        effects = self.protocols[name].dismiss(server_id, self.now)
+        self.execute(name, effects)
 
     def live(self):
         """Return the instances that run."""
