Directory: an incarnation that left is never ready again, whatever the numbers

What callers see: requests go to a server that stops, some seconds after its leaving was acknowledged.

Cause: records of a server were ordered by sequence number alone, and leaving was kept only while the record itself said so. A dismissal has no number of its own; the instance that receives it makes one up, one above the newest it knows. When the server announces itself to another instance meanwhile, a ready record has the same number or a higher one, and instances kept whichever came first, or the ready one. The tombstone of a server that is gone forgot that it had left, so that a delayed announcement made it ready everywhere.

Ruled out: lost datagrams, there are none in these runs.

Fix: that an incarnation left is a fact that is merged apart from the newest record, in both orders and beyond the tombstone, so that the result does not depend on the order of arrival.

--- a/hyssopfold/core/membership/directory.py
+++ b/hyssopfold/core/membership/directory.py
@@ -20,8 +20,11 @@
 
 
 class _Lease(NamedTuple, Generic[Record]):
+    """A record; `has_left` is set once any record of its incarnation left."""
+
     record: Record
     expires_at: float
+    has_left: bool
 
 
 class Leases(Generic[Record]):
@@ -40,21 +43,33 @@
         self.changes = 0
 
     def update(self, key: str, record: Record, now: float) -> bool:
-        """Store a record if it is newer; return whether it was stored.
+        """Merge a record into the one known; return whether that changed.
 
         Duplicate and late records are ignored, and new keys beyond
-        `MAX_RECORDS`. `leaving` is final for an
-        incarnation: a `ready` that was sent before it and arrives after it
-        must not bring the server back.
+        `MAX_RECORDS`. `leaving` is final for an incarnation, whatever the order
+        of the records: one that left is never `ready` again, and a late
+        `leaving` marks a newer `ready` record, which another instance may have
+        received after the member left.
         """
         lease = self._leases.get(key)
-        if lease is not None and not _is_newer(record, lease.record):
-            return False
         if lease is None and len(self._leases) >= MAX_RECORDS:
             return False
-        if _has_left(lease, record):
+        expires_at = now + self._lease_s
+        if lease is not None and not _is_newer(record, lease.record):
+            if record.incarnation != lease.record.incarnation:
+                return False
+            if record.state != "leaving" or lease.has_left:
+                return False
+            record = lease.record
+            expires_at = max(expires_at, lease.expires_at)
+            has_left = True
+        else:
+            has_left = record.state == "leaving" or _has_left(lease, record)
+        if has_left and record.state != "gone":
             record = record._replace(state="leaving")
-        self._leases[key] = _Lease(record, now + self._lease_s)
+        self._leases[key] = _Lease(record, expires_at, has_left)
+        if lease is not None and record == lease.record:
+            return False
         if record.state == "gone":
             self._hashes.put_tombstone(key)
         else:
@@ -119,9 +134,8 @@
 
 
 def _has_left(lease: _Lease[Record] | None, record: Record) -> bool:
-    if lease is None or lease.record.state != "leaving":
-        return False
-    if record.state == "gone":
+    """Return whether the incarnation of `record` is known to have left."""
+    if lease is None or not lease.has_left:
         return False
     return lease.record.incarnation == record.incarnation
 
--- a/hyssopfold/core/membership/gossip_protocol.py
+++ b/hyssopfold/core/membership/gossip_protocol.py
@@ -233,6 +233,8 @@
         new_record = server._replace(monitor=self.myself.name)
         if not self.directory.servers.update(server.server_id, new_record, now):
             return []
+        # The server may have left before, by an older record.
+        server = self.directory.servers.get(server.server_id) or new_record
         changed = _changed(server)
         if server.state == "ready":
             # Other instances send to a server that they take for warm.
@@ -350,13 +352,15 @@
             server = server._replace(monitor="")
         if not self.directory.servers.update(server.server_id, server, now):
             return []
-        self.directory.record_cold(server, now)
+        kept = self.directory.servers.get(server.server_id) or server
+        if not received_announcements.is_newer(kept, server):
+            self.directory.record_cold(server, now)
         if server.state == "gone":
             self._renew(server.server_id, now, monitoring.GONE_S)
         if server.state == "gone" and self._monitoring.vouch(server, now):
             # Its monitor lost it, but it still announces itself here.
             return []
-        return [_changed(server)]
+        return [_changed(kept)]
 
     def _find_conflict(
         self,
--- a/tests/core/membership/directory.feature
+++ b/tests/core/membership/directory.feature
@@ -22,3 +22,28 @@
     When server "ledger-1" announces ready as 1.1 at 0 s
     And time is 4 s
     Then no server is ready
+
+  # Guards against a ready record that wins over a leave by its number.
+  Scenario: a late leaving marks a newer ready record
+    When server "ledger-1" announces ready as 1.4 at 1 s
+    And server "ledger-1" announces leaving as 1.3 at 2 s
+    Then no server is ready
+
+  # Guards against a leave with the same number as a ready record.
+  Scenario: a leaving with the same number as a ready record
+    When server "ledger-1" announces ready as 1.3 at 1 s
+    And server "ledger-1" announces leaving as 1.3 at 1 s
+    Then no server is ready
+
+  # Guards against a tombstone that forgets that the server had left.
+  Scenario: a late ready does not bring back a server that left and is gone
+    When server "ledger-1" announces leaving as 1.3 at 1 s
+    And server "ledger-1" announces gone as 1.3 at 2 s
+    And server "ledger-1" announces ready as 1.4 at 3 s
+    Then no server is ready
+
+  # Guards against a leave of an earlier start that stops a new one.
+  Scenario: a late leaving of an earlier incarnation changes nothing
+    When server "ledger-1" announces ready as 2.1 at 1 s
+    And server "ledger-1" announces leaving as 1.9 at 2 s
+    Then server "ledger-1" is ready
