Leaves: a dismissal without a record is kept, and not acknowledged before it counts

What callers see: requests reach a server seconds after its leaving was acknowledged, until it exits.

Cause: an acknowledgement of something that was not done. A server that asks to be removed sends its id alone. A control instance that has just started has no record of it for some tenths of a second, while all others have; the dismissal did nothing there, and was acknowledged as soon as a majority answered.

Ruled out: the announced leaving, which contains the whole record, and the majority, which did answer.

It is acknowledged once the record is marked here, or once this instance has run for as long as a change needs to reach all (3 s) and has none; until then the server asks another instance.

--- a/hyssopfold/control/announcement_acks.py
+++ b/hyssopfold/control/announcement_acks.py
@@ -4,7 +4,9 @@
 instance that is cut off from the others acknowledged the announcement, entries
 would not receive it and would go on sending requests to the server. Therefore
 an announcement is acknowledged only if a majority of the control instances is
-reachable; otherwise the server announces itself to another instance.
+reachable; otherwise the server announces itself to another instance. The same
+holds for a server that asks to be removed by its id, as long as this instance
+has just started and may not have received the server's record yet.
 """
 
 import logging
@@ -83,9 +85,9 @@
             known: What was known of it before; None if nothing was.
         """
         began = trio.current_time()
-        is_confirmed = False
-        with trio.move_on_after(CONFIRM_TIMEOUT_S):
-            is_confirmed = await self._instance.confirm()
+        is_confirmed = self._gossip.has_left(server_id)
+        if is_confirmed:
+            is_confirmed = await self._confirm_majority()
         logger.info(
             logs.Event(
                 "leave-decision",
@@ -98,3 +100,9 @@
             )
         )
         return is_confirmed
+
+    async def _confirm_majority(self) -> bool:
+        """Return whether a majority answers within `CONFIRM_TIMEOUT_S`."""
+        with trio.move_on_after(CONFIRM_TIMEOUT_S):
+            return await self._instance.confirm()
+        return False
--- a/hyssopfold/core/membership/gossip_protocol.py
+++ b/hyssopfold/core/membership/gossip_protocol.py
@@ -9,6 +9,7 @@
 from hyssopfold.core.membership import broadcasts
 from hyssopfold.core.membership import datagram_builder
 from hyssopfold.core.membership import directory
+from hyssopfold.core.membership import dismissals
 from hyssopfold.core.membership import effects as effects_module
 from hyssopfold.core.membership import failure_detector
 from hyssopfold.core.membership import heartbeats
@@ -76,6 +77,7 @@
         self._started_at = now
         self._heartbeats = heartbeats.Heartbeats()
         self._received = received_announcements.ReceivedAnnouncements(lease_s)
+        self._dismissals = dismissals.Dismissals()
         self._peer_selector = peer_selection.PeerSelector(
             myself.name,
             (myself.region, myself.failure_domain),
@@ -213,7 +215,8 @@
         ):
             return []
         record = self.directory.servers.get(server.server_id)
-        if _has_left(record, server):
+        was_dismissed = self._dismissals.take(server.server_id, now)
+        if was_dismissed or _has_left(record, server):
             # `leaving` is final: an announcement may have been sent before
             # the server left or was dismissed.
             server = server._replace(state="leaving")
@@ -249,10 +252,17 @@
         The server numbers its announcements itself, and other instances may
         have received newer ones than this instance. The number after the
         newest one known here is still newer than any that was broadcast,
-        since a server's unchanged announcements are not forwarded.
+        since a server's unchanged announcements are not forwarded. Without a
+        record, the first one that arrives is marked.
         """
         record = self.directory.servers.get(server_id)
-        if record is None or record.state != "ready":
+        if record is None:
+            self._dismissals.add(server_id, now)
+            return []
+        if record.state == "gone":
+            left = record._replace(state="leaving")
+            self.directory.servers.update(server_id, left, now)
+        if record.state != "ready":
             return []
         newest = record
         last = self._received.get(server_id)
@@ -263,6 +273,17 @@
         )
         return self.announce(leaving, now)
 
+    def has_left(self, server_id: str, now: float) -> bool:
+        """Return whether a server leaves or is gone.
+
+        So is one without a record, once this instance has run long enough to
+        have received each record that another instance has.
+        """
+        record = self.directory.servers.get(server_id)
+        if record is None:
+            return self.age_s(now) >= PROPAGATION_S
+        return record.state != "ready"
+
     def _renew(self, server_id: str, now: float, lease_s: float) -> None:
         self.directory.servers.renew(server_id, now, lease_s)
 
@@ -321,6 +342,7 @@
             record = self.directory.servers.get(server.server_id)
             effects += self._receive_server(server, now)
             effects += self._find_conflict(record, server, datagram.sender)
+            effects += self._apply_dismissal(server.server_id, now)
         self._heartbeats.follow(self.directory)
         for suspicion in datagram.suspects:
             if suspicion.name != self.myself.name and self._heartbeats.suspect(
@@ -362,6 +384,14 @@
             return []
         return [_changed(kept)]
 
+    def _apply_dismissal(self, server_id: str, now: float) -> Effects:
+        """Dismiss a server whose record came after it was dismissed."""
+        if self.directory.servers.get(server_id) is None:
+            return []
+        if not self._dismissals.take(server_id, now):
+            return []
+        return self.dismiss(server_id, now)
+
     def _find_conflict(
         self,
         record: messages.Server | None,
--- a/hyssopfold/transport/gossip.py
+++ b/hyssopfold/transport/gossip.py
@@ -133,6 +133,10 @@
         """Announce that a server is leaving, on its behalf."""
         self._execute(self._protocol.dismiss(server_id, trio.current_time()))
 
+    def has_left(self, server_id: str) -> bool:
+        """Return whether a server gets no more requests of this directory."""
+        return self._protocol.has_left(server_id, trio.current_time())
+
     def set_seeds(self, seeds: tuple[str, ...]) -> None:
         """Replace the UDP addresses used to find other instances."""
         self._protocol.set_seeds(seeds)
