Monitoring: a restarted monitor notices when its servers are silent

What callers see: a server that crashed, or left, stays in use at all entries for as long as its monitor runs; attempts there fail until each entry ejects it for some seconds, again and again. If it left without being marked, requests go on reaching it until it exits.

Cause: the instances renew a server's lease for as long as the instance that it announces itself to, its monitor, is a member. A restarted monitor has the same name, got the record back from the others and did not consider itself the monitor, because it had received no announcement. So nobody noticed the silence.

Fix: a record that names this instance as the monitor starts the server's lease here; without an announcement in that time the server is gone, as usual. If it announces itself elsewhere by then, that newer record wins as before.

--- a/hyssopfold/core/membership/gossip_protocol.py
+++ b/hyssopfold/core/membership/gossip_protocol.py
@@ -367,11 +367,12 @@
                 return []
         elif record is None and not self._is_monitored(server):
             return []
-        is_monitor = server.monitor == self.myself.name
-        if is_monitor and self._received.get(server.server_id) is None:
-            # The record names an earlier incarnation of this instance as the
-            # monitor. This incarnation has received no announcement.
-            server = server._replace(monitor="")
+        if server.monitor == self.myself.name:
+            # The record may name an earlier incarnation of this instance as
+            # the monitor. The others renew the server's lease for as long as
+            # this instance is a member, so it must notice when the server is
+            # silent.
+            self._received.expect(server.server_id, now)
         if not self.directory.servers.update(server.server_id, server, now):
             return []
         kept = self.directory.servers.get(server.server_id) or server
--- a/hyssopfold/core/membership/received_announcements.py
+++ b/hyssopfold/core/membership/received_announcements.py
@@ -43,6 +43,15 @@
             return False
         return silent_s <= self._lease_s
 
+    def expect(self, server_id: str, now: float) -> None:
+        """Count the silence of a server from now, if it never announced itself.
+
+        Args:
+            server_id: The server.
+            now: Monotonic time in seconds.
+        """
+        self._received_at.setdefault(server_id, now)
+
     def silent_s(self, server_id: str, now: float) -> float:
         """Return the seconds since an announcement, infinite without one."""
         return now - self._received_at.get(server_id, -math.inf)
@@ -56,8 +65,10 @@
         """
         if self.silent_s(server.server_id, now) > self._lease_s:
             return None
-        announcement = self._announcements[server.server_id]
-        return announcement if is_newer(announcement, server) else None
+        announcement = self._announcements.get(server.server_id)
+        if announcement is None or not is_newer(announcement, server):
+            return None
+        return announcement
 
 
 def is_newer(announcement: messages.Server, other: messages.Server) -> bool:
