Data path: a request is sent only if its server is still ready just before

What callers see: an upload reaches a server seconds after that server had said that it leaves, and is cut when the server exits.

Cause: a decision that is acted on much later. A server is chosen when the head of a request is read, but the first byte is sent to it with the first part of the body, which the caller may send seconds later; a new connection may take up to its timeout too. Nothing looked at the server again.

Fix: just before the first byte, the server must be ready in the directory, with the incarnation that was chosen. Otherwise another server is chosen; nothing was sent, so that this takes nothing from the retry budget. One lookup in a dict for each request.

--- a/hyssopfold/core/membership/directory.py
+++ b/hyssopfold/core/membership/directory.py
@@ -218,6 +218,13 @@
             self._pools = _by_pool(self.servers.records())
         return self._pools.get(pool, ())
 
+    def is_ready(self, server: messages.Server) -> bool:
+        """Return whether a server chosen before may still get new work."""
+        record = self.servers.get(server.server_id)
+        if record is None or record.state != "ready":
+            return False
+        return record.incarnation == server.incarnation
+
     def ready_entries(self) -> tuple[messages.Instance, ...]:
         """Return the entries that callers may be sent to.
 
--- a/hyssopfold/entry/carrier.py
+++ b/hyssopfold/entry/carrier.py
@@ -255,7 +255,13 @@
         try:
             with self._answer_scope:
                 self._answer_stream = await self._dependencies.upstream.send(
-                    server, outgoing, effect.fresh, self._on_bytes_sent
+                    server,
+                    outgoing,
+                    effect.fresh,
+                    self._on_bytes_sent,
+                    functools.partial(
+                        self._dependencies.server_directory.is_ready, server
+                    ),
                 )
                 await self._buffer_short_answer(server)
         except http1.LostError as exc:
--- a/hyssopfold/entry/http1.py
+++ b/hyssopfold/entry/http1.py
@@ -50,6 +50,10 @@
     """The server stopped reading the request; its answer may have arrived."""
 
 
+def _always() -> bool:
+    return True
+
+
 class Connection:
     """One connection, which carries one request at a time.
 
@@ -63,6 +67,7 @@
             h11.CLIENT, max_incomplete_event_size=_MAX_HEAD_BYTES
         )
         self._is_idle = True
+        self._may_send: Callable[[], bool] = _always
         self._on_first_byte: Callable[[], None] | None = None
 
     def is_clean(self) -> bool:
@@ -79,18 +84,25 @@
         )
 
     async def send(
-        self, request: Request, on_first_byte: Callable[[], None]
+        self,
+        request: Request,
+        on_first_byte: Callable[[], None],
+        may_send: Callable[[], bool] = _always,
     ) -> Answer:
         """Send a request and return its answer, of which the head was read.
 
         Args:
             request: The request.
             on_first_byte: Called once the first byte is passed to the network.
+            may_send: Called just before that; returns whether the server may
+                still get the request. The first part of the body may have taken
+                seconds to come.
 
         Raises:
             LostError: when no answer began.
         """
         self._is_idle = False
+        self._may_send = may_send
         self._on_first_byte = on_first_byte
         try:
             # A server that refuses an upload answers and stops reading.
@@ -139,6 +151,8 @@
     async def _write(self, data: bytes, has_body: bool) -> None:
         view = memoryview(data)
         deadline = trio.current_time() + STALL_TIMEOUT_S
+        if self._on_first_byte is not None and not self._may_send():
+            raise LostError("the server left before the request was sent")
         while view:
             if has_body and self._is_readable():
                 raise _AnsweredEarlyError
--- a/hyssopfold/entry/upstream.py
+++ b/hyssopfold/entry/upstream.py
@@ -36,6 +36,7 @@
         outgoing: http1.Request,
         fresh: bool,
         on_first_byte: Callable[[], None],
+        may_send: Callable[[], bool],
     ) -> AnswerStream:
         """Send a request and return the answer, of which the head was read.
 
@@ -49,6 +50,8 @@
             fresh: Whether the connection must be new, or proved alive a short
                 time ago.
             on_first_byte: Called once the first byte is passed to the network.
+            may_send: Returns, just before that, whether the server may still
+                get the request.
 
         Returns:
             The answer with its connection. Pass it to `finish` or `discard`.
@@ -61,7 +64,7 @@
         except connections.NotOpenedError as exc:
             raise http1.LostError(str(exc)) from exc
         try:
-            answer = await conn.http.send(outgoing, on_first_byte)
+            answer = await conn.http.send(outgoing, on_first_byte, may_send)
         except BaseException:
             self.pool.discard(conn)
             raise
--- a/tests/support/running_entries.py
+++ b/tests/support/running_entries.py
@@ -61,6 +61,8 @@
         self.crashed_at = []
         # The last incarnation of each server, by number.
         self.servers = {}
+        # Their records, by id.
+        self._records = {}
         self._servers = servers
         names = [f"entry-{number}" for number in range(count)]
         seeds = {name: loopback.free_address(2) for name in names}
@@ -146,7 +148,17 @@
             self._update_entries(record._replace(state="gone", sequence=2))
             await trio.sleep(_RESTART_S)
 
+    def change_server(self, server_id, changes):
+        """Announce changed fields of a server to all entries.
+
+        Args:
+            server_id: The server.
+            changes: New values of fields of its record.
+        """
+        self._update_entries(self._records[server_id]._replace(**changes))
+
     def _update_entries(self, record):
+        self._records[record.server_id] = record
         now = trio.current_time()
         for entry in self.entries.values():
             entry.directory.servers.update(record.server_id, record, now)
