Data path: attempts follow evacuations that come after the request

What callers see: a request goes to a server of a failure domain that was evacuated seconds before.

An upload whose body comes late, and each further attempt, used them for as long as the route allows, 4 to 6 s, where an evacuation has 5 s.

Evidence: tests/entry/late_sends.feature, over loopback: a server whose domain is evacuated between the head and the body gets the upload; failing before.

Fix: the choice of a server and the check just before the first byte use the domains that are evacuated now.

--- a/hyssopfold/entry/attempt_dependencies.py
+++ b/hyssopfold/entry/attempt_dependencies.py
@@ -78,6 +78,8 @@
         meter: Metrics of this process.
         retry_budget: Returns the retry budget of a pool by its name.
         refuse: Answers a request with a refusal.
+        evacuated: Returns the failure domains that are evacuated now, which may
+            be more than in the snapshot that a request began with.
         may_use_stale_connections: Whether a pooled connection may be dead
             although no reset arrived.
     """
@@ -93,4 +95,5 @@
     meter: metrics.Metrics
     retry_budget: Callable[[str], budget.RetryBudget]
     refuse: Callable[[exchange_module.Exchange, http.Refusal], Awaitable[None]]
+    evacuated: Callable[[], tuple[str, ...]]
     may_use_stale_connections: bool = True
--- a/hyssopfold/entry/carrier.py
+++ b/hyssopfold/entry/carrier.py
@@ -229,7 +229,7 @@
             regions.restrict(
                 self._decision.regions,
                 self._route.allowed_regions,
-                self._exchange.snapshot.state.evacuated,
+                self._dependencies.evacuated(),
             ),
             self._route.priority,
             effect.deadline,
@@ -259,9 +259,7 @@
                     outgoing,
                     effect.fresh,
                     self._on_bytes_sent,
-                    functools.partial(
-                        self._dependencies.server_directory.is_ready, server
-                    ),
+                    functools.partial(self._may_send, server),
                 )
                 await self._buffer_short_answer(server)
         except http1.LostError as exc:
@@ -273,6 +271,13 @@
             return events.AttemptFailed("no answer in time")
         return answers.answer_began(exchange, self._answer_stream.answer)
 
+    def _may_send(self, server: membership.Server) -> bool:
+        """Return whether a server chosen before may still get the request."""
+        dependencies = self._dependencies
+        if server.failure_domain in dependencies.evacuated():
+            return False
+        return dependencies.server_directory.is_ready(server)
+
     async def _buffer_short_answer(self, server: membership.Server) -> None:
         assert self._answer_stream is not None
         if not self._request.is_total_limit:
--- a/hyssopfold/entry/http1.py
+++ b/hyssopfold/entry/http1.py
@@ -152,7 +152,7 @@
         view = memoryview(data)
         deadline = trio.current_time() + STALL_TIMEOUT_S
         if self._on_first_byte is not None and not self._may_send():
-            raise LostError("the server left before the request was sent")
+            raise LostError("the server takes no new requests any more")
         while view:
             if has_body and self._is_readable():
                 raise _AnsweredEarlyError
--- a/hyssopfold/entry/proxy.py
+++ b/hyssopfold/entry/proxy.py
@@ -123,6 +123,7 @@
             meter,
             self.retry_budget,
             self.refuse,
+            lambda: config.snapshot.state.evacuated,
             options.dialect == dialect_module.DEFAULT_DIALECT,
         )
         self._options = options
--- a/tests/entry/late_sends.feature
+++ b/tests/entry/late_sends.feature
@@ -17,6 +17,15 @@
       | is gone                 |
       | starts again as another |
 
+  # Guards against requests to a domain that was evacuated after the choice.
+  Scenario: the server's domain is evacuated before the caller sends the body
+    Given one running entry over 2 servers
+    When a caller sends the head of an upload
+    And the failure domain of the server chosen for it is evacuated
+    And the caller sends the body 0.5 s later
+    Then the other server answers the upload
+    And the chosen server got no request
+
   Scenario: the server is still ready when the caller sends the body
     Given one running entry over 2 servers
     When a caller sends the head of an upload
--- a/tests/steps/entry/late_sends_steps.py
+++ b/tests/steps/entry/late_sends_steps.py
@@ -17,6 +17,12 @@
 @when("a caller sends the head of an upload")
 def _(context):
     context.change = None
+    context.evacuates = False
+
+
+@when("the failure domain of the server chosen for it is evacuated")
+def _(context):
+    context.evacuates = True
 
 
 @when("the server chosen for it {change}")
@@ -43,6 +49,8 @@
         chosen = await _wait_for_choice(entry)
         if context.change:
             entries.change_server(chosen, context.change)
+        if context.evacuates:
+            entries.evacuate_domain_of(chosen)
         await trio.sleep(delay_s)
         await stream.send_all(_BODY)
         context.answer = b"".join([part async for part in stream])
--- a/tests/support/running_entries.py
+++ b/tests/support/running_entries.py
@@ -157,6 +157,15 @@
         """
         self._update_entries(self._records[server_id]._replace(**changes))
 
+    def evacuate_domain_of(self, server_id):
+        """Put in force at all entries that a server's domain is evacuated."""
+        domain = self._records[server_id].failure_domain
+        value = state.encode(
+            state.State(tables.parse(TABLES), evacuated=(domain,))
+        )
+        for entry in self.entries.values():
+            entry.config.install(2, value)
+
     def _update_entries(self, record):
         self._records[record.server_id] = record
         now = trio.current_time()
