Control: an acknowledged leave survives a power failure of all instances

What callers see: after all power was lost, requests reach a server that had left before, for the 4 s until its silence is noticed.

What is known of servers that left was in memory alone. When all instances start again, an announcement that the server sent before it left and that is delivered late makes it ready everywhere.

Ruled out: a server that goes on announcing that it leaves, which is known again at once.

Fix: control instances keep the servers that left in a record of their data folder. The one that acknowledges a leave waits until it is written; the others write what they hear within 0.2 s. After a start they restore the records and monitor these servers, so that a silent one is gone after its lease. A disk that hangs or refuses writes acknowledges no leave: the server asks another instance. Not covered: the instance that acknowledged loses its disk, and all others their power, within these 0.2 s.

--- a/hyssopfold/control/announcement_acks.py
+++ b/hyssopfold/control/announcement_acks.py
@@ -15,6 +15,7 @@
 
 from hyssopfold import logs
 from hyssopfold.control import instance as control_instance
+from hyssopfold.control import leave_records
 from hyssopfold.core.membership import messages
 from hyssopfold.transport import gossip
 from hyssopfold.transport import publisher
@@ -38,6 +39,7 @@
         instance: The member of the register that this process runs.
         gossip_service: Spreads announcements.
         confirmations: Time of the last confirmation by a majority.
+        records: Writes the servers that left to disk.
     """
 
     def __init__(
@@ -45,10 +47,12 @@
         instance: control_instance.Instance,
         gossip_service: gossip.Gossip,
         confirmations: publisher.Confirmations,
+        records: leave_records.LeaveRecords,
     ) -> None:
         self._instance = instance
         self._gossip = gossip_service
         self._confirmations = confirmations
+        self._records = records
 
     async def announce(self, server: messages.Server) -> bool:
         """Spread an announcement; return whether to acknowledge it."""
@@ -87,7 +91,7 @@
         began = trio.current_time()
         is_confirmed = self._gossip.has_left(server_id)
         if is_confirmed:
-            is_confirmed = await self._confirm_majority()
+            is_confirmed = await self._save_and_confirm(server_id)
         logger.info(
             logs.Event(
                 "leave-decision",
@@ -101,8 +105,13 @@
         )
         return is_confirmed
 
-    async def _confirm_majority(self) -> bool:
-        """Return whether a majority answers within `CONFIRM_TIMEOUT_S`."""
+    async def _save_and_confirm(self, server_id: str) -> bool:
+        """Return whether the leave is on disk and a majority answers in time.
+
+        Once it is acknowledged, an announcement that is delivered late must
+        not bring the server back, even if all instances lost power meanwhile.
+        """
         with trio.move_on_after(CONFIRM_TIMEOUT_S):
+            await self._records.wait_until_saved(server_id)
             return await self._instance.confirm()
         return False
--- a/hyssopfold/control_components.py
+++ b/hyssopfold/control_components.py
@@ -15,6 +15,7 @@
 from hyssopfold.control import announcement_acks
 from hyssopfold.control import api
 from hyssopfold.control import instance
+from hyssopfold.control import leave_records
 from hyssopfold.control import quarantine_records
 from hyssopfold.control import slot_votes
 from hyssopfold.core.consensus import messages
@@ -78,6 +79,9 @@
         self._quarantine_records = quarantine_records.QuarantineRecords(
             data, time.time
         )
+        self._leave_records = leave_records.LeaveRecords(
+            data, self.gossip_service
+        )
         self._crash_reports = crash_reports.CrashReports(
             self.gossip_service,
             self.rng,
@@ -140,7 +144,10 @@
             self._member,
             self.operators.orders,
             announcement_acks.AnnouncementAcks(
-                self._member, self.gossip_service, self._confirmations
+                self._member,
+                self.gossip_service,
+                self._confirmations,
+                self._leave_records,
             ),
             self.gossip_service,
         )
@@ -163,6 +170,7 @@
             ("slot-votes", self._slot_votes.run),
             ("crash-reports", self._crash_reports.run),
             ("quarantine-records", self._quarantine_records.run),
+            ("leave-records", self._leave_records.run),
             ("confirmations", self._confirmations.run),
             ("reloading", self.security.reloader.run),
             ("rpc", serve),
--- a/hyssopfold/core/membership/directory.py
+++ b/hyssopfold/core/membership/directory.py
@@ -100,6 +100,12 @@
         """Return all records."""
         return [lease.record for lease in self._leases.values()]
 
+    def left(self) -> tuple[Record, ...]:
+        """Return the records whose incarnation has left."""
+        return tuple(
+            lease.record for lease in self._leases.values() if lease.has_left
+        )
+
     @property
     def size(self) -> int:
         """Return the number of records."""
--- a/hyssopfold/core/membership/gossip_protocol.py
+++ b/hyssopfold/core/membership/gossip_protocol.py
@@ -273,6 +273,23 @@
         )
         return self.announce(leaving, now)
 
+    def restore_left(
+        self, servers: Iterable[messages.Server], now: float
+    ) -> None:
+        """Record servers that left before this instance started.
+
+        This instance monitors them: one that is silent is gone after its lease.
+
+        Args:
+            servers: Their last known records.
+            now: Monotonic time in seconds.
+        """
+        me = self.myself.name
+        for server in servers:
+            left = server._replace(state="leaving", monitor=me)
+            if self.directory.servers.update(server.server_id, left, now):
+                self._received.expect(server.server_id, now)
+
     def has_left(self, server_id: str, now: float) -> bool:
         """Return whether a server leaves or is gone.
 
--- a/hyssopfold/transport/gossip.py
+++ b/hyssopfold/transport/gossip.py
@@ -133,6 +133,10 @@
         """Announce that a server is leaving, on its behalf."""
         self._execute(self._protocol.dismiss(server_id, trio.current_time()))
 
+    def restore_left(self, servers: Iterable[messages.Server]) -> None:
+        """Record servers that left before this instance started."""
+        self._protocol.restore_left(servers, trio.current_time())
+
     def has_left(self, server_id: str) -> bool:
         """Return whether a server gets no more requests of this directory."""
         return self._protocol.has_left(server_id, trio.current_time())
--- a/tests/control/announcement_acks.feature
+++ b/tests/control/announcement_acks.feature
@@ -36,3 +36,36 @@
     When the server's record arrives from another instance
     And the server asks again to be removed
     Then that is not acknowledged
+
+  # Guards against a power failure after which a delayed announcement revives a
+  # server that left.
+  Scenario: an acknowledged leave survives a restart
+    Given a control instance that started 4 s ago and reaches a majority
+    When the server's record arrives from another instance
+    And the server asks again to be removed
+    Then that is acknowledged
+    When the control instance starts again
+    And an announcement that the server sent before arrives there
+    Then the server is leaving there
+
+  # Guards against acknowledging a leave that a power failure would undo.
+  Scenario Outline: a server leaves at an instance whose disk <fault>
+    Given a control instance that started 4 s ago and reaches a majority
+    And a disk that <fault>
+    When the server's record arrives from another instance
+    And the server asks again to be removed
+    Then that is not acknowledged
+
+    Examples:
+      | fault          |
+      | hangs          |
+      | refuses writes |
+
+  # Guards against control instances that fail to start on a corrupt record.
+  Scenario: corrupt leave records are ignored
+    Given a control instance that started 4 s ago and reaches a majority
+    When the server's record arrives from another instance
+    And the server asks again to be removed
+    And it starts again after its leave records were corrupted
+    And the server announces itself there
+    Then the server is ready there
--- a/tests/core/membership/leaving.feature
+++ b/tests/core/membership/leaving.feature
@@ -38,6 +38,13 @@
     And 8 s later an announcement that it sent before arrives elsewhere
     Then within 2 s and for 5 s more no instance has it as ready
 
+  # Guards against a leave that a power failure of all instances undoes.
+  Scenario: a delayed announcement arrives after all instances lost power
+    When a server asks its monitor to be removed and falls silent
+    And 1 s later all instances lose power, and control instances read their leaves
+    And 1 s later an announcement that it sent before arrives elsewhere
+    Then within 2 s and for 5 s more no instance has it as ready
+
   # Guards against servers that stay ready for as long as their monitor runs.
   Scenario Outline: a server falls silent after a restart of <which>
     When <which> restarted
--- a/tests/steps/control/announcement_acks_steps.py
+++ b/tests/steps/control/announcement_acks_steps.py
@@ -1,6 +1,8 @@
 """Steps of control/announcement_acks.feature."""
 
 import random
+import shutil
+import tempfile
 
 from behave import given
 from behave import then
@@ -8,8 +10,11 @@
 import trio
 import trio.testing
 
+from hyssopfold import errors
 from hyssopfold.control import announcement_acks
+from hyssopfold.control import leave_records
 from hyssopfold.core.membership import messages
+from hyssopfold.storage import folder
 from hyssopfold.transport import auth
 from hyssopfold.transport import gossip
 from hyssopfold.transport import publisher
@@ -35,11 +40,29 @@
         return self._reaches_majority
 
 
+class _Disk:
+    """Runs writes inline, or lets them hang or fail."""
+
+    def __init__(self):
+        self.fault = ""
+
+    async def run(self, write, *args):
+        if self.fault == "hangs":
+            await trio.sleep_forever()
+        if self.fault == "refuses writes":
+            raise errors.StorageWriteError("leaves", "disk full")
+        write(*args)
+
+
 def _at(context, call, *args):
     """Run an asynchronous call at the present virtual time."""
 
     async def run():
-        return await call(*args)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(context.records.run)
+            result = await call(*args)
+            nursery.cancel_scope.cancel()
+        return result
 
     context.clock = trio.testing.MockClock(autojump_threshold=0.0)
     context.clock.jump(context.now)
@@ -51,20 +74,54 @@
     " majority"
 )
 def _(context, age_s, what):
+    path = tempfile.mkdtemp()
+    context.add_cleanup(shutil.rmtree, path)
+    context.data = folder.DataFolder(path)
+    context.add_cleanup(context.data.close)
+    context.disk = _Disk()
+    context.member = _Member(what == "a")
+    context.now = 0.0
+    _start(context)
+    context.now = age_s
+
+
+def _start(context):
     context.gossip = gossip.Gossip(
         _MYSELF, (), _LEASE_S, auth.Keyring(), random.Random(1)
     )
-    member = _Member(what == "a")
+    context.records = leave_records.LeaveRecords(
+        context.data, context.gossip, context.disk.run
+    )
     context.acks = announcement_acks.AnnouncementAcks(
-        member, context.gossip, publisher.Confirmations(member.confirm)
+        context.member,
+        context.gossip,
+        publisher.Confirmations(context.member.confirm),
+        context.records,
     )
-    context.now = 0.0
 
     async def start():
         return context.gossip.ready
 
     _at(context, start)
-    context.now = age_s
+
+
+@given("a disk that {fault}")
+def _(context, fault):
+    context.disk.fault = fault
+
+
+@when("the control instance starts again")
+def _(context):
+    _start(context)
+
+
+@when("it starts again after its leave records were corrupted")
+def _(context):
+    path = context.data.path / leave_records.RECORD
+    data = bytearray(path.read_bytes())
+    data[-1] ^= 1
+    path.write_bytes(data)
+    _start(context)
 
 
 @when("a server that it has no record of asks to be removed")
@@ -99,6 +156,7 @@
 
 
 @when("an announcement that the server sent before arrives there")
+@when("the server announces itself there")
 def _(context):
     _announce(context, SERVER._replace(monitor=""))
 
--- a/tests/steps/core/membership/leaving_steps.py
+++ b/tests/steps/core/membership/leaving_steps.py
@@ -59,6 +59,23 @@
     gossip.dismiss(SERVER_ID, gossip.announces_to[SERVER_ID])
 
 
+@when(
+    "{delay:g} s later all instances lose power, and control instances read"
+    " their leaves"
+)
+def _(context, delay):
+    gossip = context.gossip
+    gossip.run(delay)
+    names = _control_names(gossip)
+    left = {
+        name: gossip.protocols[name].directory.servers.left() for name in names
+    }
+    for name in list(gossip.protocols):
+        gossip.restart(name)
+    for name in names:
+        gossip.protocols[name].restore_left(left[name], gossip.now)
+
+
 @when("{delay:g} s later an announcement that it sent before arrives elsewhere")
 def _(context, delay):
     gossip = context.gossip
