Chaos test: no request runs at a server long after it left

The soak of real processes stopped servers by SIGTERM, which announces that they leave, but checked nothing of it, and the stand-in ended after 3 s, before a late request could reach it. The ledger now has the time since the announcement was accepted; servers of the soak serve for 7 s more; a run later than 3 s after it is a finding unless an entry or the server was frozen.

--- a/bench/chaos/__main__.py
+++ b/bench/chaos/__main__.py
@@ -9,6 +9,7 @@
 import random
 import shutil
 import sys
+import time
 
 import click
 import trio
@@ -53,6 +54,7 @@
             for name in layout.names(layout.CONTROL)
         }
         self.findings: list[str] = []
+        self._start_utc_s = 0.0
 
     async def run(self) -> None:
         """Run the system, the load and the faults; fill `findings`."""
@@ -82,6 +84,7 @@
 
     async def _run_load(self) -> None:
         start_time = trio.current_time()
+        self._start_utc_s = time.time()
         clients = callers.Callers(self.history, self._rng, start_time)
         operators = callers.Operators(self.history, self._rng)
         with trio.move_on_after(self._seconds):
@@ -188,6 +191,9 @@
         self.findings += history.check_organisations(
             runs, callers.ORGANISATION, callers.STRANGERS_PATH
         )
+        self.findings += history.check_leaves(
+            runs, self.faults, self._start_utc_s
+        )
         self.findings += crashes.check_crashes(
             self.history.crashes, self.faults
         )
--- a/bench/chaos/history.py
+++ b/bench/chaos/history.py
@@ -11,12 +11,20 @@
 from typing import Any
 from typing import NamedTuple
 
+from bench.chaos import layout
+from bench.chaos import schedule
+
 ANSWERED = "answered"
 NOT_RUN = "not-run"
 UNKNOWN = "unknown"
 LOST = "lost"
 
 
+# Seconds after the accepted announcement of a server's leave in which entries
+# may still send it requests.
+MAX_LEFT_S = 3.0
+
+
 class Payment(NamedTuple):
     """A payment and the last outcome that its caller received."""
 
@@ -119,6 +127,39 @@
     return findings
 
 
+def check_leaves(
+    runs: Iterable[dict[str, Any]],
+    faults: Iterable[schedule.Fault],
+    start_utc_s: float,
+) -> list[str]:
+    """Return findings on requests that a server ran long after it left.
+
+    A process that was frozen meanwhile may have sent or run them late.
+
+    Args:
+        runs: The runs of all servers.
+        faults: The faults injected in the run.
+        start_utc_s: UTC in seconds at which the load began.
+    """
+    frozen = [
+        (fault.begin_s, fault.begin_s + fault.duration_s + MAX_LEFT_S)
+        for fault in faults
+        if fault.kind == schedule.FREEZE
+        and layout.role_of(fault.target) != layout.CONTROL
+    ]
+    findings = []
+    for run in runs:
+        left_s = run.get("left_s")
+        if left_s is None or left_s <= MAX_LEFT_S:
+            continue
+        run_s = run["utc_s"] - start_utc_s
+        if not any(begin_s <= run_s <= end_s for begin_s, end_s in frozen):
+            findings.append(
+                f"ran {left_s:.2f} s after its server left: {run['path']}"
+            )
+    return findings
+
+
 def check_payments(history: History, runs_by_key: Counter[str]) -> list[str]:
     """Return findings on payments whose outcome contradicts the ledgers."""
     findings = []
--- a/bench/chaos/layout.py
+++ b/bench/chaos/layout.py
@@ -13,6 +13,9 @@
 _REGIONS = ("dar", "arusha")
 _POOLS = ("catalogue", "ledger")
 SLOTS = 6
+# Seconds for which a server that leaves goes on serving: longer than entries
+# may take to stop sending requests to it.
+LEAVE_S = 7.0
 
 
 BASE_PORT = 21_000
@@ -129,6 +132,6 @@
             "--address", http_address(name), "--region", _region(name),
             "--failure-domain", f"{_region(name)}-1",
             "--slots", str(SLOTS), "--ledger", str(folder / f"{name}.ledger"),
-            *announce_arguments,
+            "--leave-s", str(LEAVE_S), *announce_arguments,
         ),
     )  # fmt: skip
--- a/hyssopfold/cmd/standin.py
+++ b/hyssopfold/cmd/standin.py
@@ -65,11 +65,18 @@
     help="IP:PORT of an entry or control instance; the first to answer is"
     " used.",
 )
+@click.option(
+    "--leave-s",
+    default=3 * standin_server.ANNOUNCE_PERIOD_S,
+    show_default=True,
+    help="Seconds for which it serves after SIGTERM, saying that it leaves.",
+)
 @click.option("--log-level", default="info", show_default=True)
 def server(
     service_ms: float,
     idle_ms: float,
     faults: tuple[str, ...],
+    leave_s: float,
     log_level: str,
     **options: Any,
 ) -> None:
@@ -82,7 +89,7 @@
         **options,
     )
     try:
-        trio.run(_serve, server_options)
+        trio.run(_serve, server_options, leave_s)
     except (BaseExceptionGroup, errors.HyssopError) as exc:
         sys.exit(daemon.report(exc))
 
@@ -95,7 +102,7 @@
     return name, float(share or 1)
 
 
-async def _serve(options: standin_server.Options) -> None:
+async def _serve(options: standin_server.Options, leave_s: float) -> None:
     standin = standin_server.Server(options)
     stop = trio.Event()
     rng = random.Random()
@@ -103,7 +110,7 @@
         nursery.start_soon(
             supervisor.supervise, "announce", standin.announce, rng
         )
-        nursery.start_soon(_wait_for_stop, standin, stop)
+        nursery.start_soon(_wait_for_stop, standin, stop, leave_s)
         await standin.serve(stop, 30.0)
         nursery.cancel_scope.cancel()
     if standin.has_crashed:
@@ -111,13 +118,13 @@
 
 
 async def _wait_for_stop(
-    standin: standin_server.Server, stop: trio.Event
+    standin: standin_server.Server, stop: trio.Event, leave_s: float
 ) -> None:
-    """On a signal, announce `leaving`; stop once entries have received it."""
+    """On a signal, announce `leaving`; stop `leave_s` seconds later."""
     with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
         async for _ in signals:
             standin.leave()
-            await trio.sleep(3 * standin_server.ANNOUNCE_PERIOD_S)
+            await trio.sleep(leave_s)
             stop.set()
             return
 
--- a/hyssopfold/standin/server.py
+++ b/hyssopfold/standin/server.py
@@ -94,6 +94,8 @@
         self._incarnation = time.time_ns() // 1_000_000
         self._sequence = 0
         self._state: messages.State = "ready"
+        # Monotonic time at which the announcement that it leaves was accepted.
+        self._left_at: float | None = None
         self._running = 0
         self._served = 0
         self._rng = random.Random(options.seed)
@@ -269,6 +271,8 @@
             "path": req.path,
             "organisation": organisation.decode("latin-1"),
             "got_credential": CREDENTIAL_HEADER in req.headers,
+            "utc_s": time.time(),
+            "left_s": self._left_s(),
         }
         with open(self._options.ledger, "ab") as file:
             file.write(msgspec.json.encode(line) + b"\n")
@@ -285,6 +289,12 @@
             return float("inf")
         return mean * LATE_FACTOR if fault == "late" else mean
 
+    def _left_s(self) -> float | None:
+        """Return the seconds since its leave was accepted, None before."""
+        if self._left_at is None:
+            return None
+        return trio.current_time() - self._left_at
+
     def leave(self) -> None:
         """Announce `leaving` from now on."""
         self._state = "leaving"
@@ -330,4 +340,7 @@
                 logs.Event("announce-failed", to=address, error=repr(exc))
             )
             return False
-        return answer.status == 200
+        accepted: bool = answer.status == 200
+        if accepted and body["state"] == "leaving" and self._left_at is None:
+            self._left_at = trio.current_time()
+        return accepted
--- a/tests/bench/chaos/history.feature
+++ b/tests/bench/chaos/history.feature
@@ -69,3 +69,15 @@
     And 4 more at 24 s through "entry-1"
     Then the chaos checks have 0 findings on crashes, "entry-1" killed at 20 s
     And the chaos checks have 1 findings on crashes, "entry-1" killed at 12 s
+
+  # Requests must stop reaching a server within seconds after it left. A frozen
+  # entry sends what it had chosen before.
+  Scenario Outline: a request runs <left> s after its server left, <when>
+    When a chaos ledger has a run <left> s after the leave, at <at> s
+    Then the chaos checks have <findings> findings on leaves, "entry-1" frozen at 20 s
+
+    Examples:
+      | when                     | left | at | findings |
+      | within the bound         | 2.9  | 10 | 0        |
+      | beyond the bound         | 3.1  | 10 | 1        |
+      | as an entry just resumed | 3.1  | 22 | 0        |
--- a/tests/steps/bench/chaos/history_steps.py
+++ b/tests/steps/bench/chaos/history_steps.py
@@ -121,3 +121,25 @@
 def _(context, count):
     findings = history.check_organisations([context.run], "press", "/stranger")
     assert len(findings) == count, findings
+
+
+@when("a chaos ledger has a run {left:g} s after the leave, at {at:g} s")
+def _(context, left, at):
+    context.runs = [
+        {"path": "/a", "left_s": None, "utc_s": 1_000.0},
+        {"path": "/b", "left_s": left, "utc_s": 1_000.0 + at},
+    ]
+
+
+@then(
+    'the chaos checks have {count:d} findings on leaves, "{name}" frozen at'
+    " {begin_s:g} s"
+)
+def _(context, count, name, begin_s):
+    faults = [
+        schedule.Fault(begin_s, schedule.FREEZE, name, 1.0),
+        schedule.Fault(10.0, schedule.FREEZE, "control-1", 1.0),
+        schedule.Fault(10.0, schedule.KILL, "entry-2", 1.0),
+    ]
+    findings = history.check_leaves(context.runs, faults, 1_000.0)
+    assert len(findings) == count, findings
