Chaos test: a server restarted after a crash gets SIGTERM only once it handles it

Cause, in the harness: the server had crashed under the crashing request and was just being started again when a planned stop of the schedule sent it SIGTERM; it had no signal handlers yet and had never announced itself. The schedule leaves room after its own starts, but knows nothing of these.

The signal now waits until the process has run for the time that the schedule counts for a start. What counts as an unclean stop is as before.

--- a/bench/chaos/fleet.py
+++ b/bench/chaos/fleet.py
@@ -9,6 +9,7 @@
 import trio
 
 from bench.chaos import layout
+from bench.chaos import schedule
 from hyssopfold.standin import server as standin_server
 
 BIN = pathlib.Path(sys.executable).parent
@@ -25,6 +26,7 @@
     def __init__(self, folder: pathlib.Path) -> None:
         self._folder = folder
         self._processes: dict[str, subprocess.Popen[bytes]] = {}
+        self._started_at: dict[str, float] = {}
         self._crashed: set[int] = set()
         self.unclean_stops: list[str] = []
 
@@ -33,6 +35,7 @@
         process = self._processes.get(name)
         if process is not None and process.poll() is None:
             return
+        self._started_at[name] = trio.current_time()
         command = layout.command(name, self._folder)
         with open(self._folder / f"{name}.log", "ab") as log:
             self._processes[name] = subprocess.Popen(
@@ -69,8 +72,11 @@
     async def stop(self, name: str) -> None:
         """Stop a process with SIGTERM and wait until it has ended.
 
-        An unexpected exit status or a timeout is added to `unclean_stops`.
+        One that has just been started, such as a server that crashed, has no
+        signal handlers yet and gets the signal later. An unexpected exit status
+        or a timeout is added to `unclean_stops`.
         """
+        await trio.sleep_until(self._started_at[name] + schedule.START_S)
         self._signal(name, signal.SIGTERM)
         process = self._processes[name]
         with trio.move_on_after(_STOP_TIMEOUT_S):
