Chaos test: SIGTERM waits until the process accepts connections

The signal now waits until the process accepts connections, 10 s at most; a fixed time was the wrong condition.

--- a/bench/chaos/fleet.py
+++ b/bench/chaos/fleet.py
@@ -9,11 +9,14 @@
 import trio
 
 from bench.chaos import layout
-from bench.chaos import schedule
 from hyssopfold.standin import server as standin_server
 
 BIN = pathlib.Path(sys.executable).parent
 _STOP_TIMEOUT_S = 60.0
+_START_TIMEOUT_S = 10.0
+# Interval of the attempts to connect to a starting process. Its signal handlers
+# are installed together with the listener.
+_START_POLL_S = 0.1
 
 
 class Fleet:
@@ -26,7 +29,6 @@
     def __init__(self, folder: pathlib.Path) -> None:
         self._folder = folder
         self._processes: dict[str, subprocess.Popen[bytes]] = {}
-        self._started_at: dict[str, float] = {}
         self._crashed: set[int] = set()
         self.unclean_stops: list[str] = []
 
@@ -35,7 +37,6 @@
         process = self._processes.get(name)
         if process is not None and process.poll() is None:
             return
-        self._started_at[name] = trio.current_time()
         command = layout.command(name, self._folder)
         with open(self._folder / f"{name}.log", "ab") as log:
             self._processes[name] = subprocess.Popen(
@@ -76,7 +77,7 @@
         signal handlers yet and gets the signal later. An unexpected exit status
         or a timeout is added to `unclean_stops`.
         """
-        await trio.sleep_until(self._started_at[name] + schedule.START_S)
+        await self._wait_until_started(name)
         self._signal(name, signal.SIGTERM)
         process = self._processes[name]
         with trio.move_on_after(_STOP_TIMEOUT_S):
@@ -85,6 +86,20 @@
         if process.poll() not in (0, standin_server.CRASHED_STATUS):
             self.unclean_stops.append(f"{name}: status {process.poll()}")
 
+    async def _wait_until_started(self, name: str) -> None:
+        """Wait until a process accepts connections, if it runs."""
+        host, port = layout.http_address(name).split(":")
+        with trio.move_on_after(_START_TIMEOUT_S):
+            while self._processes[name].poll() is None:
+                try:
+                    stream = await trio.open_tcp_stream(host, int(port))
+                except OSError:
+                    await trio.sleep(_START_POLL_S)
+                    continue
+                await stream.aclose()
+                await trio.sleep(_START_POLL_S)
+                return
+
     def take_crashed(self) -> list[str]:
         """Return the servers crashed by a request since the last call."""
         names = [
