Serving: the log says what the end of a caller's connection takes along

connection-ended names the reason, the time since the stop began, the requests that had started and were unanswered, the bytes of the answer that was due, what the kernel still held in either direction, the input that was discarded, and whether the connection was reset. During a stop it is logged of each connection that takes something along, else only where the entry ended it. `ended` names the reason as connection_end, with outcome `cut` and no longer `caller-gone` if the entry ended the connection.

No decision changes.

--- a/hyssopfold/cmd/explain.py
+++ b/hyssopfold/cmd/explain.py
@@ -62,7 +62,7 @@
             f" {_last_attempt(events)}."
         )
     if ended.get("outcome") == "cut":
-        return f"Its answer broke off: {_failure(events)}."
+        return _cut(ended, events)
     status = ended.get("status", "?")
     took = ended.get("took_s", "?")
     return (
@@ -71,6 +71,16 @@
     )
 
 
+def _cut(ended: Fields, events: Mapping[str, Fields]) -> str:
+    connection_end = ended.get("connection_end")
+    if not connection_end:
+        return f"Its answer broke off: {_failure(events)}."
+    return (
+        f"The entry closed its caller's connection ({connection_end}) before"
+        f" the answer was complete, {_last_attempt(events)}."
+    )
+
+
 def _wait(ended: Fields) -> str:
     """Return how long a request waited behind others on its connection."""
     ahead = ended.get("ahead", "0")
--- a/hyssopfold/entry/carrier.py
+++ b/hyssopfold/entry/carrier.py
@@ -404,7 +404,9 @@
     def _abandon(self) -> None:
         if self._machine.phase is not attempt.Phase.DONE:
             self._handle(events.CallerGone())
-        self._exchange.outcome = "caller-gone"
+        self._exchange.outcome = (
+            "cut" if self._exchange.is_cut_by_entry else "caller-gone"
+        )
         self._end_attempt("cancelled")
 
     async def _refuse(self, effect: events.Refuse) -> None:
--- a/hyssopfold/entry/exchange.py
+++ b/hyssopfold/entry/exchange.py
@@ -171,6 +171,24 @@
         """Return the request's position on its connection, or None."""
         return position_in_pipeline(self.scope)
 
+    @property
+    def connection_end(self) -> str:
+        """Return why the caller's connection ended without the answer, or ""."""
+        position = self.pipeline_position
+        if position is None or position.cut_by is None:
+            return ""
+        return position.cut_by.value
+
+    @property
+    def is_cut_by_entry(self) -> bool:
+        """Return whether the entry ended the connection without the answer."""
+        position = self.pipeline_position
+        return (
+            position is not None
+            and position.cut_by is not None
+            and not position.cut_by.is_by_caller
+        )
+
     @property
     def client(self) -> str:
         """Return the caller's IP address, or ""."""
--- a/hyssopfold/entry/proxy.py
+++ b/hyssopfold/entry/proxy.py
@@ -266,6 +266,7 @@
             took_s=round(took_s, 4),
             ahead=position.requests_ahead if position is not None else 0,
             behind_s=round(behind_s, 4),
+            connection_end=exchange.connection_end,
             goal_s=goal_s,
             fingerprint=exchange.fingerprint.hex(),
         )
--- a/hyssopfold/serving/connection.py
+++ b/hyssopfold/serving/connection.py
@@ -7,11 +7,8 @@
 """
 
 import collections
-import contextlib
 import logging
 import os
-import socket
-import struct
 from typing import Any
 from typing import Protocol
 
@@ -19,6 +16,7 @@
 import trio
 
 from hyssopfold import logs
+from hyssopfold.serving import ending
 from hyssopfold.serving import limits as limits_module
 from hyssopfold.serving import pipelined_request
 
@@ -31,7 +29,6 @@
 # lose an answer that it has not read yet.
 CLOSE_LINGER_S = 0.5
 _NEVER = float("inf")
-_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
 class ListenerState(Protocol):
@@ -40,6 +37,7 @@
     app: Any
     limits: limits_module.Limits
     closing: bool
+    closing_since: float
 
     def may_run_concurrently(self, scope: dict[str, Any]) -> bool:
         """Return whether a request may run concurrently with others."""
@@ -68,6 +66,7 @@
         self._cancel_scope = trio.CancelScope()
         self._nursery: trio.Nursery
         self._endpoints: pipelined_request.ConnectionEndpoints
+        self._caller = "unknown"
         self.idle_since = trio.current_time()
         # Bytes that were read and not yet passed to a parser.
         self._unparsed = bytearray()
@@ -95,6 +94,11 @@
         self._data_arrived = trio.Event()
         self._buffer_drained = trio.Event()
         self._is_cut = False
+        self._end_reason: ending.EndReason | None = None
+        # Bytes of the answer that is due that the socket accepted, and bytes
+        # of input that were discarded after the last answer was announced.
+        self._answer_bytes = 0
+        self._discarded_bytes = 0
 
     @property
     def requests(self) -> int:
@@ -108,6 +112,7 @@
             self._endpoints = pipelined_request.ConnectionEndpoints(
                 sock.getpeername()[:2], sock.getsockname()[:2]
             )
+            self._caller = "{}:{}".format(*self._endpoints.client)
             with self._cancel_scope:
                 async with trio.open_nursery() as self._nursery:
                     await self._read()
@@ -115,10 +120,15 @@
             logger.debug(logs.Event("connection-lost", error=repr(exc)))
         finally:
             self._abort_if_cut()
+            self._log_end()
             await trio.aclose_forcefully(self._stream)
 
-    def close(self) -> None:
+    def close(self, reason: ending.EndReason) -> None:
         """Close the connection at once, and cancel its requests."""
+        if self._end_reason is None:
+            self._end_reason = reason
+            for request in self._unanswered:
+                request.position.cut_by = reason
         self._cancel_scope.cancel()
 
     def is_idle(self) -> bool:
@@ -144,13 +154,17 @@
                 self._read_scope = read_scope
                 await self._read_until_end()
             if not read_scope.cancelled_caught:
+                reason = ending.EndReason.CALLER_CLOSED
                 break
             if self._is_lingering or self._uploading_request is not None:
+                reason = ending.EndReason.CALLER_STALLED
                 break
             self._refuse(408)
-        # The caller has disconnected or stalled. Cancelling its requests also
-        # closes their connections to backend servers.
-        self.close()
+        if self._is_lingering:
+            reason = ending.EndReason.ANSWERED
+        # Cancelling the requests also closes their connections to backend
+        # servers.
+        self.close(reason)
 
     async def _read_until_end(self) -> None:
         """Read and process data until the caller has sent all of it."""
@@ -179,6 +193,7 @@
         ):
             # The answer with `connection: close` tells the caller that this
             # data is not processed.
+            self._discarded_bytes += len(data)
             return
         self._unparsed += data
         self._data_arrived.set()
@@ -358,7 +373,7 @@
         logger.warning(logs.Event(event, reason=reason, status=status))
         if request.answer_begun:
             self._is_cut = True
-            self.close()
+            self.close(ending.EndReason.ANSWER_CUT)
         else:
             await request.refuse(status, reached_app=True)
 
@@ -391,13 +406,15 @@
                 await self._stream.send_eof()
             except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
                 logger.debug(logs.Event("connection-lost", error=repr(exc)))
-                self.close()
+                self.close(ending.EndReason.WRITE_FAILED)
 
     # Called by the requests (pipelined_request.ConnectionWriter).
 
     async def write(self, data: bytes) -> None:
         """Write bytes of the answer that is due."""
-        data = data[self._write_at_once(data) :]
+        written_bytes = self._write_at_once(data)
+        self._answer_bytes += written_bytes
+        data = data[written_bytes:]
         if not data:
             return
         async with self._send_lock:
@@ -411,8 +428,9 @@
             ) as exc:
                 logger.debug(logs.Event("connection-lost", error=repr(exc)))
                 self._is_cut = True
-                self.close()
+                self.close(ending.EndReason.WRITE_FAILED)
                 await trio.lowlevel.checkpoint()
+            self._answer_bytes += len(data)
 
     def _write_at_once(self, data: bytes) -> int:
         """Write what the socket accepts without waiting; return the bytes.
@@ -464,6 +482,7 @@
     def on_answered(self, request: pipelined_request.PipelinedRequest) -> None:
         """Let the next answer be written and the next request start."""
         self._unanswered.popleft()
+        self._answer_bytes = 0
         self.idle_since = trio.current_time()
         if self._unanswered:
             self._unanswered[0].answer_due.set()
@@ -478,12 +497,35 @@
         is_unfinished = (
             bool(self._unanswered) and self._unanswered[0].answer_begun
         )
-        if not (self._is_cut or is_unfinished):
+        if self._is_cut or is_unfinished:
+            ending.reset_on_close(self._stream.socket)
+
+    def _log_end(self) -> None:
+        """Log what the end of the connection takes with it, if anything."""
+        reason = self._end_reason or ending.EndReason.FAILED
+        queues = ending.socket_queues(self._stream.socket)
+        discarded_bytes = self._discarded_bytes + len(self._unparsed)
+        is_clean = not (self._unanswered or discarded_bytes or any(queues))
+        if is_clean or (reason.is_by_caller and not self._listener.closing):
             return
-        with contextlib.suppress(OSError):
-            self._stream.socket.setsockopt(
-                socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
-            )
+        now = trio.current_time()
+        is_due_begun = (
+            bool(self._unanswered) and self._unanswered[0].answer_begun
+        )
+        closing_s = now - self._listener.closing_since
+        event = logs.Event(
+            "connection-ended",
+            caller=self._caller,
+            reason=reason.value,
+            closing_s=f"{closing_s:.3f}" if self._listener.closing else "no",
+            unanswered=len(self._unanswered),
+            answer_bytes=self._answer_bytes if is_due_begun else 0,
+            unsent_bytes=queues.unsent,
+            unread_bytes=queues.unread,
+            discarded_bytes=discarded_bytes,
+            reset=self._is_cut or is_due_begun or bool(queues.unread),
+        )
+        logger.info(event)
 
 
 def _allows_next_request(request: pipelined_request.PipelinedRequest) -> bool:
--- a/hyssopfold/serving/listening.py
+++ b/hyssopfold/serving/listening.py
@@ -9,6 +9,7 @@
 
 from hyssopfold import logs
 from hyssopfold.serving import connection
+from hyssopfold.serving import ending
 from hyssopfold.serving import limits as limits_module
 
 logger = logging.getLogger(__name__)
@@ -34,6 +35,7 @@
     Attributes:
         closing: Whether a planned stop has begun, so that answers announce the
             close of their connections.
+        closing_since: Monotonic time in seconds at which it began, else 0.
     """
 
     def __init__(
@@ -46,6 +48,7 @@
         self.limits = limits
         self.may_run_concurrently = may_run_concurrently
         self.closing = False
+        self.closing_since = 0.0
         self._open: set[connection.Connection] = set()
         self._connections_by_caller: Counter[str] = Counter()
 
@@ -100,7 +103,9 @@
         lost, and the caller could not tell whether it ran. After the notice the
         caller opens another connection.
         """
-        self.closing = True
+        if not self.closing:
+            self.closing = True
+            self.closing_since = trio.current_time()
 
     def close_idle(self, idle_s: float, now: float) -> None:
         """Close the connections that had no request for `idle_s` seconds.
@@ -111,7 +116,7 @@
         """
         for conn in list(self._open):
             if conn.is_idle() and conn.idle_since + idle_s <= now:
-                conn.close()
+                conn.close(ending.EndReason.IDLE)
 
     def cut(self, reason: str) -> None:
         """Close all connections at once and log the number of cut requests."""
@@ -119,7 +124,7 @@
             logs.Event("requests-cut", reason=reason, requests=self.requests)
         )
         for conn in list(self._open):
-            conn.close()
+            conn.close(ending.EndReason.STOP_OVER)
 
     async def sweep(self) -> None:
         """Close connections that exceed the idle timeout, until cancelled."""
--- a/hyssopfold/serving/pipelined_request.py
+++ b/hyssopfold/serving/pipelined_request.py
@@ -13,6 +13,7 @@
 import h11
 import trio
 
+from hyssopfold.serving import ending
 from hyssopfold.serving import refusals
 
 # Key of a request's `PipelinePosition` in the extensions of its ASGI scope.
@@ -33,6 +34,8 @@
         ready_at: Time at which the answer began to wait for earlier ones; if
             it did not wait, `read_at`.
         due_at: Time at which that wait ended; if it did not wait, `read_at`.
+        cut_by: Why the connection ended before the answer was complete; None
+            while it has not.
     """
 
     def __init__(self, read_at: float, requests_ahead: int) -> None:
@@ -41,6 +44,7 @@
         self.started_at = read_at
         self.ready_at = read_at
         self.due_at = read_at
+        self.cut_by: ending.EndReason | None = None
 
     @property
     def behind_s(self) -> float:
--- a/tests/steps/serving/pipelines_steps.py
+++ b/tests/steps/serving/pipelines_steps.py
@@ -27,18 +27,6 @@
     context.result = trio.run(main)
 
 
-def _encode_pipeline(text):
-    data = b""
-    for item in text.split():
-        path, _, option = item.partition("!")
-        method = "POST" if path.startswith("/once/") else "GET"
-        fields = ["connection: close"] if option == "close" else []
-        if method == "POST":
-            fields.append("content-length: 0")
-        data += pipelines.request_without_body(path, method, *fields)
-    return data
-
-
 async def _exchange(fixture, data, count):
     """Send requests; return the answers and how the connection ended, or ""."""
     stream = await fixture.connect()
@@ -61,7 +49,7 @@
     count = len(text.split())
     _run(
         context,
-        lambda fixture: _exchange(fixture, _encode_pipeline(text), count),
+        lambda fixture: _exchange(fixture, pipelines.encode(text), count),
     )
 
 
@@ -87,7 +75,7 @@
     paths = " ".join(f"/safe/n{number}/20/2" for number in range(count))
     _run(
         context,
-        lambda fixture: _exchange(fixture, _encode_pipeline(paths), count),
+        lambda fixture: _exchange(fixture, pipelines.encode(paths), count),
     )
 
 
@@ -109,8 +97,8 @@
 def _(context, size):
     async def step(fixture):
         stream = await fixture.connect()
-        await stream.send_all(_encode_pipeline(f"/safe/slow/{_LONG_MS}/2"))
-        batch = _encode_pipeline("/safe/b/0/2") * 1000
+        await stream.send_all(pipelines.encode(f"/safe/slow/{_LONG_MS}/2"))
+        batch = pipelines.encode("/safe/b/0/2") * 1000
         sent = 0
         while sent < size * _MB:
             with trio.move_on_after(0.25) as timeout:
@@ -119,7 +107,7 @@
                 break
             sent += len(batch)
         other, _ = await _exchange(
-            fixture, _encode_pipeline("/safe/other/0/2"), 1
+            fixture, pipelines.encode("/safe/other/0/2"), 1
         )
         return sent, other
 
@@ -154,8 +142,8 @@
 
 @when("a pipeline whose third request is malformed is sent")
 def _(context):
-    data = _encode_pipeline("/safe/a/50/2 /safe/b/0/2")
-    data += b"no request at all\r\n\r\n" + _encode_pipeline("/safe/d/0/2")
+    data = pipelines.encode("/safe/a/50/2 /safe/b/0/2")
+    data += b"no request at all\r\n\r\n" + pipelines.encode("/safe/d/0/2")
     _run(context, lambda fixture: _exchange(fixture, data, 4))
 
 
@@ -181,13 +169,13 @@
     async def step(fixture):
         stream = await fixture.connect()
         reader = pipelines.AnswerReader(stream)
-        await stream.send_all(_encode_pipeline(text))
+        await stream.send_all(pipelines.encode(text))
         while len(fixture.started) < 3:
             await trio.sleep(0.01)
         fixture.stop.set()
         await trio.sleep(0.05)
         # Sent before the caller has read the announcement of the close.
-        await stream.send_all(_encode_pipeline("/safe/e/0/2"))
+        await stream.send_all(pipelines.encode("/safe/e/0/2"))
         return await reader.all(), reader.end
 
     _run(context, step)
@@ -197,7 +185,7 @@
 def _(context, text):
     async def step(fixture):
         stream = await fixture.connect()
-        await stream.send_all(_encode_pipeline(text))
+        await stream.send_all(pipelines.encode(text))
         while len(fixture.started) < 2:
             await trio.sleep(0.01)
         await stream.aclose()
@@ -214,7 +202,7 @@
 
 @when("a pipeline with an upload of {size:d} bytes after 2 pages is sent")
 def _(context, size):
-    data = _encode_pipeline("/safe/a/100/2 /safe/b/0/2")
+    data = pipelines.encode("/safe/a/100/2 /safe/b/0/2")
     data += pipelines.request_with_body(
         "/once/upload/0/2", b"x" * size, chunked=True
     )
@@ -242,12 +230,12 @@
         conn._stream.send_all = fail
         async with trio.open_nursery() as nursery:
             nursery.start_soon(
-                _exchange, fixture, _encode_pipeline("/safe/b/300/2"), 1
+                _exchange, fixture, pipelines.encode("/safe/b/300/2"), 1
             )
-            await failing.send_all(_encode_pipeline("/safe/a/0/2"))
+            await failing.send_all(pipelines.encode("/safe/a/0/2"))
             await trio.sleep(0.1)
             return await _exchange(
-                fixture, _encode_pipeline("/safe/c/0/2"), 1
+                fixture, pipelines.encode("/safe/c/0/2"), 1
             ), None
 
     _run(context, lambda fixture: _as_second_answers(step, fixture))
@@ -268,7 +256,7 @@
         stream = await fixture.connect()
         stream.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 8192)
         reader = pipelines.AnswerReader(stream)
-        await stream.send_all(_encode_pipeline(f"/safe/a/0/{size} " * 4))
+        await stream.send_all(pipelines.encode(f"/safe/a/0/{size} " * 4))
         await trio.sleep(0.6)
         answers += await reader.all()
 
--- a/tests/support/pipelines.py
+++ b/tests/support/pipelines.py
@@ -30,9 +30,11 @@
 
     Args:
         limits: Limits of the listener, by default the usual ones.
+        stop_s: Longest duration of the listener's stop in seconds.
     """
 
-    def __init__(self, limits=None):
+    def __init__(self, limits=None, stop_s=WAIT_S):
+        self._stop_s = stop_s
         self.address = loopback.free_address()
         self.listener = serving.Listener(
             self._app,
@@ -102,7 +104,7 @@
             self._app,
             self.address,
             self.stop,
-            WAIT_S,
+            self._stop_s,
             self.listener,
             task_status,
         )
@@ -119,6 +121,22 @@
     return "\r\n".join([*lines, "", ""]).encode()
 
 
+def encode(text):
+    """Return the requests of a pipeline, given as paths.
+
+    `!close` after a path adds `connection: close` to its request.
+    """
+    data = b""
+    for item in text.split():
+        path, _, option = item.partition("!")
+        method = "POST" if path.startswith("/once/") else "GET"
+        fields = ["connection: close"] if option == "close" else []
+        if method == "POST":
+            fields.append("content-length: 0")
+        data += request_without_body(path, method, *fields)
+    return data
+
+
 def request_with_body(path, body, chunked=False):
     """Return a request with a body."""
     if not chunked:
