Serving: a connection is closed once its caller has closed it

What callers saw: around a planned stop, answers that a server had made did not arrive. The caller had sent requests ahead, was late to read the answer with `connection: close`, and sent one more request. The entry had closed the socket half a second after its last answer, so the kernel answered that request with a reset.

Cause: the time between the end of sending and the close was a constant (0.5 s), and idle connections were closed after half a second of a stop even if they were in that state. RFC 9112, 9.6 asks to read until the caller has closed its side.

Ruled out: a reset by the entry itself (unanswered requests: none), unread input at the close (it was read and discarded).

Test: tests/serving/ending.feature.

--- a/hyssopfold/serving/connection.py
+++ b/hyssopfold/serving/connection.py
@@ -23,11 +23,6 @@
 logger = logging.getLogger(__name__)
 
 MAX_READ_BYTES = 65_536
-# Time between an answer with `connection: close` and the close: requests that
-# the caller had already sent arrive within it. If the socket were closed with
-# unread bytes, the kernel would reset the connection, and the caller could
-# lose an answer that it has not read yet.
-CLOSE_LINGER_S = 0.5
 _NEVER = float("inf")
 
 
@@ -90,6 +85,10 @@
         # Whether all answers were sent, and input is only discarded.
         self._is_lingering = False
         self._linger_deadline = _NEVER
+        # Latest end of the linger, and the bytes in the kernel's buffer when
+        # it was extended last.
+        self._linger_until = _NEVER
+        self._unsent_bytes = 0
         self._read_scope = trio.CancelScope()
         self._data_arrived = trio.Event()
         self._buffer_drained = trio.Event()
@@ -132,9 +131,10 @@
         self._cancel_scope.cancel()
 
     def is_idle(self) -> bool:
-        """Return whether no request runs and no byte of one has arrived."""
+        """Return whether a request may come, and none runs or has begun."""
         if (
-            self._running_requests
+            self._is_lingering
+            or self._running_requests
             or self._waiting_request
             or self._unparsed
             or self._parser_bytes
@@ -156,7 +156,11 @@
             if not read_scope.cancelled_caught:
                 reason = ending.EndReason.CALLER_CLOSED
                 break
-            if self._is_lingering or self._uploading_request is not None:
+            if self._is_lingering:
+                if self._extend_linger():
+                    continue
+                break
+            if self._uploading_request is not None:
                 reason = ending.EndReason.CALLER_STALLED
                 break
             self._refuse(408)
@@ -386,21 +390,32 @@
         self._is_lingering = True
         self._unparsed.clear()
         self._buffer_drained.set()
-        self._linger_deadline = trio.current_time() + self._linger_timeout_s()
+        self._linger_until = trio.current_time() + self._limits.stall_timeout_s
+        self._extend_linger()
         self._read_scope.deadline = self._linger_deadline
         self._nursery.start_soon(self._shut_down_sending)
 
-    def _linger_timeout_s(self) -> float:
-        if self._uploading_request is not None:
-            return self._limits.linger_timeout_s
-        return min(CLOSE_LINGER_S, self._limits.linger_timeout_s)
-
-    async def _shut_down_sending(self) -> None:
-        """Shut down the sending side; input is discarded from now on.
+    def _extend_linger(self) -> bool:
+        """Wait longer for the caller's close; return whether there is time.
 
-        If the socket were closed at once with unread bytes, the kernel would
-        reset the connection and the caller could lose the last answer.
+        A caller closes its side once it has read the last answer. Closing the
+        socket before would make the kernel answer later input with a reset,
+        which discards what it still has to send, and with which the caller may
+        lose what it has received and not yet read.
         """
+        now = trio.current_time()
+        unsent_bytes = ending.socket_queues(self._stream.socket).unsent
+        is_first = self._linger_deadline == _NEVER
+        if not is_first and not 0 < unsent_bytes < self._unsent_bytes:
+            return False
+        if now >= self._linger_until:
+            return False
+        self._unsent_bytes = unsent_bytes
+        self._linger_deadline = now + self._limits.linger_timeout_s
+        return True
+
+    async def _shut_down_sending(self) -> None:
+        """Shut down the sending side; input is discarded from now on."""
         async with self._send_lock:
             try:
                 await self._stream.send_eof()
--- a/hyssopfold/serving/limits.py
+++ b/hyssopfold/serving/limits.py
@@ -13,8 +13,9 @@
             request.
         stall_timeout_s: Seconds that an upload or a download may make no
             progress.
-        linger_timeout_s: Seconds for which the rest of a request is read and
-            discarded after an early answer.
+        linger_timeout_s: Seconds after the last answer in which input is read
+            and discarded until the caller closes the connection. Extended
+            while the caller takes more of that answer.
         max_connections: Open connections of all callers.
         max_connections_per_caller: Open connections of one caller.
         max_pipelined: Of the requests that a caller pipelines, how many run
--- a/tests/serving/ending.feature
+++ b/tests/serving/ending.feature
@@ -10,3 +10,20 @@
   Scenario: a caller that leaves outside of a stop is no line of the log
     When a caller leaves during the pipeline: /safe/a/9000/2 /safe/b/9000/2
     Then the log has 0 connections that ended by caller-closed
+
+  Scenario: a request after the announced close does not destroy the answers
+    A caller that is slow to read has not yet read `connection: close` and sends
+    its next request. The connection was closed by then, and a reset discarded
+    the answer that the kernel still had to send.
+    When a caller that reads late sends a request 1.0 s after: /safe/a/100/15000
+    Then the caller has the complete answers a of 15000 bytes
+
+  Scenario: a caller that reads after several requests in vain has its answers
+    As above, with a caller whose writes fail before it reads.
+    When a caller that reads late sends 3 requests 1.0 s after: /safe/a/100/300 /safe/b/0/300
+    Then the caller has the complete answers a b of 300 bytes
+    And none of its writes failed
+
+  Scenario: a slow reader gets the whole answer after the announced close
+    When a caller reads 40000 bytes a second after: /safe/a/100/300000
+    Then the caller has the complete answers a of 300000 bytes
--- a/tests/steps/serving/ending_steps.py
+++ b/tests/steps/serving/ending_steps.py
@@ -1,6 +1,7 @@
 """Steps of serving/ending.feature."""
 
 import logging
+import socket
 
 from behave import then
 from behave import when
@@ -81,3 +82,87 @@
     (line,) = [line for line in context.lines if "connection-ended" in line]
     missing = [field for field in fields.split() if field not in line.split()]
     assert not missing, line
+
+
+_SLOW_PERIOD_S = 0.05
+# The kernel doubles it; smaller than the answers of the scenarios.
+_SMALL_BUFFER_BYTES = 4096
+
+
+async def _connect(fixture, receive_buffer_bytes):
+    """Return a connection with a small receive buffer."""
+    host, port = fixture.address.split(":")
+    sock = trio.socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer_bytes)
+    await sock.connect((host, int(port)))
+    return trio.SocketStream(sock)
+
+
+@when("a caller that reads late sends a request {seconds:g} s after: {text}")
+def _(context, seconds, text):
+    _read_late(context, 1, seconds, text)
+
+
+@when(
+    "a caller that reads late sends {count:d} requests {seconds:g} s after:"
+    " {text}"
+)
+def _(context, count, seconds, text):
+    _read_late(context, count, seconds, text)
+
+
+def _read_late(context, count, seconds, text):
+    async def step(fixture):
+        stream = await _connect(fixture, _SMALL_BUFFER_BYTES)
+        await stream.send_all(pipelines.encode(text))
+        await trio.sleep(0.05)
+        fixture.listener.close_after_answers()
+        await trio.sleep(seconds)
+        context.write_errors = []
+        for number in range(count):
+            try:
+                await stream.send_all(pipelines.encode(f"/safe/n{number}/0/2"))
+            except trio.BrokenResourceError as exc:
+                context.write_errors.append(exc)
+            await trio.sleep(0.02)
+        return await pipelines.AnswerReader(stream).all()
+
+    _run(context, step)
+
+
+@when("a caller reads {rate:d} bytes a second after: {text}")
+def _(context, rate, text):
+    async def step(fixture):
+        stream = await _connect(fixture, _SMALL_BUFFER_BYTES)
+        await stream.send_all(pipelines.encode(text))
+        await trio.sleep(0.05)
+        fixture.listener.close_after_answers()
+        return await pipelines.AnswerReader(_SlowStream(stream, rate)).all()
+
+    _run(context, step)
+
+
+class _SlowStream:
+    """Receives at most `rate` bytes a second."""
+
+    def __init__(self, stream, rate):
+        self._stream = stream
+        self._rate = rate
+
+    async def receive_some(self, _):
+        await trio.sleep(_SLOW_PERIOD_S)
+        return await self._stream.receive_some(int(self._rate * _SLOW_PERIOD_S))
+
+
+@then("the caller has the complete answers {names} of {size:d} bytes")
+def _(context, names, size):
+    actual = [
+        (answer.body.partition(b":")[0].decode(), len(answer.body))
+        for answer in context.result
+    ]
+    assert actual == [(name, size) for name in names.split()], actual
+
+
+@then("none of its writes failed")
+def _(context):
+    assert not context.write_errors, context.write_errors
