Serving: answers that callers have not read yet outlive a planned stop

What callers saw: a slow reader whose answer was under way when the time for the stop was over got a reset in the middle of it, though the server's run had ended seconds before. A request taken late in a stop may run for its limit, and what is left of the stop is too short for the transfer.

Cause: the rest of the answer waited in the process, which wrote only what the caller took (the socket library keeps no more than 16 KiB unsent in the kernel). The end of the process takes along what it holds; what the kernel holds is delivered after it. Besides, a connection whose caller still had to receive the last answer counted as idle, and input that came between two reads turned the final close into a reset.

Now a stop hands answers on to the kernel as far as its send buffer takes them (212,992 bytes are asked for where it is smaller, what Linux allows by default and doubles; the connection of a fast link has more already), an idle connection is one without unsent bytes, and what was received is read before the socket is closed. What is larger than the buffer still waits and may be cut; requests-cut and connection-ended name it.

Ruled out: longer stops (the platform kills the process 6 s after SIGTERM), refusing late requests (most answers are a few KB and need no transfer time).

Test: "an answer that waits for a slow reader outlives the stop" got no complete answer of 400,000 bytes before.

--- a/hyssopfold/http.py
+++ b/hyssopfold/http.py
@@ -186,7 +186,7 @@
             accepting.cancel_scope.cancel()
         time_left_s = grace_s() if callable(grace_s) else grace_s
         await finish(listener, time_left_s)
-        if listener.connections:
+        if listener.requests:
             listener.cut("the time for the stop is over")
         nursery.cancel_scope.cancel()
 
--- a/hyssopfold/serving/connection.py
+++ b/hyssopfold/serving/connection.py
@@ -120,6 +120,7 @@
         finally:
             self._abort_if_cut()
             self._log_end()
+            ending.discard_input(self._stream.socket)
             await trio.aclose_forcefully(self._stream)
 
     def close(self, reason: ending.EndReason) -> None:
@@ -130,6 +131,11 @@
                 request.position.cut_by = reason
         self._cancel_scope.cancel()
 
+    def prepare_stop(self) -> None:
+        """Let an answer that waits for the caller go on to the kernel."""
+        if self._send_lock.locked():
+            ending.enlarge_send_buffer(self._stream.socket)
+
     def is_idle(self) -> bool:
         """Return whether a request may come, and none runs or has begun."""
         if (
@@ -144,7 +150,10 @@
         # A connection that has just ended is closed but still in the
         # listener's set. Polling its socket would raise an error that ends the
         # listener and all other connections.
-        return sock.fileno() >= 0 and not sock.is_readable()
+        if sock.fileno() < 0 or sock.is_readable():
+            return False
+        # A caller that has not received the last answer has not left.
+        return not ending.socket_queues(sock).unsent
 
     # Reading.
 
@@ -432,6 +441,8 @@
         data = data[written_bytes:]
         if not data:
             return
+        if self._listener.closing:
+            ending.enlarge_send_buffer(self._stream.socket)
         async with self._send_lock:
             try:
                 with trio.fail_after(self._limits.stall_timeout_s):
@@ -517,11 +528,18 @@
 
     def _log_end(self) -> None:
         """Log what the end of the connection takes with it, if anything."""
-        reason = self._end_reason or ending.EndReason.FAILED
+        reason = self._end_reason or (
+            ending.EndReason.ANSWERED
+            if self._is_lingering
+            else ending.EndReason.FAILED
+        )
         queues = ending.socket_queues(self._stream.socket)
         discarded_bytes = self._discarded_bytes + len(self._unparsed)
-        is_clean = not (self._unanswered or discarded_bytes or any(queues))
-        if is_clean or (reason.is_by_caller and not self._listener.closing):
+        if self._listener.closing:
+            is_worth_a_line = self._unanswered or discarded_bytes or any(queues)
+        else:
+            is_worth_a_line = self._unanswered and not reason.is_by_caller
+        if not is_worth_a_line:
             return
         now = trio.current_time()
         is_due_begun = (
--- a/hyssopfold/serving/ending.py
+++ b/hyssopfold/serving/ending.py
@@ -3,6 +3,7 @@
 import contextlib
 import enum
 import fcntl
+import os
 import socket
 import struct
 import termios
@@ -10,6 +11,13 @@
 
 import trio
 
+# What Linux allows by default; the kernel doubles it.
+_STOP_SEND_BUFFER_BYTES = 212_992
+# Sending waits only for room in the buffer, not until most of it was sent.
+_NO_LOW_WATER_MARK = 2**31 - 1
+# Reads of input that is discarded when a socket is closed.
+_MAX_DISCARDS = 16
+_DISCARD_BYTES = 65_536
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
@@ -71,3 +79,31 @@
     """Make the close of a socket reset its connection."""
     with contextlib.suppress(OSError):
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+
+
+def enlarge_send_buffer(sock: trio.socket.SocketType) -> None:
+    """Let the kernel take more of an answer than the caller has read.
+
+    The kernel delivers it also after the process has ended.
+    """
+    with contextlib.suppress(OSError):
+        sock.setsockopt(
+            socket.IPPROTO_TCP, socket.TCP_NOTSENT_LOWAT, _NO_LOW_WATER_MARK
+        )
+        current = sock.getsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF)
+        if current < _STOP_SEND_BUFFER_BYTES:
+            sock.setsockopt(
+                socket.SOL_SOCKET, socket.SO_SNDBUF, _STOP_SEND_BUFFER_BYTES
+            )
+
+
+def discard_input(sock: trio.socket.SocketType) -> None:
+    """Read and discard what was received.
+
+    If a socket is closed with unread bytes, the kernel resets its connection
+    and discards what it still has to send.
+    """
+    with contextlib.suppress(OSError, ValueError):
+        for _ in range(_MAX_DISCARDS):
+            if not os.read(sock.fileno(), _DISCARD_BYTES):
+                return
--- a/hyssopfold/serving/listening.py
+++ b/hyssopfold/serving/listening.py
@@ -106,6 +106,8 @@
         if not self.closing:
             self.closing = True
             self.closing_since = trio.current_time()
+            for conn in self._open:
+                conn.prepare_stop()
 
     def close_idle(self, idle_s: float, now: float) -> None:
         """Close the connections that had no request for `idle_s` seconds.
--- a/tests/steps/serving/ending_steps.py
+++ b/tests/steps/serving/ending_steps.py
@@ -53,11 +53,38 @@
     async def step(fixture):
         stream = await _start(fixture, text)
         fixture.stop.set()
+        reader = pipelines.AnswerReader(stream)
+        answers = await reader.all()
+        context.end = reader.end
+        return answers
+
+    _run(context, step, stop_s=seconds)
+
+
+@when("a stop of {seconds:g} s ends before a caller reads more of: {text}")
+def _(context, seconds, text):
+    async def step(fixture):
+        stream = await _connect(fixture, _SMALL_BUFFER_BYTES)
+        await stream.send_all(pipelines.encode(text))
+        await trio.sleep(0.2)
+        fixture.stop.set()
+        await fixture.stopped.wait()
         return await pipelines.AnswerReader(stream).all()
 
     _run(context, step, stop_s=seconds)
 
 
+@then("the statuses of the ended pipeline are {statuses}")
+def _(context, statuses):
+    actual = [str(answer.status) for answer in context.result]
+    assert actual == statuses.split(), context.result
+
+
+@then("the connection ended without a reset")
+def _(context):
+    assert context.end == "end", context.end
+
+
 @when("a caller leaves during the pipeline: {text}")
 def _(context, text):
     async def step(fixture):
--- a/tests/support/pipelines.py
+++ b/tests/support/pipelines.py
@@ -42,6 +42,7 @@
             lambda scope: scope["path"].startswith("/safe/"),
         )
         self.stop = trio.Event()
+        self.stopped = trio.Event()
         self.started = []
         self.ended = []
         self.cancelled = []
@@ -108,6 +109,7 @@
             self.listener,
             task_status,
         )
+        self.stopped.set()
 
     async def connect(self):
         """Return a new connection."""
