Serving: the end of a stop does not take complete answers along

What callers saw: a request that a server had run, and answered seconds before, ended with a closed connection at the end of a planned stop.

Cause: requests of a connection run side by side and are answered in order. A complete answer waits in the process while an earlier request of its connection still runs; at the end of the stop the whole connection was cancelled. Neither request had begun to be answered, so the close was an orderly one: `closed`, no status.

Now the requests that are unfinished 0.15 s before the end of the stop are cancelled and answered 502 with outcome unknown, in their place, and the complete answers behind them are sent. A request whose answer has begun is left alone: what follows it on the connection can't be sent.

Ruled out as the way to go: answering such a request earlier (its server may still answer within the stop), and 503, which would promise that it didn't run.

--- a/hyssopfold/http.py
+++ b/hyssopfold/http.py
@@ -26,6 +26,9 @@
 # longer than a request takes to arrive from any region.
 IDLE_BEFORE_CLOSE_S = 0.5
 FINISH_PERIOD_S = 0.05
+# Time before the end of a stop at which unfinished requests are answered, so
+# that answers that wait behind them are still sent.
+REFUSE_BEFORE_END_S = 0.15
 
 
 class Answer(NamedTuple):
@@ -211,7 +214,11 @@
 async def finish(listener: serving.Listener, grace_s: float) -> None:
     """Close connections as they become idle, for `grace_s` seconds at most."""
     listener.close_after_answers()
+    refuse_at = trio.current_time() + grace_s - REFUSE_BEFORE_END_S
     with trio.move_on_after(grace_s):
         while listener.connections:
-            listener.close_idle(IDLE_BEFORE_CLOSE_S, trio.current_time())
+            now = trio.current_time()
+            listener.close_idle(IDLE_BEFORE_CLOSE_S, now)
+            if now >= refuse_at:
+                listener.refuse_unfinished()
             await trio.sleep(FINISH_PERIOD_S)
--- a/hyssopfold/serving/connection.py
+++ b/hyssopfold/serving/connection.py
@@ -24,6 +24,8 @@
 
 MAX_READ_BYTES = 65_536
 _NEVER = float("inf")
+# Of an answer that can't be completed.
+_CUT_STATUS = 502
 
 
 class ListenerState(Protocol):
@@ -136,6 +138,17 @@
         if self._send_lock.locked():
             ending.enlarge_send_buffer(self._stream.socket)
 
+    def refuse_unfinished(self) -> None:
+        """Cancel requests without an answer, and answer that they are cut.
+
+        Complete answers that wait for them are then sent.
+        """
+        for request in list(self._unanswered):
+            if not request.answer_begun and not request.answer_complete:
+                request.error_status = _CUT_STATUS
+                request.position.cut_by = ending.EndReason.STOP_OVER
+                request.cancel_scope.cancel()
+
     def is_idle(self) -> bool:
         """Return whether a request may come, and none runs or has begun."""
         if (
@@ -359,7 +372,7 @@
                     request.scope, request.receive, request.send
                 )
         except limits_module.CutAnswerError as exc:
-            reason, status = str(exc), 502
+            reason, status = str(exc), _CUT_STATUS
         except Exception:
             path = request.scope["path"]
             logger.exception(logs.Event("app-failed", path=path))
--- a/hyssopfold/serving/listening.py
+++ b/hyssopfold/serving/listening.py
@@ -109,6 +109,11 @@
             for conn in self._open:
                 conn.prepare_stop()
 
+    def refuse_unfinished(self) -> None:
+        """Answer the requests whose servers have not answered by now."""
+        for conn in list(self._open):
+            conn.refuse_unfinished()
+
     def close_idle(self, idle_s: float, now: float) -> None:
         """Close the connections that had no request for `idle_s` seconds.
 
--- a/hyssopfold/serving/pipelined_request.py
+++ b/hyssopfold/serving/pipelined_request.py
@@ -96,6 +96,7 @@
         cancel_scope: Scope in which the app runs.
         answer_due: Set once all earlier answers are written.
         answer_begun: Whether bytes of the answer may have been written.
+        answer_complete: Whether the app has sent the end of the answer.
         answer_finished: Whether the complete answer was written.
         error_status: Status with which to answer if the body is malformed,
             else 0.
@@ -115,6 +116,7 @@
         self.cancel_scope = trio.CancelScope()
         self.answer_due = trio.Event()
         self.answer_begun = False
+        self.answer_complete = False
         self.answer_finished = False
         self.error_status = 0
         self._start_message: dict[str, Any] | None = None
@@ -174,6 +176,8 @@
             # Sent in one write with the first part of the body.
             self._start_message = message
             return
+        if not message.get("more_body", False):
+            self.answer_complete = True
         if not self.answer_due.is_set():
             self.position.ready_at = trio.current_time()
             await self.answer_due.wait()
--- a/tests/serving/ending.feature
+++ b/tests/serving/ending.feature
@@ -33,3 +33,10 @@
     rest was still in the process.
     When a stop of 0.6 s ends before a caller reads more of: /safe/a/100/400000
     Then the caller has the complete answers a of 400000 bytes
+
+  Scenario: the end of a stop does not take complete answers along
+    Requests run side by side and are answered in order. A complete answer
+    waited behind a request that was unfinished at the end of the stop.
+    When a stop of 0.6 s ends during the pipeline: /safe/a/9000/2 /safe/b/0/2 /safe/c/9000/2 /safe/d/100/2
+    Then the statuses of the ended pipeline are 502 200 502 200
+    And the connection ended without a reset
