Serving: requests sent ahead are served while a stop takes requests

What callers saw: at a planned stop, requests that callers had sent behind another on the same connection were read whole, waited until the one before was answered with `connection: close`, and ended without an answer 0.6 to 1.9 s after their last byte. They had not run, and their callers sent them again, with that much less of their time left.

Cause: from the first moment of a stop on no request started on a connection that had unanswered ones, though the entry took requests on new connections for 3 s more.

Now the two are kept apart: while the stop takes requests, those that have arrived behind others are served, and the close is announced by the first answer behind which none waits. Once it takes no more (phase `draining`), nothing starts behind others, as before. A caller that always keeps requests outstanding loses the ones behind the last at that time; they have not run.

Test: "requests sent ahead are served while a stop takes requests"; before, the first answer closed the connection.

--- a/hyssopfold/entry/leaving.py
+++ b/hyssopfold/entry/leaving.py
@@ -83,6 +83,7 @@
             fields = observed._asdict()
             logger.info(logs.Event("stop-phase", phase=phase.value, **fields))
         if phase is stop.Phase.DRAINING:
+            self._listener.drain()
             self._listener.close_idle(IDLE_BEFORE_CLOSE_S, now)
         if self._stop.cut_requests:
             self._listener.cut("stop_max_s is over")
--- a/hyssopfold/http.py
+++ b/hyssopfold/http.py
@@ -213,7 +213,7 @@
 
 async def finish(listener: serving.Listener, grace_s: float) -> None:
     """Close connections as they become idle, for `grace_s` seconds at most."""
-    listener.close_after_answers()
+    listener.drain()
     refuse_at = trio.current_time() + grace_s - REFUSE_BEFORE_END_S
     with trio.move_on_after(grace_s):
         while listener.connections:
--- a/hyssopfold/serving/connection.py
+++ b/hyssopfold/serving/connection.py
@@ -35,6 +35,7 @@
     limits: limits_module.Limits
     closing: bool
     closing_since: float
+    draining: bool
 
     def may_run_concurrently(self, scope: dict[str, Any]) -> bool:
         """Return whether a request may run concurrently with others."""
@@ -321,7 +322,7 @@
         if not self._unanswered:
             return True
         if (
-            self._listener.closing
+            self._listener.draining
             or len(self._unanswered) > self._limits.max_pipelined
         ):
             return False
@@ -511,13 +512,22 @@
         """
         if request is not self._unanswered[-1]:
             return False
-        if _allows_next_request(request) and not self._listener.closing:
+        if _allows_next_request(request) and not self._is_last_request():
             return False
         self._is_closing = True
         if self._waiting_request is not None:
             self._waiting_request = self._uploading_request = None
         return True
 
+    def _is_last_request(self) -> bool:
+        """Return whether a planned stop lets no other request follow.
+
+        One that has arrived is still served while the stop takes requests.
+        """
+        if self._listener.draining:
+            return True
+        return self._listener.closing and self._waiting_request is None
+
     def on_answered(self, request: pipelined_request.PipelinedRequest) -> None:
         """Let the next answer be written and the next request start."""
         self._unanswered.popleft()
--- a/hyssopfold/serving/listening.py
+++ b/hyssopfold/serving/listening.py
@@ -35,6 +35,8 @@
     Attributes:
         closing: Whether a planned stop has begun, so that answers announce the
             close of their connections.
+        draining: Whether the stop takes no more requests: none starts on a
+            connection that has unanswered ones.
         closing_since: Monotonic time in seconds at which it began, else 0.
     """
 
@@ -49,6 +51,7 @@
         self.may_run_concurrently = may_run_concurrently
         self.closing = False
         self.closing_since = 0.0
+        self.draining = False
         self._open: set[connection.Connection] = set()
         self._connections_by_caller: Counter[str] = Counter()
 
@@ -109,6 +112,11 @@
             for conn in self._open:
                 conn.prepare_stop()
 
+    def drain(self) -> None:
+        """Take no more requests that follow unanswered ones."""
+        self.close_after_answers()
+        self.draining = True
+
     def refuse_unfinished(self) -> None:
         """Answer the requests whose servers have not answered by now."""
         for conn in list(self._open):
--- a/tests/serving/pipelines.feature
+++ b/tests/serving/pipelines.feature
@@ -82,3 +82,10 @@
     When 60 random pipelines are sent in random pieces
     Then each gives the answers of its requests sent one by one
     And each request of a pipeline ran once
+
+  Scenario: requests sent ahead are served while a stop takes requests
+    The entry read them whole, kept them until the one before was answered with
+    `connection: close`, and dropped them: their callers had waited in vain.
+    When a stop that takes requests begins during a pipeline, and more follow: /safe/a/300/2 then /safe/b/0/2 /once/c/0/2 /safe/d/0/2
+    Then the answers are a b c d within 1 s
+    And only the last answer announces the close
--- a/tests/steps/serving/pipelines_steps.py
+++ b/tests/steps/serving/pipelines_steps.py
@@ -374,3 +374,20 @@
 def _(context):
     for seed, (_, _, started, names) in enumerate(context.result):
         assert started == names, (seed, started, names)
+
+
+@when(
+    "a stop that takes requests begins during a pipeline, and more follow:"
+    " {first} then {more}"
+)
+def _(context, first, more):
+    async def step(fixture):
+        stream = await fixture.connect()
+        reader = pipelines.AnswerReader(stream)
+        await stream.send_all(pipelines.encode(first))
+        await trio.sleep(0.1)
+        fixture.listener.close_after_answers()
+        await stream.send_all(pipelines.encode(more))
+        return await reader.all(), reader.end
+
+    _run(context, step)
