Stop: an entry without open connections hands over its claims

What callers would see: a payment sent again under its idempotency key, through another entry of the region, runs a second time after the entry that held the claim on the key was stopped as planned.

Cause: the claims were handed over while the stop was in its phase `draining`. With no connection open when that phase begins, the same step of the state machine goes on to `done`, and the claims were left behind.

Test: "an entry without connections hands over its claims" counted 0 hand-overs before. Ruled out: handing over earlier, while other entries still ask this one for claims.

--- a/hyssopfold/entry/leaving.py
+++ b/hyssopfold/entry/leaving.py
@@ -61,7 +61,8 @@
         while self._stop.phase is not stop.Phase.DONE:
             await trio.sleep(PERIOD_S)
             self._tick(trio.current_time())
-            if self._stop.phase is stop.Phase.DRAINING and not handed_over:
+            is_leaving = self._stop.phase is stop.Phase.LEAVING
+            if not is_leaving and not handed_over:
                 # The other entries no longer ask this one for claims.
                 handed_over = True
                 await self._hand_over()
--- a/tests/entry/leaving.feature
+++ b/tests/entry/leaving.feature
@@ -30,6 +30,13 @@
     When it is stopped without any connection
     Then the stopped entry cut nothing
 
+  Scenario: an entry without connections hands over its claims
+    A payment resent to another entry ran twice: the entry that held the claim
+    on its key had no open connection when it stopped, and kept the claim.
+    Given an entry that can be stopped
+    When it is stopped without any connection
+    Then the stopped entry handed over its claims
+
   Scenario: a stop does not exceed its time limit
     Given an entry that can be stopped
     When it is stopped during an upload that never ends
--- a/tests/steps/entry/leaving_steps.py
+++ b/tests/steps/entry/leaving_steps.py
@@ -56,12 +56,18 @@
 def _run(context, step):
     async def main():
         path = datapath.DataPath(1)
+        context.hand_overs = 0
+
+        async def hand_over():
+            context.hand_overs += 1
+            await path.claims.hand_over()
+
         planned_stop = leaving.PlannedStop(
             context.stop_state,
             path.listener,
             context.gossip_service,
             context.placement.leave,
-            path.claims.hand_over,
+            hand_over,
         )
         async with path.running(), trio.open_nursery() as nursery:
             context.answer = await step(path, planned_stop, nursery)
@@ -189,6 +195,11 @@
     assert not context.path.placement.acquired
 
 
+@then("the stopped entry handed over its claims")
+def _(context):
+    assert context.hand_overs == 1, context.hand_overs
+
+
 @then("the stopped entry cut {count:d} request and logged it")
 def _(context, count):
     assert context.stop_state.cut_requests == count, (
