Stop: an entry takes no more callers while it hands over its claims

What callers saw: requests taken late in a planned stop were cut at its end.

Meanwhile idle connections stayed open, new requests were taken, and nothing looked at the stop's time.

Now the entry stops listening first, the claims are handed over beside the last requests, and the hand-over ends with the stop, with a line claims-not-handed-over. The process waits for both. A second signal that cuts waits for neither.

Test: "an entry takes no more callers while it hands over its claims".

--- a/hyssopfold/application.py
+++ b/hyssopfold/application.py
@@ -29,6 +29,7 @@
 logger = logging.getLogger(__name__)
 
 Child = tuple[str, Callable[[], Awaitable[None]]]
+Leave = Callable[[Callable[[], None]], Awaitable[None]]
 
 
 def _configure_logs(
@@ -137,14 +138,19 @@
 
 
 class _StopTimer:
-    """Time limit of a planned stop, and the event that ends serving.
+    """Time limit of a planned stop, and its events.
 
     Args:
         max_s: Longest duration of the stop in seconds, from the first signal.
+
+    Attributes:
+        event: Set when `http_address` stops accepting requests.
+        has_left: Set when nothing is left to do but to finish requests.
     """
 
     def __init__(self, max_s: float) -> None:
         self.event = trio.Event()
+        self.has_left = trio.Event()
         self._max_s = max_s
         self._started_at = trio.current_time()
 
@@ -152,13 +158,19 @@
         """Start the stop's time limit now."""
         self._started_at = trio.current_time()
 
+    def expire(self) -> None:
+        """Stop serving at once."""
+        self._max_s = 0.0
+        self.event.set()
+
     def left_s(self) -> float:
         """Return the seconds that are left; 0 after the time limit."""
         return max(0.0, self._started_at + self._max_s - trio.current_time())
 
 
-async def _leave_at_once() -> None:
+async def _leave_at_once(stop_accepting: Callable[[], None]) -> None:
     """Leave without waiting: a control instance serves no callers' requests."""
+    stop_accepting()
 
 
 async def _run_daemon(
@@ -166,7 +178,7 @@
     apps: dict[str, http.App],
     children: list[Child],
     rng: random.Random,
-    leave: Callable[[], Awaitable[None]],
+    leave: Leave,
     process_security: security.Security,
     listener: serving.Listener | None = None,
 ) -> None:
@@ -177,8 +189,8 @@
         apps: ASGI applications by address; the one on `http_address` ends last.
         children: Names and tasks to supervise.
         rng: Source of the jitter between restarts.
-        leave: Called on the first signal; when it returns, `http_address`
-            stops accepting requests.
+        leave: Called on the first signal, with a function that makes
+            `http_address` stop accepting requests.
         process_security: Keys, tokens and certificates of the process.
         listener: Serves the connections on `http_address`; created here when
             left out.
@@ -216,21 +228,24 @@
         )
         logger.info(logs.Event("started", http=cfg.http_address))
         await supervisor.supervise("http", serve, rng)
+        with trio.move_on_after(stop.left_s()):
+            await stop.has_left.wait()
         logger.info(logs.Event("stopped"))
         nursery.cancel_scope.cancel()
 
 
 async def _wait_for_stop(
     cfg: settings.ControlSettings | settings.EntrySettings,
-    leave: Callable[[], Awaitable[None]],
+    leave: Leave,
     listener: serving.Listener,
     stop: _StopTimer,
     reload: Callable[[], None],
 ) -> None:
     async def leave_and_stop() -> None:
         stop.start()
-        await leave()
+        await leave(stop.event.set)
         stop.event.set()
+        stop.has_left.set()
 
     signal_numbers = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
     with trio.open_signal_receiver(*signal_numbers) as signals:
@@ -247,7 +262,7 @@
                     nursery.start_soon(leave_and_stop)
                 elif cfg.stop_second_signal == "cut":
                     listener.cut(f"second {name}")
-                    stop.event.set()
+                    stop.expire()
                 else:
                     logger.info(logs.Event("second-signal-ignored"))
                 stop_requested = True
--- a/hyssopfold/core/draining/stop.py
+++ b/hyssopfold/core/draining/stop.py
@@ -60,6 +60,11 @@
         self.phase = Phase.SERVING
         self.cut_requests = 0
 
+    @property
+    def ends_at(self) -> float:
+        """Return the monotonic time in seconds at which the stop is forced."""
+        return self._began_at + self._max_s
+
     def begin(self, now: float) -> None:
         """Begin to stop; further calls have no effect."""
         if self.phase is Phase.SERVING:
@@ -82,7 +87,7 @@
             self.phase = Phase.DRAINING
         if self.phase is Phase.DRAINING and observed.connections == 0:
             self.phase = Phase.DONE
-        is_overdue = now >= self._began_at + self._max_s
+        is_overdue = now >= self.ends_at
         if self.phase in (Phase.LEAVING, Phase.DRAINING) and is_overdue:
             self.force(observed)
         return self.phase
--- a/hyssopfold/entry/leaving.py
+++ b/hyssopfold/entry/leaving.py
@@ -44,12 +44,14 @@
         self._leave_placement = leave_placement
         self._hand_over = hand_over
 
-    async def run(self) -> None:
+    async def run(self, stop_accepting: Callable[[], None]) -> None:
         """Stop the entry; return when no connection is open or time is up.
 
-        If the stop rejects late callers, return as soon as no more callers are
-        to be accepted; the caller of this method then stops listening and lets
-        the remaining requests finish.
+        If the stop rejects late callers, return once the claims are handed
+        over; the caller of this method lets the remaining requests finish.
+
+        Args:
+            stop_accepting: Called when no more callers are to be accepted.
         """
         began_at = trio.current_time()
         self._stop.begin(began_at)
@@ -57,23 +59,33 @@
         self._leave_placement()
         self._listener.close_after_answers()
         logger.info(logs.Event("leaving", requests=self._listener.requests))
-        handed_over = False
-        while self._stop.phase is not stop.Phase.DONE:
-            await trio.sleep(PERIOD_S)
-            self._tick(trio.current_time())
-            is_leaving = self._stop.phase is stop.Phase.LEAVING
-            if not is_leaving and not handed_over:
-                # The other entries no longer ask this one for claims.
-                handed_over = True
-                await self._hand_over()
-                if self._stop.rejects_callers:
-                    # Requests under way finish after this method returns.
-                    break
+        await self._wait_while(stop.Phase.LEAVING)
+        # The other entries no longer ask this one for claims.
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._hand_over_in_time)
+            if self._stop.rejects_callers:
+                stop_accepting()
+            else:
+                await self._wait_while(stop.Phase.DRAINING)
         took_s = trio.current_time() - began_at
         logger.info(
             logs.Event("left", after_s=took_s, cut=self._stop.cut_requests)
         )
 
+    async def _wait_while(self, phase: stop.Phase) -> None:
+        while self._stop.phase is phase:
+            await trio.sleep(PERIOD_S)
+            self._tick(trio.current_time())
+
+    async def _hand_over_in_time(self) -> None:
+        """Hand over the claims; an entry that receives them may have gone."""
+        with trio.move_on_at(self._stop.ends_at) as time_limit:
+            await self._hand_over()
+        if time_limit.cancelled_caught:
+            logger.warning(
+                logs.Event("claims-not-handed-over", error="no time left")
+            )
+
     def _tick(self, now: float) -> None:
         previous_phase = self._stop.phase
         observed = stop.Observed(
--- a/tests/entry/leaving.feature
+++ b/tests/entry/leaving.feature
@@ -37,6 +37,14 @@
     When it is stopped without any connection
     Then the stopped entry handed over its claims
 
+  Scenario: an entry takes no more callers while it hands over its claims
+    The entry that received the claims was stopped too. Requests taken in the
+    time that the hand-over took were cut at the end of the stop.
+    Given an entry that rejects late callers and whose claims nobody takes
+    When it is stopped while it hands over its claims
+    Then it accepted callers for the time meant for it
+    And its stop ended in time
+
   Scenario: a stop does not exceed its time limit
     Given an entry that can be stopped
     When it is stopped during an upload that never ends
--- a/tests/steps/entry/leaving_steps.py
+++ b/tests/steps/entry/leaving_steps.py
@@ -1,6 +1,7 @@
 """Steps of entry/leaving.feature."""
 
 import logging
+import time
 
 from behave import given
 from behave import then
@@ -15,6 +16,7 @@
 TTL_S = 0.2
 PROPAGATION_S = 0.1
 MAX_S = 1.0
+SERVE_S = 0.2
 _GET = b"GET /x HTTP/1.1\r\nhost: a\r\n\r\n"
 _PUT = b"PUT /upload/1 HTTP/1.1\r\nhost: a\r\ncontent-length: 9\r\n\r\n"
 
@@ -46,6 +48,7 @@
 @given("an entry that can be stopped")
 def _(context):
     context.stop_state = stop.Stop(TTL_S, PROPAGATION_S, MAX_S)
+    context.hand_over_hangs = False
     context.gossip_service = _FakeGossip()
     context.placement = _FakePlacement()
     context.recorder = _EventRecorder()
@@ -53,13 +56,23 @@
     context.add_cleanup(listening.logger.removeHandler, context.recorder)
 
 
+@given("an entry that rejects late callers and whose claims nobody takes")
+def _(context):
+    context.execute_steps("Given an entry that can be stopped")
+    context.stop_state = stop.Stop(TTL_S, PROPAGATION_S, MAX_S, SERVE_S)
+    context.hand_over_hangs = True
+
+
 def _run(context, step):
     async def main():
         path = datapath.DataPath(1)
         context.hand_overs = 0
+        context.accepting_ended = trio.Event()
 
         async def hand_over():
             context.hand_overs += 1
+            if context.hand_over_hangs:
+                await trio.sleep_forever()
             await path.claims.hand_over()
 
         planned_stop = leaving.PlannedStop(
@@ -71,8 +84,6 @@
         )
         async with path.running(), trio.open_nursery() as nursery:
             context.answer = await step(path, planned_stop, nursery)
-            while context.stop_state.phase is not stop.Phase.DONE:
-                await trio.sleep(0.01)
         return path
 
     context.path = trio.run(main)
@@ -83,7 +94,7 @@
     async def step(path, planned_stop, nursery):
         stream = await path.connect()
         await stream.send_all(_PUT + b"abc")
-        nursery.start_soon(planned_stop.run)
+        nursery.start_soon(planned_stop.run, context.accepting_ended.set)
         # Longer than the look-ups are cached: only the upload delays the stop.
         await trio.sleep(TTL_S + PROPAGATION_S + 0.2)
         await stream.send_all(b"defghi")
@@ -104,7 +115,7 @@
 @when("it is stopped and a caller connects by an old look-up")
 def _(context):
     async def step(path, planned_stop, nursery):
-        nursery.start_soon(planned_stop.run)
+        nursery.start_soon(planned_stop.run, context.accepting_ended.set)
         await trio.sleep(TTL_S / 2)
         assert context.gossip_service.states == ["leaving"], (
             context.gossip_service.states
@@ -130,7 +141,7 @@
         while not first_answer.endswith(b"}"):
             first_answer += await stream.receive_some(1000)
         assert b"connection: close" not in first_answer, first_answer
-        nursery.start_soon(planned_stop.run)
+        nursery.start_soon(planned_stop.run, context.accepting_ended.set)
         await trio.sleep(TTL_S / 2)
         await stream.send_all(_GET)
         return await datapath.read_all(stream)
@@ -149,7 +160,7 @@
 @when("it is stopped without any connection")
 def _(context):
     async def step(path, planned_stop, nursery):
-        nursery.start_soon(planned_stop.run)
+        nursery.start_soon(planned_stop.run, context.accepting_ended.set)
 
     _run(context, step)
 
@@ -160,7 +171,7 @@
         stream = await path.connect()
         await stream.send_all(_PUT + b"abc")
         await trio.sleep(0.05)
-        nursery.start_soon(planned_stop.run)
+        nursery.start_soon(planned_stop.run, context.accepting_ended.set)
         return await datapath.read_all(stream)
 
     _run(context, step)
@@ -172,7 +183,7 @@
         stream = await path.connect()
         await stream.send_all(_PUT + b"abc")
         await trio.sleep(0.05)
-        nursery.start_soon(planned_stop.run)
+        nursery.start_soon(planned_stop.run, context.accepting_ended.set)
         await trio.sleep(0.05)
         path.listener.cut("second SIGTERM")
         return await datapath.read_all(stream)
@@ -195,6 +206,34 @@
     assert not context.path.placement.acquired
 
 
+@when("it is stopped while it hands over its claims")
+def _(context):
+    async def step(path, planned_stop, nursery):
+        began = trio.current_time()
+        nursery.start_soon(planned_stop.run, context.accepting_ended.set)
+        with trio.move_on_after(MAX_S):
+            await context.accepting_ended.wait()
+            context.accepted_s = trio.current_time() - began
+
+    context.accepted_s = None
+    began = time.monotonic()
+    _run(context, step)
+    context.took_s = time.monotonic() - began
+
+
+@then("it accepted callers for the time meant for it")
+def _(context):
+    assert context.accepted_s is not None
+    assert context.accepted_s < SERVE_S + leaving.PERIOD_S * 4, (
+        context.accepted_s
+    )
+
+
+@then("its stop ended in time")
+def _(context):
+    assert context.took_s < MAX_S + 1.0, context.took_s
+
+
 @then("the stopped entry handed over its claims")
 def _(context):
     assert context.hand_overs == 1, context.hand_overs
--- a/tests/support/mixed.py
+++ b/tests/support/mixed.py
@@ -107,7 +107,7 @@
             path.claims.hand_over,
         )
         self.ready.remove(path)
-        await planned_stop.run()
+        await planned_stop.run(lambda: None)
         path.stop.set()
         self.stops.append(stop_state)
 
