Stop: an error while leaving or reading settings does not cut requests

What callers would see: all requests of an entry end with a closed connection, in the middle of a planned stop or after SIGHUP.

Cause: the task that handles signals isn't supervised, since a restart of it would forget that a stop has begun. An unexpected error in what it calls (the steps of leaving; reading the settings again, e.g. a bound that is no number) ended the process.

Now such an error is logged (leave-failed, reload-failed), the stop goes on with finishing the requests, and a reload keeps the old file.

Tests: two scenarios of tests/application.feature; both ended in the error before.

--- a/hyssopfold/application.py
+++ b/hyssopfold/application.py
@@ -243,7 +243,11 @@
 ) -> None:
     async def leave_and_stop() -> None:
         stop.start()
-        await leave(stop.event.set)
+        try:
+            await leave(stop.event.set)
+        except Exception:
+            # An error raised here would end the process and all its requests.
+            logger.exception(logs.Event("leave-failed"))
         stop.event.set()
         stop.has_left.set()
 
--- a/hyssopfold/reloading.py
+++ b/hyssopfold/reloading.py
@@ -65,6 +65,9 @@
                 logger.error(  # noqa: TRY400
                     logs.Event("reload-refused", files=names, error=exc)
                 )
+            except Exception:
+                # An error raised here would end the process.
+                logger.exception(logs.Event("reload-failed", files=names))
             else:
                 logger.info(logs.Event("reloaded", files=names))
 
--- a/tests/steps/application_steps.py
+++ b/tests/steps/application_steps.py
@@ -1,8 +1,11 @@
 """Steps of application.feature."""
 
+import os
 import pathlib
 import shutil
+import signal
 import tempfile
+from typing import NamedTuple
 
 from behave import given
 from behave import then
@@ -10,8 +13,12 @@
 import httpcore
 import msgspec
 import trio
+import trio.testing
 
+from hyssopfold import application
 from hyssopfold import errors
+from hyssopfold import reloading
+from hyssopfold import serving
 from hyssopfold.standin import caller as standin_caller
 from tests.support import loopback
 
@@ -106,3 +113,68 @@
         for count in standin.ledger.values()
     ]
     assert run_counts == [1] * len(_REQUESTS), run_counts
+
+
+class _StopSettings(NamedTuple):
+    stop_second_signal: str = "wait"
+
+
+async def _send_signal(signum, leave, reload):
+    """Send a signal to a daemon; return whether it stops accepting."""
+    stop = application._StopTimer(5.0)
+    listener = serving.Listener(None, serving.Limits())
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(
+            application._wait_for_stop,
+            _StopSettings(),
+            leave,
+            listener,
+            stop,
+            reload,
+        )
+        await trio.testing.wait_all_tasks_blocked()
+        os.kill(os.getpid(), signum)
+        with trio.move_on_after(0.5):
+            await stop.event.wait()
+        nursery.cancel_scope.cancel()
+    return stop.event.is_set()
+
+
+@when("leaving fails after SIGTERM")
+def _(context):
+    async def leave(stop_accepting):
+        raise OSError("no buffer space available")
+
+    context.is_stopping = trio.run(
+        _send_signal, signal.SIGTERM, leave, lambda: None
+    )
+
+
+@then("the daemon stops accepting and finishes its requests")
+def _(context):
+    assert context.is_stopping
+
+
+@when("reading the settings again fails after SIGHUP")
+def _(context):
+    path = pathlib.Path(tempfile.mkdtemp()) / "settings"
+    context.add_cleanup(shutil.rmtree, path.parent)
+    path.write_text("a")
+
+    def read():
+        raise ValueError("could not convert string to float: 'x'")
+
+    async def leave(stop_accepting):
+        stop_accepting()
+
+    reloader = reloading.Reloader()
+    reloader.watch((str(path),), read)
+    path.write_text("longer")
+    context.is_stopping = trio.run(
+        _send_signal, signal.SIGHUP, leave, reloader.check
+    )
+
+
+@then("the daemon goes on")
+def _(context):
+    assert not context.is_stopping
