Routes: prefixes are compared with the path as it was sent

Cause: the router got the decoded path of the ASGI scope, while the path as sent is what the server gets. So "%2F" counted as a slash.

Decided on the way: - Unreserved characters that are escaped without need (/%73hop/) are not decoded either. That worked before, but the users' page takes the prefix that begins the path, and the path is forwarded as it is; the server might read it as another one. They are answered 404 or take a shorter prefix. - Prefixes of the tables are taken literally, so /a%20b/, which never matched, now does. Letters outside ASCII can't stand in a request line; a prefix /café/, which the platform accepts, means their escapes, in upper or lower case, as before. Case of other escapes counts. - Empty segments and the case of letters counted before and still do. - Escaped dot segments and NUL are refused as before, by the decoded path: that selects no route, and a server that resolves them would leave the prefix. - The parameter `path` of a look-up is decoded once, as a query is, and is then the path as sent; what a request line can't contain is escaped. - `hyssopctl explain` reads the route from the log and matches nothing.

A scope of tests/steps/entry/pipelining_steps.py gets its raw path, which each scope of the listener has; its assertion is unchanged.

--- a/hyssopfold/entry/app.py
+++ b/hyssopfold/entry/app.py
@@ -75,7 +75,7 @@
             return
         if scope["type"] != "http":
             return
-        path = scope["path"]
+        path = http.path_as_sent(scope)
         if not path.startswith(_API_PREFIX) and path != "/metrics":
             await self._data_path.serve(scope, receive, send)
             return
--- a/hyssopfold/entry/lookups.py
+++ b/hyssopfold/entry/lookups.py
@@ -12,6 +12,7 @@
 from hyssopfold.core.membership import messages
 from hyssopfold.core.steering import lookup
 from hyssopfold.core.steering import regions
+from hyssopfold.core.steering import routing
 from hyssopfold.entry import configuration
 from hyssopfold.entry import steering
 from hyssopfold.transport import gossip
@@ -87,7 +88,8 @@
         query = urllib.parse.parse_qs(scope["query_string"].decode("latin-1"))
         client = query.get("client", [""])[0]
         host = query.get("host", [""])[0]
-        path = query.get("path", [""])[0]
+        # Look-ups may spell out what a request has to escape.
+        path = routing.quote(query.get("path", [""])[0])
         self._update_index()
         snapshot = self._config.snapshot
         route = snapshot.router.match(host, path, None) if path else None
--- a/hyssopfold/entry/proxy.py
+++ b/hyssopfold/entry/proxy.py
@@ -181,7 +181,7 @@
             self._sampler,
         )
         route = snapshot.router.match(
-            exchange.host, scope["path"], exchange.method
+            exchange.host, http.path_as_sent(scope), exchange.method
         )
         pool = self._select_pool(exchange, route) if route else None
         self.in_flight += 1
@@ -223,7 +223,8 @@
             return False
         router = self._config.snapshot.router
         host = exchange_module.parse_host(headers.get(b"host", b""))
-        route = router.match(host, scope["path"], scope["method"])
+        path = http.path_as_sent(scope)
+        route = router.match(host, path, scope["method"])
         return route is not None and route.is_repeatable(scope["method"])
 
     def _log_admitted(
--- a/hyssopfold/http.py
+++ b/hyssopfold/http.py
@@ -50,6 +50,12 @@
     retry_after_s: float
 
 
+def path_as_sent(scope: Scope) -> str:
+    """Return the path of a request without a query, its escapes undecoded."""
+    raw_path: bytes = scope["raw_path"]
+    return raw_path.decode("ascii")
+
+
 def json_answer(value: Any, status: int = 200) -> Answer:
     """Return `value` as a JSON answer."""
     return Answer(status, msgspec.json.encode(value))
--- a/hyssopfold/tables.py
+++ b/hyssopfold/tables.py
@@ -158,7 +158,10 @@
         "host", _host, "*", help="host of the request, or * for any"
     ),
     documents.Field(
-        "path_prefix", _prefix, "/", help="longest matching prefix wins"
+        "path_prefix",
+        _prefix,
+        "/",
+        help="longest prefix wins, compared with the path as sent",
     ),
     documents.Field(
         "methods",
--- a/tests/entry/pipelining.feature
+++ b/tests/entry/pipelining.feature
@@ -20,5 +20,10 @@
       | a GET with a body       |
       | a chunked GET, no host  |
 
+  # Guards against a route that doesn't begin the path permitting concurrency.
+  Scenario: the order of requests depends on the path as it was sent
+    Then with routes "once /o/, often /o/list/" a GET of "/o/list%2F1" runs concurrently with others: no
+    And with routes "once /o/, often /o/list/" a GET of "/o/list/1" runs concurrently with others: yes
+
   Scenario: a GET runs concurrently with others
     Then the data path lets a GET run concurrently with others: yes
--- a/tests/entry/proxy.feature
+++ b/tests/entry/proxy.feature
@@ -57,6 +57,21 @@
       | the newest revision is in force   | fetches no  | 404    |
       | a newer revision is being fetched | is fetching | 503    |
 
+  # Guards against serving a path on a route whose prefix doesn't begin it.
+  Scenario Outline: <target> with the only route <prefix> is answered <status>
+    Given the data path over 1 stand-ins
+    And the data path's only route has the prefix "<prefix>"
+    When the data path gets GET of "<target>"
+    Then the data path answers <status> with outcome "<outcome>"
+    And the data path ran it <runs> times
+
+    Examples:
+      | prefix  | target       | status | outcome | runs |
+      | /shop/  | /shop%2F2026 | 404    | not-run | 0    |
+      | /shop/  | /%73hop/2026 | 404    | not-run | 0    |
+      | /shop/  | /shop/a%2Fb  | 200    |         | 1    |
+      | /a%20b/ | /a%20b/1     | 200    |         | 1    |
+
   Scenario Outline: the caller recognises an answer <fault> as cut
     Given the data path over 1 stand-ins
     When the data path gets <method> with the fault "<fault>"
--- a/tests/steps/entry/pipelining_steps.py
+++ b/tests/steps/entry/pipelining_steps.py
@@ -1,6 +1,7 @@
 """Steps of entry/pipelining.feature."""
 
 import logging
+import urllib.parse
 
 from behave import given
 from behave import then
@@ -91,9 +92,30 @@
     assert post["behind_s"] > min_behind_s, post
 
 
+@then(
+    'with routes "{routes}" a GET of "{target}" runs concurrently with others:'
+    " {answer}"
+)
+def _(context, routes, target, answer):
+    scope = {
+        "method": "GET",
+        "path": urllib.parse.unquote(target),
+        "raw_path": target.encode(),
+        "headers": [(b"host", b"shop")],
+    }
+    path = datapath.DataPath(1)
+    path.config.set_routes(dict(route.split() for route in routes.split(", ")))
+    assert path.proxy.may_run_concurrently(scope) == (answer == "yes")
+
+
 @then("the data path lets {what} run concurrently with others: {answer}")
 def _(context, what, answer):
     method, headers = _SCOPES[what]
-    scope = {"method": method, "path": "/x", "headers": headers}
+    scope = {
+        "method": method,
+        "path": "/x",
+        "raw_path": b"/x",
+        "headers": headers,
+    }
     path = datapath.DataPath(1)
     assert path.proxy.may_run_concurrently(scope) == (answer == "yes")
--- a/tests/steps/entry/proxy_steps.py
+++ b/tests/steps/entry/proxy_steps.py
@@ -57,6 +57,22 @@
     context.script.append(step)
 
 
+@given('the data path\'s only route has the prefix "{prefix}"')
+def _(context, prefix):
+    async def step(path):
+        path.config.set_routes({"only": prefix})
+
+    context.script.append(step)
+
+
+@when('the data path gets GET of "{target}"')
+def _(context, target):
+    async def step(path):
+        return await path.ask("GET", target)
+
+    context.script.append(step)
+
+
 @given("the data path's entry {fetching} a newer revision")
 def _(context, fetching):
     async def step(path):
--- a/tests/support/datapath.py
+++ b/tests/support/datapath.py
@@ -63,6 +63,26 @@
         self.snapshot = configuration.Snapshot(1, value)
         self.is_behind = False
 
+    def set_routes(self, prefixes):
+        """Replace the routes by one of pool `shop` for each prefix.
+
+        Args:
+            prefixes: Prefix by name of the route. Requests on a route may run
+                twice unless its name begins with `once`.
+        """
+        route = self.snapshot.tables.routes[0]
+        routes = tuple(
+            route._replace(
+                name=name,
+                path_prefix=prefix,
+                repeatable=not name.startswith("once"),
+            )
+            for name, prefix in prefixes.items()
+        )
+        self.snapshot = configuration.Snapshot(
+            1, state.State(self.snapshot.tables._replace(routes=routes))
+        )
+
     def keep_routes(self, *names):
         """Remove all routes but the named ones."""
         current_tables = self.snapshot.tables
