Connections to servers: informational answers are limited in number

Cause: the loop that reads the head of an answer skipped any number of them, and reads without a checkpoint while bytes are there. So neither the time limit of the request nor any other task ran.

The change: after 100 of them the attempt has failed, and its connection is closed. A server sends them before one answer, at most a few.

--- a/hyssopfold/entry/http1.py
+++ b/hyssopfold/entry/http1.py
@@ -15,6 +15,8 @@
 STALL_TIMEOUT_S = 60.0
 # How often a blocked upload checks whether the server has already answered.
 EARLY_ANSWER_CHECK_S = 0.25
+# More answers 100 or 103 before the answer itself are a fault of the server.
+MAX_INFORMATIONAL_ANSWERS = 100
 _MAX_READ_BYTES = 65_536
 _MAX_HEAD_BYTES = 100 * 1024
 
@@ -182,12 +184,18 @@
         return 0
 
     async def _receive_head(self) -> h11.Response:
-        while True:
+        informational_answers = 0
+        while informational_answers <= MAX_INFORMATIONAL_ANSWERS:
             event = self._parser.next_event()
             if isinstance(event, h11.Response):
                 return event
             if event is h11.NEED_DATA:
                 await self._receive()
+            else:
+                informational_answers += 1
+        raise LostError(
+            f"over {MAX_INFORMATIONAL_ANSWERS} informational answers"
+        )
 
     async def _body_parts(self) -> AsyncIterator[bytes]:
         """Yield the body of the answer in parts.
--- /dev/null
+++ b/tests/entry/endless_answers.feature
@@ -0,0 +1,36 @@
+Feature: servers that send bytes without end
+  A server in trouble sends bytes that are no answer, in a head or a body, until
+  the entry closes the connection. The caller of the request is answered, or its
+  answer cut, by its time limit, and nobody else notices.
+
+  # Guards against an entry that reads what a server sends and does nothing else.
+  Scenario Outline: <method> at a server that sends <bytes> without end
+    Given an entry with a server that sends <bytes> without end
+    When a caller sends <method> to it and others to a sound server
+    Then the caller's answer is <answer> within its time limit
+    And the other callers were served without delay
+    And the entry used little memory
+    And the connection is closed and the processor is free
+
+    Examples: in a head
+      | method | bytes                     | answer       |
+      | GET    | bytes that are no HTTP    | 502 complete |
+      | POST   | bytes that are no HTTP    | 502 complete |
+      | GET    | a line that is no HTTP    | 502 complete |
+      | GET    | a status line             | 502 complete |
+      | GET    | headers                   | 502 complete |
+      | GET    | a header                  | 502 complete |
+      | GET    | informational answers 100 | 502 complete |
+      | POST   | informational answers 103 | 502 complete |
+
+    Examples: in a body
+      | method | bytes                     | answer       |
+      | GET    | a chunk extension         | 502 complete |
+      | GET    | trailers                  | 502 complete |
+
+    Examples: after an answer
+      | method | bytes                                     | answer       |
+      | GET    | bytes after an answer                     | 200 complete |
+      | GET    | bytes after an empty answer               | 200 complete |
+      | GET    | bytes after an answer after a pause       | 200 complete |
+      | GET    | bytes after an empty answer after a pause | 200 complete |
--- /dev/null
+++ b/tests/steps/entry/endless_answers_steps.py
@@ -0,0 +1,115 @@
+"""Steps of entry/endless_answers.feature."""
+
+import resource
+import time
+
+from behave import given
+from behave import then
+from behave import when
+import trio
+
+from hyssopfold.entry import connections
+from hyssopfold.entry import dialect
+from tests.support import datapath
+from tests.support import endless_servers
+
+# The time limit of the request, and what its answer may take beyond it.
+_LIMIT_S = 1.0
+_SLACK_S = 0.5
+# The longest time that others may be held, as in the rule for time limits.
+_MAX_DELAY_S = 0.25
+# The time in which an unused connection is found to be unusable.
+_MAX_CLOSE_S = connections.MAX_IDLE_S / 4 + _SLACK_S
+_MAX_GROWTH_BYTES = 32 << 20
+_PERIOD_S = 0.02
+# Answers may have no length, and the limit counts from the request's head.
+_DIALECT = dialect.DEFAULT_DIALECT._replace(
+    status_503_means_not_run=True, accepts_unframed_answers=True
+)
+_REQUESTS = {
+    "GET": b"GET /endless/x HTTP/1.1\r\nhost: a\r\n"
+    b"hyssop-deadline-ms: %d\r\n\r\n",
+    "POST": b"POST /endless/x HTTP/1.1\r\nhost: a\r\n"
+    b"hyssop-deadline-ms: %d\r\ncontent-length: 200000\r\n\r\n"
+    + b"b"
+    * 200_000,
+}
+
+
+@given("an entry with a server that sends {what} without end")
+def _(context, what):
+    context.endless = endless_servers.EndlessServer(what)
+    context.add_cleanup(context.endless.close)
+
+
+@when("a caller sends {method} to it and others to a sound server")
+def _(context, method):
+    trio.run(_play, context, _REQUESTS[method] % (_LIMIT_S * 1000))
+
+
+async def _play(context, head):
+    (sound, record), (_, other) = datapath.make_standins(2)
+    endless = other._replace(address=context.endless.address)
+    path = datapath.DataPath(
+        standins=[(sound, record), (None, endless)],
+        dialect=_DIALECT,
+    )
+    path.config.set_routes({"endless": "/endless/", "all": "/"})
+    path.placement.by_route = {"endless": "s2", "all": "s1"}
+    async with path.running(), trio.open_nursery() as nursery:
+        nursery.start_soon(sound.serve, trio.Event())
+        nursery.start_soon(path.pool.sweep)
+        context.delays_s = []
+        nursery.start_soon(_ask_often, path, context.delays_s)
+        await trio.sleep(0.2)
+        context.delays_s.clear()
+        before_bytes = _peak_bytes()
+        caller = endless_servers.BlockingCaller(path.address, head)
+        context.answer = await trio.to_thread.run_sync(caller.run)
+        # The others' requests that began meanwhile end.
+        await trio.sleep(_SLACK_S)
+        with trio.move_on_after(_MAX_CLOSE_S):
+            while context.endless.open_connections:
+                await trio.sleep(_PERIOD_S)
+        context.grown_bytes = _peak_bytes() - before_bytes
+        context.left_open = context.endless.open_connections
+        nursery.cancel_scope.cancel()
+    began_s = time.process_time()
+    time.sleep(_SLACK_S)
+    context.busy_s = time.process_time() - began_s
+
+
+async def _ask_often(path, delays_s):
+    while True:
+        began = trio.current_time()
+        answer = await path.ask("GET", "/x")
+        delays_s.append(trio.current_time() - began)
+        assert answer.status == 200, answer
+        await trio.sleep(_PERIOD_S)
+
+
+def _peak_bytes():
+    return resource.getrusage(resource.RUSAGE_SELF).ru_maxrss * 1024
+
+
+@then("the caller's answer is {status:d} {end} within its time limit")
+def _(context, status, end):
+    assert context.answer[:2] == (status, end), context.answer
+    assert context.answer[2] < _LIMIT_S + _SLACK_S, context.answer
+
+
+@then("the other callers were served without delay")
+def _(context):
+    assert context.delays_s
+    assert max(context.delays_s) < _MAX_DELAY_S, max(context.delays_s)
+
+
+@then("the entry used little memory")
+def _(context):
+    assert context.grown_bytes < _MAX_GROWTH_BYTES, context.grown_bytes
+
+
+@then("the connection is closed and the processor is free")
+def _(context):
+    assert context.left_open == 0, context.left_open
+    assert context.busy_s < _SLACK_S / 2, context.busy_s
--- a/tests/support/datapath.py
+++ b/tests/support/datapath.py
@@ -28,6 +28,7 @@
 from hyssopfold.entry import configuration
 from hyssopfold.entry import connections
 from hyssopfold.entry import crash_checks
+from hyssopfold.entry import dialect as dialect_module
 from hyssopfold.entry import proxy
 from hyssopfold.entry import upstream
 from hyssopfold.standin import server as standin_server
@@ -124,6 +125,8 @@
         self.acquired = []
         self.result_kinds = []
         self.rotate = False
+        # The only server of each named route.
+        self.by_route = {}
         self.left_servers = set()
         # Called while a request waits for a slot.
         self.on_wait = lambda: None
@@ -132,7 +135,10 @@
         self.on_wait()
         if self.rotate:
             self.servers.append(self.servers.pop(0))
+        only = self.by_route.get(req.route)
         for server in self.servers:
+            if only not in (None, server.server_id):
+                continue
             if server.server_id not in (*req.avoid, *self.left_servers):
                 self.acquired.append(server.server_id)
                 return messages.Grant(server, "test")
@@ -284,6 +290,7 @@
         standins: Running stand-ins to use instead of own ones.
         claim_holders: The entries that hold claims.
         name: Name of this entry among them.
+        dialect: Names and meaning of the headers.
         options: Fields of the stand-ins' options to replace.
     """
 
@@ -296,6 +303,7 @@
         standins=None,
         claim_holders=None,
         name="entry-1",
+        dialect=dialect_module.DEFAULT_DIALECT,
         **options,
     ):
         self.address = loopback.free_address()
@@ -328,7 +336,9 @@
             ),
             context=proxy.EntryContext("dar", server_directory),
             rng=rng,
-            options=proxy.CallerOptions(max_body_bytes=max_body),
+            options=proxy.CallerOptions(
+                max_body_bytes=max_body, dialect=dialect
+            ),
         )
         self.app = self.proxy.serve
         self.listener = serving.Listener(
