Stop: a request that may run for longer than the stop is refused

Cause: a stop took requests for 3 s whatever their time limit, and ended after 5.6 s. The operators' limit of the route in question is 4.0 s; those of all other kinds there are 2.5 s or less, which fits. A request taken 1.6 s after SIGTERM or later and run for long (slow or full servers) was cancelled at the end, and with it complete answers behind it on its connection; since no byte of an answer had been written, the close was an orderly one. Both entries were told to stop at the same moment, so both cut at the same moment.

Class: a promise to finish what is taken, given without a look at how long it may take.

Now such a stop refuses at once what it may have to cut: 503 `stopping`, which has not run, with the time to go to another entry. What has begun before the signal, or has a limit within the stop, is finished as before. Stops without stop_serve_s last as long as operators let them (an hour by default) and take all requests as before.

Weighed: taking requests for a shorter time (callers that hold a look-up get refused connections, and the limits of routes are the operators' to change); a deadline for the server at the end of the stop (the server breaks off what another entry could finish).

--- a/hyssopfold/cmd/explain.py
+++ b/hyssopfold/cmd/explain.py
@@ -108,6 +108,10 @@
         ),
         "over-limit": f"{_organisation(events)} was at its limit",
         "unknown-key": "it carried no key, or not one of an organisation",
+        "stopping": (
+            "the entry was stopping, and the request might have run for longer"
+            " than the stop"
+        ),
         "keys-stale": "no majority of control confirmed the keys in time",
         "no-region": (
             f"no region is allowed by both {_organisation(events)} and its"
--- a/hyssopfold/entry/leaving.py
+++ b/hyssopfold/entry/leaving.py
@@ -57,7 +57,12 @@
         self._stop.begin(began_at)
         self._gossip.update_self(state="leaving")
         self._leave_placement()
-        self._listener.close_after_answers()
+        if self._stop.rejects_callers:
+            # Late callers use another entry, and so do requests that may run
+            # for longer than the stop.
+            self._listener.close_after_answers(self._stop.ends_at)
+        else:
+            self._listener.close_after_answers()
         logger.info(logs.Event("leaving", requests=self._listener.requests))
         await self._wait_while(stop.Phase.LEAVING)
         # The other entries no longer ask this one for claims.
--- a/hyssopfold/entry/proxy.py
+++ b/hyssopfold/entry/proxy.py
@@ -14,6 +14,7 @@
 from hyssopfold.core.attempts import budget
 from hyssopfold.core.membership import directory
 from hyssopfold.core.steering import splits
+from hyssopfold.entry import answers
 from hyssopfold.entry import attempt_dependencies
 from hyssopfold.entry import authentication
 from hyssopfold.entry import carrier
@@ -33,6 +34,8 @@
 _RETRY_DELAY_FACTORS = (1.0, 3.0)
 _NO_TABLES_RETRY_S = 0.5
 _TABLES_BEHIND_RETRY_S = 0.2
+# Another entry can take the request at once.
+_STOPPING_RETRY_S = 0.05
 
 
 class EntryContext(NamedTuple):
@@ -194,6 +197,8 @@
                 await self.refuse(exchange, _no_tables())
             elif route is None or pool is None:
                 await self.refuse(exchange, self._no_matching_route())
+            elif _may_outlast_stop(exchange, route):
+                await self.refuse(exchange, _stopping())
             else:
                 await self._serve_authenticated(exchange, route, pool)
         finally:
@@ -406,6 +411,22 @@
     return position.read_at if position is not None else trio.current_time()
 
 
+def _may_outlast_stop(
+    exchange: exchange_module.Exchange, route: tables.Route
+) -> bool:
+    """Return whether a request may run beyond a planned stop of this entry."""
+    position = exchange.pipeline_position
+    if position is None:
+        return False
+    limit_s, _ = answers.time_limit(exchange, route)
+    return exchange.began_at + limit_s > position.answer_by
+
+
+def _stopping() -> http.Refusal:
+    remedy = "send it again, to another entry: this one stops before its limit"
+    return http.Refusal(503, "stopping", "not-run", remedy, _STOPPING_RETRY_S)
+
+
 def _status_for_not_run_guarantee(refusal: http.Refusal) -> int:
     """Return the status for callers that take only 503 as `not-run`."""
     if refusal.outcome == "not-run":
--- a/hyssopfold/http.py
+++ b/hyssopfold/http.py
@@ -26,9 +26,6 @@
 # longer than a request takes to arrive from any region.
 IDLE_BEFORE_CLOSE_S = 0.5
 FINISH_PERIOD_S = 0.05
-# Time before the end of a stop at which unfinished requests are answered, so
-# that answers that wait behind them are still sent.
-REFUSE_BEFORE_END_S = 0.15
 
 
 class Answer(NamedTuple):
@@ -220,7 +217,7 @@
 async def finish(listener: serving.Listener, grace_s: float) -> None:
     """Close connections as they become idle, for `grace_s` seconds at most."""
     listener.drain()
-    refuse_at = trio.current_time() + grace_s - REFUSE_BEFORE_END_S
+    refuse_at = trio.current_time() + grace_s - serving.REFUSE_BEFORE_END_S
     with trio.move_on_after(grace_s):
         while listener.connections:
             now = trio.current_time()
--- a/hyssopfold/serving/__init__.py
+++ b/hyssopfold/serving/__init__.py
@@ -12,7 +12,15 @@
 CutAnswerError = limits.CutAnswerError
 Limits = limits.Limits
 Listener = listening.Listener
+REFUSE_BEFORE_END_S = listening.REFUSE_BEFORE_END_S
 PipelinePosition = pipelined_request.PipelinePosition
 PLACE = pipelined_request.PLACE
 
-__all__ = ["PLACE", "CutAnswerError", "Limits", "Listener", "PipelinePosition"]
+__all__ = [
+    "PLACE",
+    "REFUSE_BEFORE_END_S",
+    "CutAnswerError",
+    "Limits",
+    "Listener",
+    "PipelinePosition",
+]
--- a/hyssopfold/serving/connection.py
+++ b/hyssopfold/serving/connection.py
@@ -36,6 +36,7 @@
     closing: bool
     closing_since: float
     draining: bool
+    answer_by: float
 
     def may_run_concurrently(self, scope: dict[str, Any]) -> bool:
         """Return whether a request may run concurrently with others."""
@@ -333,6 +334,7 @@
 
     def _start(self, request: pipelined_request.PipelinedRequest) -> None:
         request.position.started_at = trio.current_time()
+        request.position.answer_by = self._listener.answer_by
         self._queue(request)
         self._nursery.start_soon(self._serve, request)
         self._buffer_drained.set()
--- a/hyssopfold/serving/listening.py
+++ b/hyssopfold/serving/listening.py
@@ -3,6 +3,7 @@
 from collections import Counter
 from collections.abc import Callable
 import logging
+import math
 from typing import Any
 
 import trio
@@ -16,6 +17,9 @@
 
 # Time between two searches for idle connections, as a share of the timeout.
 _SWEEP_SHARE = 0.1
+# Time before the end of a stop at which unfinished requests are answered, so
+# that answers that wait behind them are still sent.
+REFUSE_BEFORE_END_S = 0.15
 
 
 def _run_alone(scope: dict[str, Any]) -> bool:
@@ -37,6 +41,8 @@
             close of their connections.
         draining: Whether the stop takes no more requests: none starts on a
             connection that has unanswered ones.
+        answer_by: Monotonic time in seconds by which the requests of a planned
+            stop have to be answered.
         closing_since: Monotonic time in seconds at which it began, else 0.
     """
 
@@ -52,6 +58,7 @@
         self.closing = False
         self.closing_since = 0.0
         self.draining = False
+        self.answer_by = math.inf
         self._open: set[connection.Connection] = set()
         self._connections_by_caller: Counter[str] = Counter()
 
@@ -98,14 +105,18 @@
             if not self._connections_by_caller[caller]:
                 del self._connections_by_caller[caller]
 
-    def close_after_answers(self) -> None:
+    def close_after_answers(self, ends_at: float = math.inf) -> None:
         """Send `connection: close` with each answer from now on.
 
         A caller may send its next request on an open connection at any time.
         If the connection were closed without notice, that request would be
         lost, and the caller could not tell whether it ran. After the notice the
         caller opens another connection.
+
+        Args:
+            ends_at: Monotonic time in seconds at which the stop ends.
         """
+        self.answer_by = min(self.answer_by, ends_at - REFUSE_BEFORE_END_S)
         if not self.closing:
             self.closing = True
             self.closing_since = trio.current_time()
--- a/hyssopfold/serving/pipelined_request.py
+++ b/hyssopfold/serving/pipelined_request.py
@@ -4,6 +4,7 @@
 after another, in the order of the requests.
 """
 
+import math
 from typing import Any
 from typing import NamedTuple
 from typing import Protocol
@@ -34,6 +35,8 @@
         ready_at: Time at which the answer began to wait for earlier ones; if
             it did not wait, `read_at`.
         due_at: Time at which that wait ended; if it did not wait, `read_at`.
+        answer_by: Time by which the answer has to be complete, since the
+            connection is closed then.
         cut_by: Why the connection ended before the answer was complete; None
             while it has not.
     """
@@ -44,6 +47,7 @@
         self.started_at = read_at
         self.ready_at = read_at
         self.due_at = read_at
+        self.answer_by = math.inf
         self.cut_by: ending.EndReason | None = None
 
     @property
--- a/tests/entry/leaving.feature
+++ b/tests/entry/leaving.feature
@@ -16,6 +16,20 @@
     Then the late caller is answered with `connection: close`
     And the stopped entry cut nothing
 
+  Scenario: a request that may run beyond the end of the stop is refused
+    An entry took requests for 3 s of a stop of 5.6 s, also those with a limit
+    of 4 s: their callers got a closed connection while a server ran them.
+    Given an entry that rejects late callers, over a server that takes 2 s
+    When it is stopped and a caller sends a request with a limit of 1.9 s
+    Then the caller is told within 0.2 s that it did not run
+    And no server ran the caller's request
+
+  Scenario: a request whose limit ends within the stop is served
+    Given an entry that rejects late callers, over a server that takes 0.1 s
+    When it is stopped and a caller sends a request with a limit of 0.5 s
+    Then the late caller is answered with `connection: close`
+    And the stopped entry cut nothing
+
   Scenario: a kept connection is closed only after `connection: close`
     The caller writes its next request just as the entry is stopped. If the
     entry closed the connection at that moment, the request would be lost, and
--- a/tests/steps/entry/leaving_steps.py
+++ b/tests/steps/entry/leaving_steps.py
@@ -49,6 +49,7 @@
 def _(context):
     context.stop_state = stop.Stop(TTL_S, PROPAGATION_S, MAX_S)
     context.hand_over_hangs = False
+    context.service_s = 0.0
     context.gossip_service = _FakeGossip()
     context.placement = _FakePlacement()
     context.recorder = _EventRecorder()
@@ -56,6 +57,15 @@
     context.add_cleanup(listening.logger.removeHandler, context.recorder)
 
 
+@given(
+    "an entry that rejects late callers, over a server that takes {seconds:g} s"
+)
+def _(context, seconds):
+    context.execute_steps("Given an entry that can be stopped")
+    context.stop_state = stop.Stop(TTL_S, PROPAGATION_S, MAX_S, SERVE_S)
+    context.service_s = seconds
+
+
 @given("an entry that rejects late callers and whose claims nobody takes")
 def _(context):
     context.execute_steps("Given an entry that can be stopped")
@@ -65,7 +75,7 @@
 
 def _run(context, step):
     async def main():
-        path = datapath.DataPath(1)
+        path = datapath.DataPath(1, service_s=context.service_s)
         context.hand_overs = 0
         context.accepting_ended = trio.Event()
 
@@ -132,6 +142,37 @@
     assert b"connection: close" in data, data
 
 
+@when(
+    "it is stopped and a caller sends a request with a limit of {seconds:g} s"
+)
+def _(context, seconds):
+    head = b"GET /x HTTP/1.1\r\nhost: a\r\nhyssop-deadline-ms: %d\r\n\r\n"
+
+    async def step(path, planned_stop, nursery):
+        nursery.start_soon(planned_stop.run, context.accepting_ended.set)
+        await trio.sleep(TTL_S / 2)
+        began = trio.current_time()
+        answer = await path.exchange(head % (seconds * 1000))
+        context.answered_s = trio.current_time() - began
+        return answer
+
+    _run(context, step)
+
+
+@then("the caller is told within {seconds:g} s that it did not run")
+def _(context, seconds):
+    data, _ = context.answer
+    assert data.startswith(b"HTTP/1.1 503 "), data
+    assert b"hyssop-outcome: not-run" in data, data
+    assert b"connection: close" in data, data
+    assert context.answered_s < seconds, context.answered_s
+
+
+@then("no server ran the caller's request")
+def _(context):
+    assert context.path.runs == 0, context.path.runs
+
+
 @when("it is stopped while a caller keeps a connection")
 def _(context):
     async def step(path, planned_stop, nursery):
