Serving: a caller that ends its side gets the answers to what it has sent

A stop takes an entry out of look-ups; a caller that stops using it ends its sending side and waits for the answers that are due. Two entries that stop together are left at the same moment.

Cause: the end of a caller's stream was taken for the end of the caller, and all requests of the connection were cancelled, also complete answers that waited for their turn.

Now the requests are served to their end, if the caller is still there. Its kernel tells: the entry writes an interim answer (100, which may precede each answer and which callers skip), and the kernel of a caller that has left answers it with a reset, which is looked for every 50 ms; then the requests are cancelled as before. Where no interim answer can be written (an upload that is incomplete, HTTP/1.0, TLS, an answer that has begun and isn't under way) the caller counts as gone, as before.

Ruled out: TCP states and keepalive probes, which are the same for both.

Tests: "a caller that has ended its side gets the answers to what it sent" got none before; "a disconnect of the caller cancels its requests" holds.

--- a/hyssopfold/serving/connection.py
+++ b/hyssopfold/serving/connection.py
@@ -24,6 +24,8 @@
 
 MAX_READ_BYTES = 65_536
 _NEVER = float("inf")
+# Time between two looks whether a caller that has ended its side is gone.
+_PROBE_PERIOD_S = 0.05
 # Of an answer that can't be completed.
 _CUT_STATUS = 502
 
@@ -97,6 +99,9 @@
         self._data_arrived = trio.Event()
         self._buffer_drained = trio.Event()
         self._is_cut = False
+        # Whether the caller has reset the connection, or ended its side of it.
+        self._is_reset = False
+        self._is_input_ended = False
         self._end_reason: ending.EndReason | None = None
         # Bytes of the answer that is due that the socket accepted, and bytes
         # of input that were discarded after the last answer was announced.
@@ -178,7 +183,7 @@
                 self._read_scope = read_scope
                 await self._read_until_end()
             if not read_scope.cancelled_caught:
-                reason = ending.EndReason.CALLER_CLOSED
+                reason = await self._answer_sent_requests()
                 break
             if self._is_lingering:
                 if self._extend_linger():
@@ -204,6 +209,36 @@
                 await self._buffer_drained.wait()
             self._read_scope.deadline = self._read_deadline()
 
+    async def _answer_sent_requests(self) -> ending.EndReason:
+        """Answer the requests of a caller that has ended its side.
+
+        It may wait for the answers, or have left. That looks the same until
+        the kernel of a caller that has left answers a write with a reset.
+        """
+        if not self._can_probe():
+            return ending.EndReason.CALLER_CLOSED
+        self._is_input_ended = True
+        while self._running_requests or self._waiting_request is not None:
+            await trio.sleep(_PROBE_PERIOD_S)
+            if ending.has_error(self._stream.socket):
+                return ending.EndReason.CALLER_CLOSED
+        return ending.EndReason.ANSWERED
+
+    def _can_probe(self) -> bool:
+        """Write to a caller that has ended its side; return whether it could.
+
+        An interim answer may precede each answer. If one has begun, the bytes
+        of it that are on their way serve as well.
+        """
+        if self._is_reset or self._uploading_request or not self._unanswered:
+            return False
+        due = self._unanswered[0]
+        if due.answer_begun:
+            return ending.socket_queues(self._stream.socket).unsent > 0
+        if due.scope.get("http_version") != "1.1":
+            return False
+        return self._write_at_once(ending.INTERIM_ANSWER) > 0
+
     def _is_buffer_full(self) -> bool:
         return len(self._unparsed) >= self._limits.max_buffered_bytes
 
@@ -212,6 +247,7 @@
             return await self._stream.receive_some(MAX_READ_BYTES)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
             logger.debug(logs.Event("connection-lost", error=repr(exc)))
+            self._is_reset = True
             return b""
 
     def _process_data(self, data: bytes | bytearray) -> None:
@@ -522,13 +558,15 @@
         return True
 
     def _is_last_request(self) -> bool:
-        """Return whether a planned stop lets no other request follow.
+        """Return whether no other request follows.
 
-        One that has arrived is still served while the stop takes requests.
+        One that has arrived is still served while a planned stop takes
+        requests.
         """
         if self._listener.draining:
             return True
-        return self._listener.closing and self._waiting_request is None
+        is_ending = self._listener.closing or self._is_input_ended
+        return is_ending and self._waiting_request is None
 
     def on_answered(self, request: pipelined_request.PipelinedRequest) -> None:
         """Let the next answer be written and the next request start."""
--- a/hyssopfold/serving/ending.py
+++ b/hyssopfold/serving/ending.py
@@ -21,6 +21,10 @@
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
+# Callers skip it and wait for the answer itself (RFC 9110, 15.2).
+INTERIM_ANSWER = b"HTTP/1.1 100 Continue\r\n\r\n"
+
+
 class EndReason(enum.Enum):
     """Why a caller's connection ended."""
 
@@ -75,6 +79,11 @@
     return int(struct.unpack("i", count)[0])
 
 
+def has_error(sock: trio.socket.SocketType) -> bool:
+    """Return whether the other end has reset the connection of a socket."""
+    return bool(sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR))
+
+
 def reset_on_close(sock: trio.socket.SocketType) -> None:
     """Make the close of a socket reset its connection."""
     with contextlib.suppress(OSError):
--- a/tests/serving/pipelines.feature
+++ b/tests/serving/pipelines.feature
@@ -51,6 +51,15 @@
     And d was not started
     And the connection ends without a reset
 
+  Scenario: a caller that has ended its side gets the answers to what it sent
+    A caller stops using an entry that is no longer returned by look-ups: it
+    ends its side and waits for the answers. The entry took it for gone, and
+    cancelled its requests, also those that a server had answered.
+    When a caller ends its side after sending the pipeline: /safe/a/300/2 /safe/b/100/2 /once/c/0/2 /safe/d/0/2
+    Then the answers are a b c d within 1 s
+    And only the last answer announces the close
+    And the connection ends without a reset
+
   Scenario: a disconnect of the caller cancels its requests
     When a caller disconnects after sending the pipeline: /safe/a/9000/2 /safe/b/9000/2 /once/c/0/2
     Then a b were cancelled
--- a/tests/steps/serving/pipelines_steps.py
+++ b/tests/steps/serving/pipelines_steps.py
@@ -391,3 +391,15 @@
         return await reader.all(), reader.end
 
     _run(context, step)
+
+
+@when("a caller ends its side after sending the pipeline: {text}")
+def _(context, text):
+    async def step(fixture):
+        stream = await fixture.connect()
+        await stream.send_all(pipelines.encode(text))
+        await stream.send_eof()
+        reader = pipelines.AnswerReader(stream)
+        return await reader.all(), reader.end
+
+    _run(context, step)
