--- /dev/null
+++ b/bench/stops/__init__.py
@@ -0,0 +1,1 @@
+"""Test of planned stops of entries, with processes, servers and callers."""
