--- a/bench/stops/__main__.py
+++ b/bench/stops/__main__.py
@@ -89,7 +89,9 @@
             )
         )
         keep = ("PATH", "HOME", "LANG")
-        environment = {key: os.environ[key] for key in keep if key in os.environ}
+        environment = {
+            key: os.environ[key] for key in keep if key in os.environ
+        }
         environment["HYSSOPFOLD_BOOT"] = str(settings)
         command = ["python3", "-S", "platform/run.py", instance.role]
         with (folder / "log.txt").open("ab") as log:
@@ -102,7 +104,9 @@
                 stderr=subprocess.STDOUT,
             )
 
-    def start_module(self, name: str, number: int, spec: dict[str, Any]) -> None:
+    def start_module(
+        self, name: str, number: int, spec: dict[str, Any]
+    ) -> None:
         """Start one of the test's own processes."""
         stem = f"{name}-{number}"
         spec["record"] = str(self.folder / f"{stem}.jsonl")
--- a/bench/stops/callers.py
+++ b/bench/stops/callers.py
@@ -5,6 +5,7 @@
 """
 
 import collections
+import contextlib
 import json
 import pathlib
 import random
@@ -47,6 +48,8 @@
         pause_s: Mean pause between two requests of a connection.
         requests: Most requests on a connection.
         delay_s: Longest time between connecting and the first request.
+        leaves_half_open: Whether it shuts down its sending side once look-ups
+            no longer return the entry, and waits for the answers that are due.
     """
 
     routes: tuple[str, ...] = ("browse",)
@@ -62,6 +65,7 @@
     pause_s: float = 0.05
     requests: int = 40
     delay_s: float = 0.0
+    leaves_half_open: bool = False
 
 
 _SLOW_ANSWER = (30_000, 600_000)
@@ -79,11 +83,18 @@
     ),
     "slow": Habit(bytes_per_s=200_000, answer_bytes=_SLOW_ANSWER),
     "slow-next": Habit(
-        bytes_per_s=100_000, answer_bytes=(30_000, 200_000), next_after_s=0.9
+        bytes_per_s=100_000, answer_bytes=(30_000, 130_000), next_after_s=0.9
     ),
     "slow-pipeline": Habit(
         depth=3, bytes_per_s=150_000, answer_bytes=(2_000, 120_000)
     ),
+    "slow-long": Habit(
+        depth=2,
+        routes=("status",),
+        bytes_per_s=200_000,
+        answer_bytes=(100_000, 600_000),
+    ),
+    "leave": Habit(depth=4, leaves_half_open=True),
     "upload": Habit(routes=("book",), upload_parts=4),
     "half-close": Habit(half_closes=True, requests=1),
     "relay": Habit(routes=("browse", "status", "book"), uses_relay=True),
@@ -166,6 +177,12 @@
                 self._valid_until = time.monotonic() + ttl_s
                 return
 
+    async def is_returned(self, address: str) -> bool:
+        """Return whether the look-up, renewed if due, returns an address."""
+        if time.monotonic() >= self._valid_until:
+            await self._look_up()
+        return address in self._addresses
+
     def via(self, address: str) -> str:
         """Return the address to which to connect."""
         if self.habit.uses_relay:
@@ -232,6 +249,12 @@
                 await trio.sleep(rng.uniform(0.0, 0.03))
             if self._close_read_at and habit.heeds_close:
                 return
+            if habit.leaves_half_open and not await self._caller.is_returned(
+                self._address
+            ):
+                self._sent = habit.requests
+                self._half_close()
+                return
             try:
                 await self._send_request()
             except OSError:
@@ -291,6 +314,10 @@
             body = body[part_bytes:]
         fields["sent_at"] = time.monotonic()
         if habit.half_closes:
+            self._half_close()
+
+    def _half_close(self) -> None:
+        with contextlib.suppress(OSError):
             self._socket.shutdown(socket.SHUT_WR)
 
     async def _send_all(self, data: bytes) -> None:
@@ -298,16 +325,12 @@
             data = data[await self._socket.send(data) :]
 
     async def _receive_answers(self) -> None:
-        habit = self._habit
         while True:
             try:
                 while not self._end:
-                    if not self._unanswered and (
-                        self._close_read_at or self._sent >= habit.requests
-                    ):
-                        if habit.heeds_close or self._sent >= habit.requests:
-                            self._end = "caller-closed"
-                            return
+                    if self._is_done():
+                        self._end = "caller-closed"
+                        return
                     if any(item.is_over for item in self._unanswered):
                         self._end = "caller-timeout"
                         return
@@ -319,6 +342,14 @@
                 self._end = f"error {exc.errno}"
             return
 
+    def _is_done(self) -> bool:
+        """Return whether the caller closes the connection."""
+        if self._unanswered:
+            return False
+        if self._sent >= self._habit.requests:
+            return True
+        return bool(self._close_read_at) and self._habit.heeds_close
+
     async def _receive(self) -> None:
         size = wire.RECEIVE_BYTES
         if self._habit.bytes_per_s and self._unanswered:
@@ -346,9 +377,7 @@
                 self._close_read_at = time.monotonic()
             own = headers.get("request-id", "") == request.fields["id"]
             stamped = own and "response-stamp" in headers
-            self._write(
-                request, "whole", int(first.split()[1]), size, stamped
-            )
+            self._write(request, "whole", int(first.split()[1]), size, stamped)
             self._answer_began_at = 0.0
             self._wake.set()
 
--- a/bench/stops/judge.py
+++ b/bench/stops/judge.py
@@ -113,27 +113,35 @@
 ) -> tuple[str, str]:
     if not request["sent_at"]:
         return EXCLUDED, "not sent whole"
-    took_s = request["ended_at"] - request["sent_at"]
     if request["end"] == "caller-timeout":
         return EXCLUDED, "the caller's deadline was reached"
     if not runs:
+        took_s = request["ended_at"] - request["sent_at"]
         return _judge_unpassed(request, took_s)
-    timeout_s = layout.ROUTES_BY_NAME[request["route"]].timeout_s
     last_run = max(runs, key=lambda run: run["begun_at"])
-    if took_s >= timeout_s:
-        if last_run["end"] == "finished":
-            return EXCLUDED, "time-out reached while the answer was on its way"
-        return EXCLUDED, "time-out reached while the server was at work"
-    was_sent_early = request["sent_at"] <= stop.term_at + _SENT_EARLY_S
-    if was_sent_early and last_run["ended_at"] >= (
-        stop.term_at + _LAST_PART_AT_S
-    ):
-        return EXCLUDED, "server at work in the last sixth of the grace time"
+    excuse = _excuse(request, last_run, stop)
+    if excuse:
+        return EXCLUDED, excuse
     if request["end"] == "whole":
         return LOST, "run broken off, other answer in its place"
     return LOST, "passed on, no whole answer"
 
 
+def _excuse(
+    request: Mapping[str, Any], run: Mapping[str, Any], stop: Stop
+) -> str:
+    """Return why a request that was passed on doesn't count, or ""."""
+    timeout_s = layout.ROUTES_BY_NAME[request["route"]].timeout_s
+    if request["ended_at"] - request["began_at"] >= timeout_s:
+        if run["end"] == "finished":
+            return "time-out reached while the answer was on its way"
+        return "time-out reached while the server was at work"
+    was_sent_early = request["sent_at"] <= stop.term_at + _SENT_EARLY_S
+    if was_sent_early and run["ended_at"] >= stop.term_at + _LAST_PART_AT_S:
+        return "server at work in the last sixth of the grace time"
+    return ""
+
+
 def _judge_unpassed(
     request: Mapping[str, Any], took_s: float
 ) -> tuple[str, str]:
@@ -144,5 +152,8 @@
     if took_s <= layout.LOSS_SLACK_S:
         return EXCLUDED, "not passed on, crossed the close"
     if request["place"] > 1:
-        return LOST, "not passed on, later than the slack, behind an answered one"
+        return (
+            LOST,
+            "not passed on, later than the slack, behind an answered one",
+        )
     return LOST, "not passed on, later than the slack, first on its connection"
--- a/bench/stops/layout.py
+++ b/bench/stops/layout.py
@@ -226,7 +226,9 @@
     lines = [f"{key} = {json.dumps(value)}" for key, value in fields.items()]
     for table, values in tables.items():
         lines.append(f"[{table}]")
-        lines += [f"{key} = {json.dumps(value)}" for key, value in values.items()]
+        lines += [
+            f"{key} = {json.dumps(value)}" for key, value in values.items()
+        ]
     return "\n".join(lines) + "\n"
 
 
--- a/bench/stops/relay.py
+++ b/bench/stops/relay.py
@@ -78,9 +78,7 @@
 
 def _reset_on_close(stream: trio.SocketStream) -> None:
     with contextlib.suppress(OSError):
-        stream.setsockopt(
-            socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
-        )
+        stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
 
 
 async def _main(spec: dict[str, Any]) -> None:
--- a/bench/stops/schedule.py
+++ b/bench/stops/schedule.py
@@ -30,7 +30,7 @@
         "pipeline-late-relay",
     ],
     "keeps": ["kept", "kept-late", "fresh", "relay"],
-    "slows": ["slow", "slow-next", "slow-pipeline"],
+    "slows": ["slow", "slow-next", "slow-pipeline", "slow-long"],
     "all": [name for name in callers.HABITS if name != "half-close"],
 }
 
@@ -106,14 +106,12 @@
         for place, target in enumerate(targets):
             at_s = round_at_s + place * gap_s + rng.uniform(0.0, 0.05)
             # Drawn in any case, so that a trouble changes no other choice.
-            again_after_s = rng.uniform(0.05, 1.0)
+            again_after_s = rng.uniform(0.2, 2.5)
             reload_at_s = at_s + rng.uniform(-0.5, 2.5)
             if "early" not in troubles:
                 again_after_s = 0.0
             signals = 2 if "twice" in troubles else 1
-            actions.append(
-                Action(at_s, "stop", target, signals, again_after_s)
-            )
+            actions.append(Action(at_s, "stop", target, signals, again_after_s))
             if "reload" in troubles:
                 actions.append(Action(reload_at_s, "reload", target))
         for place in range(6):
