--- a/bench/stops/callers.py
+++ b/bench/stops/callers.py
@@ -24,7 +24,6 @@
 _CONNECT_TIMEOUT_S = 1.0
 _READ_PERIOD_S = 0.05
 _SMALL_BUFFER_BYTES = 4096
-_NEAR_LIMIT_SHARE = 0.06
 
 
 class Habit(NamedTuple):
@@ -50,6 +49,8 @@
         delay_s: Longest time between connecting and the first request.
         leaves_half_open: Whether it shuts down its sending side once look-ups
             no longer return the entry, and waits for the answers that are due.
+        near_limit_share: Share of the requests that run almost as long as
+            their route allows.
     """
 
     routes: tuple[str, ...] = ("browse",)
@@ -66,6 +67,7 @@
     requests: int = 40
     delay_s: float = 0.0
     leaves_half_open: bool = False
+    near_limit_share: float = 0.06
 
 
 _SLOW_ANSWER = (30_000, 600_000)
@@ -94,6 +96,15 @@
         bytes_per_s=200_000,
         answer_bytes=(100_000, 600_000),
     ),
+    "slow-late": Habit(
+        depth=2,
+        heeds_close=False,
+        bytes_per_s=100_000,
+        answer_bytes=(30_000, 130_000),
+    ),
+    "fresh-late": Habit(
+        routes=("status",), requests=1, delay_s=0.5, near_limit_share=0.5
+    ),
     "leave": Habit(depth=4, leaves_half_open=True),
     "upload": Habit(routes=("book",), upload_parts=4),
     "half-close": Habit(half_closes=True, requests=1),
@@ -275,7 +286,7 @@
         self._sent += 1
         request_id = f"{rng.getrandbits(64):016x}"
         run_s = route.run_s * rng.lognormvariate(0.0, 0.3)
-        if rng.random() < _NEAR_LIMIT_SHARE:
+        if rng.random() < habit.near_limit_share:
             run_s = route.timeout_s * rng.uniform(0.85, 0.97)
         answer_bytes = rng.randint(*habit.answer_bytes)
         method = "GET" if route.kind == "safe" else "POST"
--- a/bench/stops/schedule.py
+++ b/bench/stops/schedule.py
@@ -29,8 +29,8 @@
         "pipeline-relay",
         "pipeline-late-relay",
     ],
-    "keeps": ["kept", "kept-late", "fresh", "relay"],
-    "slows": ["slow", "slow-next", "slow-pipeline", "slow-long"],
+    "keeps": ["kept", "kept-late", "fresh", "fresh-late", "relay"],
+    "slows": ["slow", "slow-next", "slow-pipeline", "slow-long", "slow-late"],
     "all": [name for name in callers.HABITS if name != "half-close"],
 }
 
