--- a/bench/stops/callers.py
+++ b/bench/stops/callers.py
@@ -96,6 +96,12 @@
         bytes_per_s=200_000,
         answer_bytes=(100_000, 600_000),
     ),
+    "slow-kept": Habit(
+        routes=("status",),
+        bytes_per_s=200_000,
+        answer_bytes=(100_000, 600_000),
+        pause_s=0.02,
+    ),
     "slow-late": Habit(
         depth=2,
         heeds_close=False,
--- a/bench/stops/schedule.py
+++ b/bench/stops/schedule.py
@@ -30,7 +30,14 @@
         "pipeline-late-relay",
     ],
     "keeps": ["kept", "kept-late", "fresh", "fresh-late", "relay"],
-    "slows": ["slow", "slow-next", "slow-pipeline", "slow-long", "slow-late"],
+    "slows": [
+        "slow",
+        "slow-next",
+        "slow-pipeline",
+        "slow-long",
+        "slow-kept",
+        "slow-late",
+    ],
     "all": [name for name in callers.HABITS if name != "half-close"],
 }
 
