--- a/bench/stops/callers.py
+++ b/bench/stops/callers.py
@@ -102,6 +102,18 @@
         answer_bytes=(100_000, 600_000),
         pause_s=0.02,
     ),
+    "slow-next-late": Habit(
+        heeds_close=False,
+        bytes_per_s=100_000,
+        answer_bytes=(100_000, 160_000),
+        next_after_s=0.9,
+    ),
+    "slow-next-idle": Habit(
+        routes=("status",),
+        bytes_per_s=60_000,
+        answer_bytes=(220_000, 300_000),
+        next_after_s=3.2,
+    ),
     "slow-late": Habit(
         depth=2,
         heeds_close=False,
