--- a/bench/stops/callers.py
+++ b/bench/stops/callers.py
@@ -78,6 +78,7 @@
     "pipeline-late-relay": Habit(
         depth=4, heeds_close=False, writes_first=True, uses_relay=True
     ),
+    "pipeline-long": Habit(depth=3, requests=6, near_limit_share=0.5),
     "kept": Habit(routes=("browse", "status", "search", "book")),
     "kept-late": Habit(routes=("browse", "status"), heeds_close=False),
     "fresh": Habit(
