Stop: connections that wait to be accepted are accepted first

What callers see: at a planned stop of a busy entry, new connections are reset though the request has arrived (seen once in a trial with ten busy processes beside it: sent 2.55 s after SIGTERM, reset at 3.22 s, no line in any log).

Cause: a stop closed the listening socket at once; the kernel resets the connections that it holds for it. A busy process accepts them late, so there may be many.

Now those that wait are accepted before the socket is closed, for 0.1 s at most. That the trial's reset came from here is an inference.

Test: "connections that wait to be accepted are served" failed before: of 20 callers the first was reset.

--- a/hyssopfold/http.py
+++ b/hyssopfold/http.py
@@ -26,6 +26,8 @@
 # longer than a request takes to arrive from any region.
 IDLE_BEFORE_CLOSE_S = 0.5
 FINISH_PERIOD_S = 0.05
+# Longest time for which connections that wait are accepted at a stop.
+ACCEPT_WAITING_S = 0.1
 
 
 class Answer(NamedTuple):
@@ -189,6 +191,7 @@
             )
             task_status.started([address])
             await stop.wait()
+            await _accept_waiting(tcp_listeners)
             accepting.cancel_scope.cancel()
         time_left_s = grace_s() if callable(grace_s) else grace_s
         await finish(listener, time_left_s)
@@ -197,6 +200,16 @@
         nursery.cancel_scope.cancel()
 
 
+async def _accept_waiting(listeners: list[trio.SocketListener]) -> None:
+    """Let the connections be accepted that wait for it.
+
+    The kernel resets those that still wait when the socket is closed.
+    """
+    with trio.move_on_after(ACCEPT_WAITING_S):
+        while any(listener.socket.is_readable() for listener in listeners):
+            await trio.lowlevel.checkpoint()
+
+
 async def listen(address: str) -> list[trio.SocketListener]:
     """Return listeners on `address`, an IP address and port.
 
--- a/tests/serving/ending.feature
+++ b/tests/serving/ending.feature
@@ -40,3 +40,9 @@
     When a stop of 0.6 s ends during the pipeline: /safe/a/9000/2 /safe/b/0/2 /safe/c/9000/2 /safe/d/100/2
     Then the statuses of the ended pipeline are 502 200 502 200
     And the connection ended without a reset
+
+  Scenario: connections that wait to be accepted are served
+    A busy entry had not accepted them yet when it stopped listening: the kernel
+    reset them, though their requests had arrived.
+    When a busy listener stops while 20 callers have connected and sent: /safe/a/0/2
+    Then all 20 callers have an answer
--- a/tests/steps/serving/ending_steps.py
+++ b/tests/steps/serving/ending_steps.py
@@ -193,3 +193,32 @@
 @then("none of its writes failed")
 def _(context):
     assert not context.write_errors, context.write_errors
+
+
+@when(
+    "a busy listener stops while {count:d} callers have connected and sent:"
+    " {text}"
+)
+def _(context, count, text):
+    async def step(fixture):
+        host, port = fixture.address.split(":")
+        fixture.stop.set()
+        # The listener's task does not run meanwhile.
+        socks = []
+        for _ in range(count):
+            sock = socket.create_connection((host, int(port)))
+            sock.sendall(pipelines.encode(text))
+            socks.append(sock)
+        answers = []
+        for sock in socks:
+            sock.setblocking(False)
+            stream = trio.SocketStream(trio.socket.from_stdlib_socket(sock))
+            answers += await pipelines.AnswerReader(stream).all()
+        return answers
+
+    _run(context, step)
+
+
+@then("all {count:d} callers have an answer")
+def _(context, count):
+    assert [answer.status for answer in context.result] == [200] * count
