--- a/bench/stops/callers.py
+++ b/bench/stops/callers.py
@@ -398,6 +398,10 @@
                 return
             self._answer_began_at = self._answer_began_at or time.monotonic()
             first, headers = wire.parse_head(bytes(self._buffer[:end]))
+            if first.split()[1].startswith("1"):
+                # An interim answer precedes the answer itself.
+                del self._buffer[: end + 4]
+                continue
             size = end + 4 + int(headers.get("content-length", "0"))
             if len(self._buffer) < size:
                 return
