Stop: its end answers the unfinished requests in each case

Cause: answering was tied to a moment that the loop had to hit, in one of two places that end a stop.

Now both end in one function of the listener: it logs, answers, gives the answers 0.15 s, however late it is, and closes. A second signal that cuts closes at once, as before.

--- a/hyssopfold/entry/leaving.py
+++ b/hyssopfold/entry/leaving.py
@@ -72,6 +72,8 @@
                 stop_accepting()
             else:
                 await self._wait_while(stop.Phase.DRAINING)
+        if self._stop.cut_requests:
+            await self._listener.finish("stop_max_s is over")
         took_s = trio.current_time() - began_at
         logger.info(
             logs.Event("left", after_s=took_s, cut=self._stop.cut_requests)
@@ -103,5 +105,3 @@
         if phase is stop.Phase.DRAINING:
             self._listener.drain()
             self._listener.close_idle(IDLE_BEFORE_CLOSE_S, now)
-        if self._stop.cut_requests:
-            self._listener.cut("stop_max_s is over")
--- a/hyssopfold/http.py
+++ b/hyssopfold/http.py
@@ -195,8 +195,6 @@
             accepting.cancel_scope.cancel()
         time_left_s = grace_s() if callable(grace_s) else grace_s
         await finish(listener, time_left_s)
-        if listener.requests:
-            listener.cut("the time for the stop is over")
         nursery.cancel_scope.cancel()
 
 
@@ -228,13 +226,16 @@
 
 
 async def finish(listener: serving.Listener, grace_s: float) -> None:
-    """Close connections as they become idle, for `grace_s` seconds at most."""
+    """Let the requests finish, for `grace_s` seconds at most.
+
+    Args:
+        listener: The listener, which accepts no more connections.
+        grace_s: Longest time in seconds.
+    """
     listener.drain()
-    refuse_at = trio.current_time() + grace_s - serving.REFUSE_BEFORE_END_S
-    with trio.move_on_after(grace_s):
+    with trio.move_on_after(max(0.0, grace_s - serving.FINISH_S)):
         while listener.connections:
-            now = trio.current_time()
-            listener.close_idle(IDLE_BEFORE_CLOSE_S, now)
-            if now >= refuse_at:
-                listener.refuse_unfinished()
+            listener.close_idle(IDLE_BEFORE_CLOSE_S, trio.current_time())
             await trio.sleep(FINISH_PERIOD_S)
+    if listener.requests:
+        await listener.finish("the time for the stop is over")
--- a/hyssopfold/serving/__init__.py
+++ b/hyssopfold/serving/__init__.py
@@ -12,13 +12,13 @@
 CutAnswerError = limits.CutAnswerError
 Limits = limits.Limits
 Listener = listening.Listener
-REFUSE_BEFORE_END_S = listening.REFUSE_BEFORE_END_S
+FINISH_S = listening.FINISH_S
 PipelinePosition = pipelined_request.PipelinePosition
 PLACE = pipelined_request.PLACE
 
 __all__ = [
     "PLACE",
-    "REFUSE_BEFORE_END_S",
+    "FINISH_S",
     "CutAnswerError",
     "Limits",
     "Listener",
--- a/hyssopfold/serving/listening.py
+++ b/hyssopfold/serving/listening.py
@@ -17,9 +17,10 @@
 
 # Time between two searches for idle connections, as a share of the timeout.
 _SWEEP_SHARE = 0.1
-# Time before the end of a stop at which unfinished requests are answered, so
-# that answers that wait behind them are still sent.
-REFUSE_BEFORE_END_S = 0.15
+# Time at the end of a stop in which unfinished requests are answered, and
+# answers that wait behind them are sent.
+FINISH_S = 0.15
+_FINISH_PERIOD_S = 0.01
 
 
 def _run_alone(scope: dict[str, Any]) -> bool:
@@ -116,7 +117,7 @@
         Args:
             ends_at: Monotonic time in seconds at which the stop ends.
         """
-        self.answer_by = min(self.answer_by, ends_at - REFUSE_BEFORE_END_S)
+        self.answer_by = min(self.answer_by, ends_at - FINISH_S)
         if not self.closing:
             self.closing = True
             self.closing_since = trio.current_time()
@@ -128,10 +129,23 @@
         self.close_after_answers()
         self.draining = True
 
-    def refuse_unfinished(self) -> None:
-        """Answer the requests whose servers have not answered by now."""
+    async def finish(self, reason: str) -> None:
+        """Answer the unfinished requests, then close all connections.
+
+        Complete answers that wait behind them on their connections are sent.
+
+        Args:
+            reason: Why they can't be finished, for the log.
+        """
+        logger.warning(
+            logs.Event("requests-cut", reason=reason, requests=self.requests)
+        )
         for conn in list(self._open):
             conn.refuse_unfinished()
+        with trio.move_on_after(FINISH_S):
+            while self.requests:
+                await trio.sleep(_FINISH_PERIOD_S)
+        self._close_all()
 
     def close_idle(self, idle_s: float, now: float) -> None:
         """Close the connections that had no request for `idle_s` seconds.
@@ -149,6 +163,9 @@
         logger.warning(
             logs.Event("requests-cut", reason=reason, requests=self.requests)
         )
+        self._close_all()
+
+    def _close_all(self) -> None:
         for conn in list(self._open):
             conn.close(ending.EndReason.STOP_OVER)
 
--- a/tests/serving/ending.feature
+++ b/tests/serving/ending.feature
@@ -46,3 +46,10 @@
     reset them, though their requests had arrived.
     When a busy listener stops while 20 callers have connected and sent: /safe/a/0/2
     Then all 20 callers have an answer
+
+  Scenario: a process that is busy at the end of a stop sends complete answers
+    It ran again only when the time for the stop was over: the unfinished request
+    was not answered, and the complete answer behind it was lost.
+    When a process is busy from 0.4 s to 0.7 s of a stop of 0.6 s during the pipeline: /safe/a/9000/2 /safe/b/0/2
+    Then the statuses of the ended pipeline are 502 200
+    And the connection ended without a reset
