Steering: don't keep the layouts of all revisions

Each revision that adds a route or moves one to another pool makes a new layout, so with 12,600 routes about 1 to 2 MB of each revision stayed in memory for good.

Ruled out: the history of revisions (25,200 rows a revision against its limit of 200,000 rows; 8 revisions that share their rows) and garbage collected late: a collection at the end changed nothing.

Change: distances are cached by each pool's shares, for one revision.

--- a/hyssopfold/core/steering/layouts.py
+++ b/hyssopfold/core/steering/layouts.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Iterable
 from collections.abc import Mapping
-import functools
 
 from hyssopfold import state
 from hyssopfold import tables
@@ -43,7 +42,6 @@
     return {row.route: row.weights for row in layout.routes}
 
 
-@functools.lru_cache(maxsize=1024)
 def distance(old: state.Layout, new: state.Layout) -> float:
     """Return the largest share of a route's traffic, 0 to 1, that moves.
 
@@ -53,23 +51,33 @@
     so late or wrong measurements can't make the bound wrong. It is 1 if the
     moved share depends on the share of a home region or of a failure domain,
     which the tables don't contain.
+
+    It takes long with many routes. Callers that need a distance again cache it
+    for as long as they use the layouts.
     """
     if old == new:
         return 0.0
     if old.closed_domains != new.closed_domains:
         return 1.0
-    max_distance = 0.0
     new_weights_by_route = weights_by_route(new)
-    for route_weights in old.routes:
-        new_weights = new_weights_by_route.get(route_weights.route)
-        if new_weights is not None:
-            before = open_weights(route_weights.weights, old.closed_regions)
-            after = open_weights(new_weights, new.closed_regions)
-            same = old.closed_regions == new.closed_regions
-            max_distance = max(
-                max_distance, _route_distance(before, after, same)
+    # Few of the pairs differ from each other.
+    pairs = {
+        (row.weights, new_weights_by_route[row.route])
+        for row in old.routes
+        if row.route in new_weights_by_route
+    }
+    same = old.closed_regions == new.closed_regions
+    return max(
+        (
+            _route_distance(
+                open_weights(before, old.closed_regions),
+                open_weights(after, new.closed_regions),
+                same,
             )
-    return max_distance
+            for before, after in pairs
+        ),
+        default=0.0,
+    )
 
 
 def open_weights(
--- a/hyssopfold/core/steering/plans.py
+++ b/hyssopfold/core/steering/plans.py
@@ -7,6 +7,7 @@
 so the shares don't jump.
 """
 
+from collections.abc import Callable
 from collections.abc import Mapping
 from typing import NoReturn
 
@@ -20,6 +21,7 @@
 _MIN_SHARE = 1e-9
 
 Mixture = Mapping[state.Layout, float]
+Distance = Callable[[state.Layout, state.Layout], float]
 
 
 def after_edit(
@@ -146,18 +148,34 @@
     }
 
 
-def distance_to(source: Mixture, target: state.Layout) -> float:
-    """Return an upper bound of the pool's traffic yet to move, 0 to 1."""
+def distance_to(
+    source: Mixture,
+    target: state.Layout,
+    distance: Distance = layouts.distance,
+) -> float:
+    """Return an upper bound of the pool's traffic yet to move, 0 to 1.
+
+    Args:
+        source: The mixture in force.
+        target: The layout to which it moves.
+        distance: `layouts.distance`, or a cache of its results.
+    """
     return sum(
-        share * layouts.distance(layout, target)
-        for layout, share in source.items()
+        share * distance(layout, target) for layout, share in source.items()
     )
 
 
-def moved_share(before: Mixture, after: Mixture) -> float:
+def moved_share(
+    before: Mixture, after: Mixture, distance: Distance = layouts.distance
+) -> float:
     """Return an upper bound of the traffic that moves between two mixtures.
 
     It is a share of the pool's traffic, 0 to 1.
+
+    Args:
+        before: The mixture in force.
+        after: The mixture that replaces it.
+        distance: `layouts.distance`, or a cache of its results.
     """
     growing = [
         layout
@@ -168,6 +186,6 @@
     for layout, share in before.items():
         loss = share - after.get(layout, 0.0)
         if loss > _MIN_SHARE:
-            distances = [layouts.distance(layout, target) for target in growing]
+            distances = [distance(layout, target) for target in growing]
             moved += loss * max(distances, default=0.0)
     return moved
--- a/hyssopfold/core/steering/shares.py
+++ b/hyssopfold/core/steering/shares.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Iterable
 from collections.abc import Mapping
+import functools
 import math
 from typing import Literal
 from typing import NamedTuple
@@ -33,6 +34,9 @@
 MIN_SAMPLES = 20
 HOLD_SHARE = 0.005
 RETREAT_SHARE = 0.05
+# Most distances kept for a pool: those of each part of a plan to its target,
+# with and without the lost regions.
+_MAX_DISTANCES = 2 * plans.MAX_PARTS
 _MINUTE_S = 60.0
 _ROUNDING_FACTOR = 1.0 + 1e-6
 _EPSILON = 1e-9
@@ -135,6 +139,7 @@
         self._target_weights: layouts.Weights = {}
         self._has_weights: dict[str, bool] = {}
         self._decision_cache: dict[object, regions.Decision] = {}
+        self._distance = _new_distance_cache()
 
     def update(
         self,
@@ -148,6 +153,8 @@
             self.plan_received_at = now
         self.pool, self.target, self.plan = pool, target, plan
         self._active_parts = []
+        # The keys of the cache are layouts of older revisions.
+        self._distance = _new_distance_cache()
 
     def adopt(
         self, parts: Iterable[state.Part], seen_regions: Iterable[str]
@@ -195,7 +202,10 @@
             self.pool.name,
             self.phase,
             self.reason,
-            1.0 - plans.distance_to(self.mixture, self._open_target()),
+            1.0
+            - plans.distance_to(
+                self.mixture, self._open_target(), self._distance
+            ),
             tuple(sorted(self.lost)),
             window.gained,
             window.turned_back,
@@ -204,10 +214,10 @@
     def _move(self, now: float, utc_s: float, elapsed_s: float) -> None:
         planned = self._planned(now, utc_s)
         open_target = self._open_target()
-        to_go = plans.moved_share(self.mixture, planned)
+        to_go = plans.moved_share(self.mixture, planned, self._distance)
         if to_go <= _EPSILON:
             self.mixture = planned
-            remaining = plans.distance_to(planned, open_target)
+            remaining = plans.distance_to(planned, open_target, self._distance)
             self.phase = "settled" if remaining <= _EPSILON else "moving"
             self.reason = "on-plan"
             return
@@ -218,7 +228,7 @@
         step = min(1.0, budget / to_go)
         mixture = plans.mix(self.mixture, planned, step)
         assert (
-            plans.moved_share(self.mixture, mixture)
+            plans.moved_share(self.mixture, mixture, self._distance)
             <= budget * _ROUNDING_FACTOR + _EPSILON
         )
         assert abs(sum(mixture.values()) - 1.0) < 1e-6
@@ -246,6 +256,8 @@
         return _close_regions(mixture, self.lost)
 
     def _open_target(self) -> state.Layout:
+        if not self.lost:
+            return self.target
         return layouts.without_regions(self.target, self.lost)
 
     def _update_ready(self, ready: frozenset[str], now: float) -> None:
@@ -427,7 +439,9 @@
 
     def report(self) -> Report:
         """Return the shares in force and what remains to be moved."""
-        to_go = plans.distance_to(self.mixture, self._open_target())
+        to_go = plans.distance_to(
+            self.mixture, self._open_target(), self._distance
+        )
         parts = tuple(
             state.Part(layout, share)
             for layout, share in sorted(self.mixture.items())
@@ -558,6 +572,10 @@
         return [pool.report() for pool in self._pools.values()]
 
 
+def _new_distance_cache() -> plans.Distance:
+    return functools.lru_cache(maxsize=_MAX_DISTANCES)(layouts.distance)
+
+
 def _close_regions(
     mixture: plans.Mixture, closed_regions: Iterable[str]
 ) -> plans.Mixture:
--- a/tests/core/steering/many_routes.feature
+++ b/tests/core/steering/many_routes.feature
@@ -15,3 +15,10 @@
     When only "dar-2" has servers and a request is decided
     And "dar-1, dar-2" have servers, the shares are updated and it is decided
     Then only the second decision closes "dar-1"
+
+  # Guards against entries that keep the layouts of all revisions and are killed
+  # for their memory.
+  Scenario: layouts of older revisions are released
+    Given traffic shares of 2 pools with 50 routes each
+    When 20 edits add a route and the shares are updated after each
+    Then only the layouts of the two newest revisions are in memory
--- a/tests/steps/core/steering/many_routes_steps.py
+++ b/tests/steps/core/steering/many_routes_steps.py
@@ -1,5 +1,6 @@
 """Steps of core/steering/many_routes.feature."""
 
+import gc
 import time
 
 from behave import given
@@ -116,3 +117,26 @@
         for decision in context.decisions
     ]
     assert closed == [False, True], context.decisions
+
+
+@when("{edits:d} edits add a route and the shares are updated after each")
+def _(context, edits):
+    pools = context.states[0].tables.pools
+    # The first revision is in memory already.
+    context.max_layouts = _layout_count() + len(pools)
+    ready = {pool.name: READY for pool in pools}
+    for extra in range(1, edits + 1):
+        new_state = _state(2, 50, extra=extra)
+        context.shares.install(new_state, float(extra), UTC_S)
+        context.shares.step(extra + 0.5, UTC_S + extra, ready)
+
+
+@then("only the layouts of the two newest revisions are in memory")
+def _(context):
+    count = _layout_count()
+    assert count <= context.max_layouts, f"{count} > {context.max_layouts}"
+
+
+def _layout_count():
+    gc.collect()
+    return sum(isinstance(item, state.Layout) for item in gc.get_objects())
