Steering: find a request's route by a binary search

Cause: the router compared a request's path with one route of its host after another. With 12,600 routes of four hosts a request to the last one took 0.53 ms of the processor, and a host with all of them 1.5 ms.

Change: the routes of a host are sorted by prefix, and each length of a prefix is looked up by a binary search. The lists take 16 bytes a route, since each revision in use has its own; a dictionary would take about 100.

--- a/hyssopfold/core/steering/routing.py
+++ b/hyssopfold/core/steering/routing.py
@@ -1,9 +1,15 @@
 """Matching of requests against the table of routes."""
 
+import bisect
 from collections import defaultdict
+from collections.abc import Iterable
+import operator
 
 from hyssopfold import tables
 
+_NAME = operator.attrgetter("name")
+_PREFIX = operator.attrgetter("path_prefix")
+
 
 class Router:
     """Match requests against the routes of one revision of the tables.
@@ -16,11 +22,10 @@
         by_host: dict[str, list[tables.Route]] = defaultdict(list)
         for route in routes:
             by_host[route.host].append(route)
-        for host_routes in by_host.values():
-            host_routes.sort(
-                key=lambda route: (-len(route.path_prefix), route.name)
-            )
-        self._by_host = dict(by_host)
+        self._by_host = {
+            host: _HostRoutes(host_routes)
+            for host, host_routes in by_host.items()
+        }
 
     def match(
         self, host: str, path: str, method: str | None
@@ -35,9 +40,36 @@
             method: Method, or None to match routes of any method.
         """
         for host_key in (host.lower(), "*"):
-            for route in self._by_host.get(host_key, ()):
-                if not path.startswith(route.path_prefix):
-                    continue
+            host_routes = self._by_host.get(host_key)
+            if host_routes is not None:
+                route = host_routes.match(path, method)
+                if route is not None:
+                    return route
+        return None
+
+
+class _HostRoutes:
+    """The routes of one host, in two lists for a binary search by prefix.
+
+    A search takes little longer with thousands of routes than with ten, and
+    the lists little memory, of which each revision in use has its own.
+    """
+
+    def __init__(self, routes: Iterable[tables.Route]) -> None:
+        # Two sorts by strings are faster than one by tuples.
+        self._routes = sorted(sorted(routes, key=_NAME), key=_PREFIX)
+        self._prefixes = [route.path_prefix for route in self._routes]
+        self._lengths = sorted(set(map(len, self._prefixes)), reverse=True)
+
+    def match(self, path: str, method: str | None) -> tables.Route | None:
+        for length in self._lengths:
+            prefix = path[:length]
+            index = bisect.bisect_left(self._prefixes, prefix)
+            while (
+                index < len(self._prefixes) and self._prefixes[index] == prefix
+            ):
+                route = self._routes[index]
                 if method is None or method in route.methods:
                     return route
+                index += 1
         return None
