--- a/tests/core/distribution/difference.feature
+++ b/tests/core/distribution/difference.feature
@@ -27,6 +27,10 @@
     When distribution differences of random bytes are applied
     Then each was refused as a distribution mismatch or gave some value
 
+  Scenario: a difference whose sections don't fit its shape
+    When distribution differences with a wrong number of sections are applied
+    Then each of them was refused as a distribution mismatch
+
   Scenario: large answers are compressed for those that accept it
     Given a distribution history of 2 revisions with 400 rows
     When a distribution follower without a revision is answered compressed
--- a/tests/core/distribution/follower.feature
+++ b/tests/core/distribution/follower.feature
@@ -125,6 +125,11 @@
     When it is answered with distribution revisions 1, 2 and 3
     Then it put distribution revisions 1 and 3 in force and reported 2
 
+  Scenario: a program receives a value that is no JSON array
+    Given a distribution follower at revision 1
+    When it is answered with whole values that can't be split
+    Then it reported each as unreadable and kept its value
+
   Scenario: a difference that does not match, and one revision with two values
     Given a distribution follower at revision 1
     When it is answered with a wrong difference, then with another value
--- a/tests/steps/core/distribution/difference_steps.py
+++ b/tests/steps/core/distribution/difference_steps.py
@@ -130,6 +130,31 @@
     assert context.refused > 100, context.refused
 
 
+@when("distribution differences with a wrong number of sections are applied")
+def _(context):
+    empty, row = (difference.Run(0, 0),), (difference.Run(0, 0, (b"1",)),)
+    old = rows.split(fake_distribution.value_of(1))
+    context.refusals = []
+    for change in (
+        difference.Difference((0,), (empty,)),
+        difference.Difference((0,), (row * 2,)),
+        difference.Difference((1, 1), (row,)),
+        difference.Difference((3,), (row,)),
+        difference.Difference((-1,), (row,)),
+        difference.Difference((), (row,)),
+    ):
+        try:
+            difference.apply(old, msgspec.msgpack.encode(change))
+            context.refusals.append(False)
+        except difference.MismatchError:
+            context.refusals.append(True)
+
+
+@then("each of them was refused as a distribution mismatch")
+def _(context):
+    assert all(context.refusals), context.refusals
+
+
 @when("a distribution follower without a revision is answered compressed")
 def _(context):
     context.update = context.recent.update_since(0, b"", compress=True)
--- a/tests/steps/core/distribution/follower_steps.py
+++ b/tests/steps/core/distribution/follower_steps.py
@@ -322,6 +322,24 @@
     _answer(context, _update(1), strong=True)
 
 
+@when("it is answered with whole values that can't be split")
+def _(context):
+    context.values = (b"{}", b"[1", b"\xff", b"7")
+    for revision, value in enumerate(context.values, 2):
+        _answer(context, _update(revision, value))
+
+
+@then("it reported each as unreadable and kept its value")
+def _(context):
+    reported = [
+        effect.event
+        for effect in context.effects
+        if isinstance(effect, messages.Report)
+    ]
+    assert reported == ["unreadable"] * len(context.values), reported
+    assert context.core.value == fake_distribution.value_of(1)
+
+
 @when("it is answered with a wrong difference, then with another value")
 def _(context):
     new, old = (
