Steering: prepare the routes of a new mixture faster

After an edit the first request to each pool waited until three dictionaries of all of its routes were made, one of them by a search in the others for each route. The weights of a layout that is both in force and the target are now looked up by one dictionary, and only routes with weights are recorded.

--- a/hyssopfold/core/steering/shares.py
+++ b/hyssopfold/core/steering/shares.py
@@ -137,7 +137,8 @@
         self._held_until = 0.0
         self._active_parts: list[_ActivePart] = []
         self._target_weights: layouts.Weights = {}
-        self._has_weights: dict[str, bool] = {}
+        # Routes with weights in one of the layouts in force or in the target.
+        self._weighted_routes: set[str] = set()
         self._decision_cache: dict[object, regions.Decision] = {}
         self._distance = _new_distance_cache()
 
@@ -338,7 +339,10 @@
         if not self._active_parts:
             self._prepare_parts()
         part = _select_part(self._active_parts, regions.to_fraction(numbers[0]))
-        has_weights = self._has_weights.get(route.name, True)
+        has_weights = (
+            route.name in self._weighted_routes
+            or route.name not in self._target_weights
+        )
         names = (
             self._preference_order(part.weights, route, ctx, numbers)
             if has_weights
@@ -367,19 +371,23 @@
     def _prepare_parts(self) -> None:
         """Prepare the mixture in force for requests, until it changes."""
         self._decision_cache.clear()
+        weights = {
+            layout: layouts.weights_by_route(layout)
+            for layout in {*self.mixture, self.target}
+        }
         # The order is the same at all entries.
         self._active_parts = [
-            _ActivePart(number, layout, share, layouts.weights_by_route(layout))
+            _ActivePart(number, layout, share, weights[layout])
             for number, (layout, share) in enumerate(
                 sorted(self.mixture.items())
             )
         ]
-        self._target_weights = layouts.weights_by_route(self.target)
-        used = [part.weights for part in self._active_parts]
-        used.append(self._target_weights)
-        self._has_weights = {
-            route: any(weights.get(route) for weights in used)
-            for route in self._target_weights
+        self._target_weights = weights[self.target]
+        self._weighted_routes = {
+            row.route
+            for layout in weights
+            for row in layout.routes
+            if row.weights
         }
 
     def _new_decision(
