--- a/hyssopfold/core/steering/plans.py
+++ b/hyssopfold/core/steering/plans.py
@@ -7,6 +7,7 @@
 so the shares don't jump.
 """
 
+from collections.abc import Callable
 from collections.abc import Mapping
 from typing import NoReturn
 
@@ -20,6 +21,7 @@
 _MIN_SHARE = 1e-9
 
 Mixture = Mapping[state.Layout, float]
+Distance = Callable[[state.Layout, state.Layout], float]
 
 
 def after_edit(
@@ -37,8 +39,13 @@
             of shares at once.
     """
     shifts = []
+    old_targets, targets = layouts.by_pool(old.tables), layouts.by_pool(new)
     for pool in new.pools:
-        shift = _shift_of(old, new, pool, utc_s)
+        if pool.name not in old_targets:
+            continue
+        shift = _shift_of(
+            old, old_targets[pool.name], pool, targets[pool.name], utc_s
+        )
         if shift is not None:
             shifts.append(shift)
     return old._replace(tables=new, shifts=tuple(shifts))
@@ -46,16 +53,14 @@
 
 def _shift_of(
     old: state.State,
-    new: tables.Tables,
+    old_target: state.Layout,
     pool: tables.Pool,
+    target: state.Layout,
     utc_s: float,
 ) -> state.Shift | None:
     pool_before = old.tables.pool(pool.name)
-    if pool_before is None:
-        return None
+    assert pool_before is not None, "the pool has a layout"
     plan = find_shift(old.shifts, pool.name)
-    old_target = layouts.of_pool(old.tables, pool_before)
-    target = layouts.of_pool(new, pool)
     source = {old_target: 1.0} if plan is None else mixture_at(plan, utc_s)
     if plan is not None and target == old_target and source != {target: 1.0}:
         has_same_limits = (pool_before.shift_cap, pool_before.warm_up_s) == (
@@ -146,18 +151,34 @@
     }
 
 
-def distance_to(source: Mixture, target: state.Layout) -> float:
-    """Return an upper bound of the pool's traffic yet to move, 0 to 1."""
+def distance_to(
+    source: Mixture,
+    target: state.Layout,
+    distance: Distance = layouts.distance,
+) -> float:
+    """Return an upper bound of the pool's traffic yet to move, 0 to 1.
+
+    Args:
+        source: The mixture in force.
+        target: The layout to which it moves.
+        distance: `layouts.distance`, or a cache of its results.
+    """
     return sum(
-        share * layouts.distance(layout, target)
-        for layout, share in source.items()
+        share * distance(layout, target) for layout, share in source.items()
     )
 
 
-def moved_share(before: Mixture, after: Mixture) -> float:
+def moved_share(
+    before: Mixture, after: Mixture, distance: Distance = layouts.distance
+) -> float:
     """Return an upper bound of the traffic that moves between two mixtures.
 
     It is a share of the pool's traffic, 0 to 1.
+
+    Args:
+        before: The mixture in force.
+        after: The mixture that replaces it.
+        distance: `layouts.distance`, or a cache of its results.
     """
     growing = [
         layout
@@ -168,6 +189,6 @@
     for layout, share in before.items():
         loss = share - after.get(layout, 0.0)
         if loss > _MIN_SHARE:
-            distances = [layouts.distance(layout, target) for target in growing]
+            distances = [distance(layout, target) for target in growing]
             moved += loss * max(distances, default=0.0)
     return moved
--- a/hyssopfold/core/steering/routing.py
+++ b/hyssopfold/core/steering/routing.py
@@ -1,12 +1,16 @@
 """Matching of requests against the table of routes."""
 
+import bisect
 from collections import defaultdict
-from typing import NamedTuple
+from collections.abc import Iterable
+import operator
 import urllib.parse
 
 from hyssopfold import tables
 
 _PRINTABLE_ASCII = "".join(map(chr, range(0x21, 0x7F)))
+_NAME = operator.attrgetter("name")
+_PREFIX = operator.itemgetter(0)
 
 
 def quote(path: str) -> str:
@@ -33,13 +37,6 @@
     return quoted, "".join(lowered)
 
 
-class _Row(NamedTuple):
-    """A route, and the forms of its prefix in a request line."""
-
-    prefixes: tuple[str, ...]
-    route: tables.Route
-
-
 class Router:
     """Match requests against the routes of one revision of the tables.
 
@@ -52,13 +49,13 @@
     """
 
     def __init__(self, routes: tuple[tables.Route, ...]) -> None:
-        by_host: dict[str, list[_Row]] = defaultdict(list)
+        by_host: dict[str, list[tables.Route]] = defaultdict(list)
         for route in routes:
-            row = _Row(_spellings(route.path_prefix), route)
-            by_host[route.host].append(row)
-        for rows in by_host.values():
-            rows.sort(key=lambda row: (-len(row.prefixes[0]), row.route.name))
-        self._by_host = dict(by_host)
+            by_host[route.host].append(route)
+        self._by_host = {
+            host: _HostRoutes(host_routes)
+            for host, host_routes in by_host.items()
+        }
 
     def match(
         self, host: str, path: str, method: str | None
@@ -73,9 +70,42 @@
             method: Method, or None to match routes of any method.
         """
         for host_key in (host.lower(), "*"):
-            for prefixes, route in self._by_host.get(host_key, ()):
-                if not path.startswith(prefixes):
-                    continue
+            host_routes = self._by_host.get(host_key)
+            if host_routes is not None:
+                route = host_routes.match(path, method)
+                if route is not None:
+                    return route
+        return None
+
+
+class _HostRoutes:
+    """The routes of one host, in two lists for a binary search by prefix.
+
+    A search takes little longer with thousands of routes than with ten, and
+    the lists little memory, of which each revision in use has its own.
+    """
+
+    def __init__(self, routes: Iterable[tables.Route]) -> None:
+        # Two sorts by strings are faster than one by tuples.
+        rows = [
+            (prefix, route)
+            for route in sorted(routes, key=_NAME)
+            for prefix in _spellings(route.path_prefix)
+        ]
+        rows.sort(key=_PREFIX)
+        self._prefixes = [prefix for prefix, _ in rows]
+        self._routes = [route for _, route in rows]
+        self._lengths = sorted(set(map(len, self._prefixes)), reverse=True)
+
+    def match(self, path: str, method: str | None) -> tables.Route | None:
+        for length in self._lengths:
+            prefix = path[:length]
+            index = bisect.bisect_left(self._prefixes, prefix)
+            while (
+                index < len(self._prefixes) and self._prefixes[index] == prefix
+            ):
+                route = self._routes[index]
                 if method is None or method in route.methods:
                     return route
+                index += 1
         return None
--- a/hyssopfold/core/steering/shares.py
+++ b/hyssopfold/core/steering/shares.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Iterable
 from collections.abc import Mapping
+import functools
 import math
 from typing import Literal
 from typing import NamedTuple
@@ -33,6 +34,9 @@
 MIN_SAMPLES = 20
 HOLD_SHARE = 0.005
 RETREAT_SHARE = 0.05
+# Most distances kept for a pool: those of each part of a plan to its target,
+# with and without the lost regions.
+_MAX_DISTANCES = 2 * plans.MAX_PARTS
 _MINUTE_S = 60.0
 _ROUNDING_FACTOR = 1.0 + 1e-6
 _EPSILON = 1e-9
@@ -133,8 +137,10 @@
         self._held_until = 0.0
         self._active_parts: list[_ActivePart] = []
         self._target_weights: layouts.Weights = {}
-        self._has_weights: dict[str, bool] = {}
+        # Routes with weights in one of the layouts in force or in the target.
+        self._weighted_routes: set[str] = set()
         self._decision_cache: dict[object, regions.Decision] = {}
+        self._distance = _new_distance_cache()
 
     def update(
         self,
@@ -148,6 +154,8 @@
             self.plan_received_at = now
         self.pool, self.target, self.plan = pool, target, plan
         self._active_parts = []
+        # The keys of the cache are layouts of older revisions.
+        self._distance = _new_distance_cache()
 
     def adopt(
         self, parts: Iterable[state.Part], seen_regions: Iterable[str]
@@ -195,7 +203,10 @@
             self.pool.name,
             self.phase,
             self.reason,
-            1.0 - plans.distance_to(self.mixture, self._open_target()),
+            1.0
+            - plans.distance_to(
+                self.mixture, self._open_target(), self._distance
+            ),
             tuple(sorted(self.lost)),
             window.gained,
             window.turned_back,
@@ -204,10 +215,10 @@
     def _move(self, now: float, utc_s: float, elapsed_s: float) -> None:
         planned = self._planned(now, utc_s)
         open_target = self._open_target()
-        to_go = plans.moved_share(self.mixture, planned)
+        to_go = plans.moved_share(self.mixture, planned, self._distance)
         if to_go <= _EPSILON:
             self.mixture = planned
-            remaining = plans.distance_to(planned, open_target)
+            remaining = plans.distance_to(planned, open_target, self._distance)
             self.phase = "settled" if remaining <= _EPSILON else "moving"
             self.reason = "on-plan"
             return
@@ -218,7 +229,7 @@
         step = min(1.0, budget / to_go)
         mixture = plans.mix(self.mixture, planned, step)
         assert (
-            plans.moved_share(self.mixture, mixture)
+            plans.moved_share(self.mixture, mixture, self._distance)
             <= budget * _ROUNDING_FACTOR + _EPSILON
         )
         assert abs(sum(mixture.values()) - 1.0) < 1e-6
@@ -246,6 +257,8 @@
         return _close_regions(mixture, self.lost)
 
     def _open_target(self) -> state.Layout:
+        if not self.lost:
+            return self.target
         return layouts.without_regions(self.target, self.lost)
 
     def _update_ready(self, ready: frozenset[str], now: float) -> None:
@@ -326,7 +339,10 @@
         if not self._active_parts:
             self._prepare_parts()
         part = _select_part(self._active_parts, regions.to_fraction(numbers[0]))
-        has_weights = self._has_weights.get(route.name, True)
+        has_weights = (
+            route.name in self._weighted_routes
+            or route.name not in self._target_weights
+        )
         names = (
             self._preference_order(part.weights, route, ctx, numbers)
             if has_weights
@@ -355,19 +371,23 @@
     def _prepare_parts(self) -> None:
         """Prepare the mixture in force for requests, until it changes."""
         self._decision_cache.clear()
+        weights = {
+            layout: layouts.weights_by_route(layout)
+            for layout in {*self.mixture, self.target}
+        }
         # The order is the same at all entries.
         self._active_parts = [
-            _ActivePart(number, layout, share, layouts.weights_by_route(layout))
+            _ActivePart(number, layout, share, weights[layout])
             for number, (layout, share) in enumerate(
                 sorted(self.mixture.items())
             )
         ]
-        self._target_weights = layouts.weights_by_route(self.target)
-        used = [part.weights for part in self._active_parts]
-        used.append(self._target_weights)
-        self._has_weights = {
-            route: any(weights.get(route) for weights in used)
-            for route in self._target_weights
+        self._target_weights = weights[self.target]
+        self._weighted_routes = {
+            row.route
+            for layout in weights
+            for row in layout.routes
+            if row.weights
         }
 
     def _new_decision(
@@ -427,7 +447,9 @@
 
     def report(self) -> Report:
         """Return the shares in force and what remains to be moved."""
-        to_go = plans.distance_to(self.mixture, self._open_target())
+        to_go = plans.distance_to(
+            self.mixture, self._open_target(), self._distance
+        )
         parts = tuple(
             state.Part(layout, share)
             for layout, share in sorted(self.mixture.items())
@@ -470,8 +492,9 @@
     def install(self, new_state: state.State, now: float, utc_s: float) -> None:
         """Install the tables and plans of a newer revision."""
         pools: dict[str, _PoolShares] = {}
+        targets = layouts.by_pool(new_state.tables)
         for pool in new_state.tables.pools:
-            target = layouts.of_pool(new_state.tables, pool)
+            target = targets[pool.name]
             plan = plans.find_shift(new_state.shifts, pool.name)
             pool_shares = self._pools.get(pool.name)
             if pool_shares is None:
@@ -558,6 +581,10 @@
         return [pool.report() for pool in self._pools.values()]
 
 
+def _new_distance_cache() -> plans.Distance:
+    return functools.lru_cache(maxsize=_MAX_DISTANCES)(layouts.distance)
+
+
 def _close_regions(
     mixture: plans.Mixture, closed_regions: Iterable[str]
 ) -> plans.Mixture:
--- a/tests/core/steering/routing.feature
+++ b/tests/core/steering/routing.feature
@@ -48,3 +48,13 @@
       | /caf%C3%A9/iced/1 | iced   |
       | /caf%C3%A9/iced%2F | coffee |
       | /cafe/1           | all    |
+
+  Scenario: random tables and requests
+    When random requests are matched against random routes
+    Then each got the route that a search through all routes finds
+
+  # Guards against entries that are busy with the routes and answer no request.
+  Scenario: requests to a host with 12600 routes
+    Given a router with 12600 routes of one host
+    When 2000 requests to that host are matched
+    Then that took at most 100 us a request
