Control: an edit beyond what instances can exchange is refused before it is proposed

Cause: a message between instances has at most 8 MiB. Nothing checked the size of a state before it was proposed. A proposer saves its vote for its own proposal; the others can't read it ("larger than 8388608 bytes"). Each node to which the operator sent the change again saved such a vote of its own. Once three of five had one, each majority of promises contained a state that nobody can read, for good. Entries have the same limit for the value that they start from.

Ruled out: the time of a round (at 16,800 routes, on an idle core, a state is compressed in 51 ms and decompressed in 17 ms, 271 KB on the wire), and the disk (8.4 MB written).

Change: messages between instances may have 24 MiB decompressed, as large as any vote that is on a disk today can be; a message above the 8 MiB of the wire is always compressed. An edit is checked before it is proposed: the state has at most 16 MiB, 7 MiB compressed, and 7 MiB as entries get it.

Other programs: an acknowledgement says how large a message its sender reads. While a voter of before runs, the limit is 7 MiB of state. Its field is appended and an older program drops it. An entry that gets a revision from control instances of both programs gets the whole value in place of a difference. Once a state is above 8 MiB, a control instance of before can't be started again beside it.

Why it works: what a member may vote for, every member can read, so a majority of promises is readable whatever was interrupted. Weighed against a state in pieces, no limit, and a check by the receiver (docs/design/durable-state.md).

--- a/hyssopfold/control/api.py
+++ b/hyssopfold/control/api.py
@@ -22,6 +22,7 @@
 from hyssopfold.control import instance as control_instance
 from hyssopfold.control import orders as control_orders
 from hyssopfold.control import state_answers
+from hyssopfold.control import state_limits
 from hyssopfold.core.consensus import messages
 from hyssopfold.core.orders import orders
 from hyssopfold.core.steering import plans
@@ -175,7 +176,9 @@
             restore = msgspec.json.decode(
                 body or b"", type=state_answers.RestoreBody
             )
-            value = state.encode(state.decode(restore["state"].encode()))
+            value = self._encode(state.decode(restore["state"].encode()))
+        except errors.StateTooLargeError as exc:
+            return http.error_answer(exc, 422)
         except (msgspec.DecodeError, errors.InvalidDocumentError) as exc:
             return _body_fault(str(exc), "a backup")
         result = await self._instance.edit(
@@ -238,10 +241,10 @@
                 "a change id", f"up to {_MAX_CHANGE_ID_LENGTH} characters"
             )
         try:
-            planned = await self._plan_edit(edit["expect"], parsed)
-        except errors.InvalidDocumentError as exc:
+            value = await self._plan_edit(edit["expect"], parsed)
+        except (errors.InvalidDocumentError, errors.StateTooLargeError) as exc:
             return http.error_answer(exc, 422)
-        if planned is None:
+        if value is None:
             # Nothing was submitted, so the edit can't take effect later.
             refusal = messages.EditNotAccepted(
                 "this control instance is behind and reaches no majority"
@@ -250,17 +253,31 @@
         result = await self._instance.edit(
             edit["change_id"],
             edit["expect"],
-            state.encode(planned),
+            value,
             _digest(edit["tables"]),
         )
         client = urllib.parse.quote(str(scope.get("client")))
         _log_edit(edit["change_id"], edit["expect"], result, client)
         return state_answers.answer(result, edit["change_id"])
 
+    def _encode(self, new: state.State) -> bytes:
+        """Return the encoded state to submit.
+
+        Raises:
+            StateTooLargeError: if instances can't send it to each other.
+        """
+        value = state.encode(new)
+        state_limits.check(
+            value,
+            self._instance.register.value,
+            self._instance.max_message_bytes(),
+        )
+        return value
+
     async def _plan_edit(
         self, expect: int, parsed: tables.Tables
-    ) -> state.State | None:
-        """Return the state to submit: new tables and the shifts they start.
+    ) -> bytes | None:
+        """Return the value to submit: new tables and the shifts they start.
 
         Args:
             expect: Revision that the edit is based on.
@@ -270,6 +287,9 @@
             None if this instance has not learned the expected revision and
             reaches no majority to read it; a plan from another state would be
             wrong.
+
+        Raises:
+            StateTooLargeError: if instances can't send it to each other.
         """
         register = self._instance.register
         if register.revision < expect:
@@ -280,11 +300,11 @@
         if register.revision != expect:
             # The edit is rejected by compare-and-set, or it is a resent edit
             # that gets its first answer: the shifts are not used.
-            return state.State(parsed)
+            return self._encode(state.State(parsed))
         current = state.decode(register.value)
         planned = plans.after_edit(current, parsed, time.time())
         # The document rows of an earlier version don't match these tables.
-        return planned._replace(rows=())
+        return self._encode(planned._replace(rows=()))
 
 
 def _digest(document: str) -> str:
--- a/hyssopfold/control/instance.py
+++ b/hyssopfold/control/instance.py
@@ -177,14 +177,14 @@
             logger.warning(
                 logs.Event("bad-message", sender=envelope.sender, error=exc)
             )
-            return consensus_wire.Ack(accepts_compressed=True)
+            return consensus_wire.ACK
         received = messages.Received(envelope.sender, message)
         try:
             self._inbox.send_nowait(received)
         except trio.WouldBlock:
             # As if lost by the network: the sender repeats its round.
             logger.warning(logs.Event("inbox-full", sender=envelope.sender))
-        return consensus_wire.Ack(accepts_compressed=True)
+        return consensus_wire.ACK
 
     async def run(self) -> None:
         """Process one event after another and execute its effects."""
@@ -258,6 +258,16 @@
         for request in list(self._answer_channels):
             self.reply(request, messages.OutcomeUnknown())
 
+    def max_message_bytes(self) -> int:
+        """Return the size of the largest message that all members read.
+
+        A member that has acknowledged no message so far is not considered.
+        """
+        voters = self.node.replica.register.voters()
+        return self._outboxes.max_message_bytes(
+            [voter.address for voter in voters]
+        )
+
     async def confirm(self) -> bool:
         """Return whether a majority confirms the learned revision.
 
--- a/hyssopfold/control/orders.py
+++ b/hyssopfold/control/orders.py
@@ -11,6 +11,7 @@
 from hyssopfold import logs
 from hyssopfold import state as state_module
 from hyssopfold.control import instance as control_instance
+from hyssopfold.control import state_limits
 from hyssopfold.core.consensus import messages
 from hyssopfold.core.membership import directory
 from hyssopfold.core.orders import orders
@@ -144,11 +145,16 @@
         try:
             current = state_module.decode(register.value)
             new = orders.apply(order, current, time.time())
+            if new == current:
+                return Accepted(register.revision)
+            value = state_module.encode(new)
+            if isinstance(order, orders.Edit):
+                state_limits.check(
+                    value, register.value, self._instance.max_message_bytes()
+                )
         except errors.HyssopError as exc:
             return Rejected(exc)
-        if new == current:
-            return Accepted(register.revision)
-        return state_module.encode(new)
+        return value
 
     async def read(self) -> state_module.State | None:
         """Return the newest state, or None if no majority answered."""
--- a/hyssopfold/control/outboxes.py
+++ b/hyssopfold/control/outboxes.py
@@ -2,6 +2,7 @@
 
 from collections.abc import AsyncIterator
 from collections.abc import Callable
+from collections.abc import Iterable
 import contextlib
 import logging
 from typing import Any
@@ -56,8 +57,8 @@
         self._sender = sender
         self._connect = connect
         self._queues: dict[str, trio.MemorySendChannel[_QueuedMessage]] = {}
-        # Addresses of peers that accept compressed messages.
-        self._accept_compressed: set[str] = set()
+        # The last acknowledgement of each peer, by address.
+        self._acks: dict[str, consensus_wire.Ack] = {}
         self._nursery: trio.Nursery | None = None
 
     @contextlib.asynccontextmanager
@@ -87,6 +88,20 @@
         except trio.WouldBlock:
             logger.debug(logs.Event("outbox-full", to=to.name))
 
+    def max_message_bytes(self, addresses: Iterable[str]) -> int:
+        """Return the size of the largest message that these peers read.
+
+        Args:
+            addresses: The peers. Those that have acknowledged no message so
+                far are not considered.
+        """
+        limits = [
+            self._acks[address].max_message_bytes
+            for address in addresses
+            if address in self._acks
+        ]
+        return min([consensus_wire.MAX_MESSAGE_BYTES, *limits])
+
     def _queue(
         self, address: str
     ) -> trio.MemorySendChannel[_QueuedMessage] | None:
@@ -115,23 +130,15 @@
             # rounds that have ended and would only delay new messages.
             if trio.current_time() - queued.queued_at > SEND_TIMEOUT_S:
                 continue
+            last_ack = self._acks.get(address, consensus_wire.Ack())
             envelope = consensus_wire.wrap(
-                self._sender, queued.message, address in self._accept_compressed
+                self._sender, queued.message, last_ack.accepts_compressed
             )
             try:
-                ack: consensus_wire.Ack = await client.call(
+                # A peer that was replaced by an older program accepts less
+                # than before.
+                self._acks[address] = await client.call(
                     consensus_wire.DELIVER, envelope, SEND_TIMEOUT_S
                 )
-                self._record_ack(address, ack)
             except errors.PeerUnavailableError as exc:
                 logger.debug(logs.Event("send-failed", to=address, error=exc))
-
-    def _record_ack(self, address: str, ack: consensus_wire.Ack) -> None:
-        """Record whether a peer accepts compressed messages.
-
-        A peer that was replaced by an older program no longer does.
-        """
-        if ack.accepts_compressed:
-            self._accept_compressed.add(address)
-        else:
-            self._accept_compressed.discard(address)
--- a/hyssopfold/control_components.py
+++ b/hyssopfold/control_components.py
@@ -11,6 +11,7 @@
 from hyssopfold import metrics
 from hyssopfold import security
 from hyssopfold import settings
+from hyssopfold import state
 from hyssopfold.control import adapters as control_adapters
 from hyssopfold.control import announcement_acks
 from hyssopfold.control import api
@@ -68,7 +69,7 @@
             self._confirmations.confirm,
         )
         register = self._member.register
-        self._publisher.publish(register.revision, register.value)
+        self._publish(register.revision, register.value)
         self.gossip_service = gossip.Gossip(
             identity.initial_record(cfg, "control"),
             cfg.gossip_seeds,
@@ -94,7 +95,7 @@
             self.gossip_service,
         )
         self._member.listeners += [
-            self._publisher.publish,
+            self._publish,
             lambda revision, _: self.gossip_service.update_self(
                 revision=revision
             ),
@@ -138,6 +139,10 @@
             member, member_records, connect, cfg.edit_timeout_s
         )
 
+    def _publish(self, revision: int, value: bytes) -> None:
+        # Only operators read the rows of the document, here.
+        self._publisher.publish(revision, state.without_rows(value))
+
     def _create_interfaces(self) -> control_adapters.ControlInterfaces:
         return control_adapters.ControlInterfaces(
             self.operators,
--- a/hyssopfold/errors.py
+++ b/hyssopfold/errors.py
@@ -141,6 +141,28 @@
         )
 
 
+class StateTooLargeError(HyssopError):
+    """The state after an edit is larger than the instances can exchange.
+
+    Args:
+        size: Size of what the edit makes too large, in bytes.
+        limit: Its largest size, in bytes.
+        part: What is too large.
+    """
+
+    kind = "state-too-large"
+    exit_status = 2
+
+    def __init__(self, size: int, limit: int, part: str) -> None:
+        super().__init__(
+            f"{part} would have {size} bytes after this edit; at most {limit}"
+            " are allowed",
+            "remove rows that are not needed, or add fewer",
+        )
+        self.size = size
+        self.limit = limit
+
+
 class ChildFailedError(HyssopError):
     """A supervised task failed too often."""
 
--- a/hyssopfold/state.py
+++ b/hyssopfold/state.py
@@ -98,6 +98,22 @@
     return msgspec.json.encode(value, order="deterministic")
 
 
+def without_rows(data: bytes) -> bytes:
+    """Return the canonical encoding of a state without its document rows.
+
+    Args:
+        data: The canonical encoding of the state.
+    """
+    if not data:
+        return data
+    fields = msgspec.json.decode(data, type=list[msgspec.Raw])
+    rows = State._fields.index("rows")
+    fields[rows : rows + 1] = [msgspec.Raw(b"[]")] * len(
+        fields[rows : rows + 1]
+    )
+    return msgspec.json.encode(fields)
+
+
 def decode(data: bytes) -> State:
     """Return the state of a canonical encoding; no bytes are the empty state.
 
--- a/hyssopfold/transport/consensus_wire.py
+++ b/hyssopfold/transport/consensus_wire.py
@@ -10,6 +10,10 @@
 from hyssopfold.transport import codec
 from hyssopfold.transport import rpc
 
+# Largest message after decompression. Larger than the largest state, see
+# `control.state_limits`, so that a vote for any such state can be read.
+MAX_MESSAGE_BYTES = 24 * 1024 * 1024
+
 
 class Envelope(NamedTuple):
     """Request: an encoded message with its sender; `kind` names its type."""
@@ -23,10 +27,15 @@
 class Ack(NamedTuple):
     """Answer: the message arrived; a reply to it is a separate message.
 
-    `accepts_compressed` says whether the receiver can decompress messages.
+    `accepts_compressed` says whether the receiver can decompress messages, and
+    `max_message_bytes` how large a message it reads after decompression.
     """
 
     accepts_compressed: bool = False
+    max_message_bytes: int = codec.MAX_MESSAGE_BYTES
+
+
+ACK = Ack(accepts_compressed=True, max_message_bytes=MAX_MESSAGE_BYTES)
 
 
 DELIVER = rpc.Method("Deliver", Envelope, Ack)
@@ -48,6 +57,9 @@
     """
     body = msgspec.msgpack.encode(message)
     is_compressed = compress and len(body) >= compression.MIN_COMPRESSED_BYTES
+    if len(body) > codec.MAX_MESSAGE_BYTES:
+        # No peer receives it otherwise.
+        is_compressed = True
     if is_compressed:
         body = _compress(body)
     return Envelope(sender, type(message).__name__, body, is_compressed)
@@ -72,6 +84,6 @@
 
 def _decompress(body: bytes) -> bytes:
     try:
-        return compression.decompress(body, codec.MAX_MESSAGE_BYTES)
+        return compression.decompress(body, MAX_MESSAGE_BYTES)
     except compression.DecompressError as exc:
         raise msgspec.DecodeError(f"compressed message: {exc}") from exc
