--- a/hyssopfold/control/outboxes.py
+++ b/hyssopfold/control/outboxes.py
@@ -2,6 +2,7 @@
 
 from collections.abc import AsyncIterator
 from collections.abc import Callable
+from collections.abc import Iterable
 import contextlib
 import logging
 from typing import Any
@@ -40,6 +41,7 @@
 class _QueuedMessage(NamedTuple):
     message: messages.Message
     queued_at: float
+    value_digest: bytes
 
 
 class Outboxes:
@@ -56,8 +58,8 @@
         self._sender = sender
         self._connect = connect
         self._queues: dict[str, trio.MemorySendChannel[_QueuedMessage]] = {}
-        # Addresses of peers that accept compressed messages.
-        self._accept_compressed: set[str] = set()
+        # The last acknowledgement of each peer, by address.
+        self._acks: dict[str, consensus_wire.Ack] = {}
         self._nursery: trio.Nursery | None = None
 
     @contextlib.asynccontextmanager
@@ -72,21 +74,44 @@
                 self._queues.clear()
                 nursery.cancel_scope.cancel()
 
-    def send(self, to: messages.Endpoint, message: messages.Message) -> None:
+    def send(
+        self,
+        to: messages.Endpoint,
+        message: messages.Message,
+        value_digest: bytes = b"",
+    ) -> None:
         """Queue a message; if the queue is full, drop it.
 
         Args:
             to: The receiver.
             message: The message, which the network may lose too.
+            value_digest: Digest of the register's value if the receiver may
+                hold it; the value is then sent only if it does not.
         """
         queue = self._queue(to.address)
         if queue is None:
             return
         try:
-            queue.send_nowait(_QueuedMessage(message, trio.current_time()))
+            queue.send_nowait(
+                _QueuedMessage(message, trio.current_time(), value_digest)
+            )
         except trio.WouldBlock:
             logger.debug(logs.Event("outbox-full", to=to.name))
 
+    def max_message_bytes(self, addresses: Iterable[str]) -> int:
+        """Return the size of the largest message that these peers read.
+
+        Args:
+            addresses: The peers. Those that have acknowledged no message so
+                far are not considered.
+        """
+        limits = [
+            self._acks[address].max_message_bytes
+            for address in addresses
+            if address in self._acks
+        ]
+        return min([consensus_wire.MAX_MESSAGE_BYTES, *limits])
+
     def _queue(
         self, address: str
     ) -> trio.MemorySendChannel[_QueuedMessage] | None:
@@ -115,23 +140,30 @@
             # rounds that have ended and would only delay new messages.
             if trio.current_time() - queued.queued_at > SEND_TIMEOUT_S:
                 continue
-            envelope = consensus_wire.wrap(
-                self._sender, queued.message, address in self._accept_compressed
-            )
             try:
-                ack: consensus_wire.Ack = await client.call(
-                    consensus_wire.DELIVER, envelope, SEND_TIMEOUT_S
-                )
-                self._record_ack(address, ack)
+                await self._deliver(client, address, queued)
             except errors.PeerUnavailableError as exc:
                 logger.debug(logs.Event("send-failed", to=address, error=exc))
 
-    def _record_ack(self, address: str, ack: consensus_wire.Ack) -> None:
-        """Record whether a peer accepts compressed messages.
-
-        A peer that was replaced by an older program no longer does.
-        """
-        if ack.accepts_compressed:
-            self._accept_compressed.add(address)
-        else:
-            self._accept_compressed.discard(address)
+    async def _deliver(
+        self, client: Client, address: str, queued: _QueuedMessage
+    ) -> None:
+        last_ack = self._acks.get(address, consensus_wire.Ack())
+        digest = queued.value_digest if last_ack.accepts_digests else b""
+        while True:
+            envelope = consensus_wire.wrap(
+                self._sender,
+                queued.message,
+                last_ack.accepts_compressed,
+                digest,
+            )
+            # A peer that was replaced by an older program accepts less than
+            # before.
+            last_ack = self._acks[address] = await client.call(
+                consensus_wire.DELIVER, envelope, SEND_TIMEOUT_S
+            )
+            if not digest or (
+                last_ack.accepts_digests and not last_ack.is_value_missing
+            ):
+                return
+            digest = b""
