Data path: an answer without end is cut at its caller's deadline

What callers see: a caller that has sent `deadline-ms`, and stays, gets a body without end for as long as the server sends, however long past its deadline; the request keeps its slot and its connection.

Cause: a limit that counts to the end of an answer was kept only until 64 KiB of it were read. From then on nothing but progress counted.

The change: the rest of an answer is relayed until the deadline that the caller itself has set; then its connection and the server's are closed, and the server is not held to be at fault, since the caller may have been the slow one. The route's limit is no reason to cut: it limits the time until an answer begins, and a slow caller may still want the rest. A request without a deadline of its own, or of callers that count it to the beginning of the answer, lasts as before for as long as its caller reads.

--- a/hyssopfold/entry/answer_relay.py
+++ b/hyssopfold/entry/answer_relay.py
@@ -3,6 +3,8 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 
+import trio
+
 from hyssopfold import http
 from hyssopfold.entry import answers
 from hyssopfold.entry import exchange as exchange_module
@@ -16,6 +18,10 @@
 LinkWait = Callable[[bytes, int | None], Awaitable[None]]
 
 
+class OverdueError(Exception):
+    """The caller no longer waits for the rest of an answer."""
+
+
 class AnswerRelay:
     """Relays one answer: a short one in one piece, a long one as it arrives.
 
@@ -74,6 +80,7 @@
 
         Raises:
             LostError: when the answer ends early.
+            OverdueError: when it has no end by the caller's deadline.
         """
         self._exchange.status = self._answer.status
         start = {
@@ -90,10 +97,11 @@
             return
         await self._exchange.send(start)
         await self._send(b"", more=True)
-        if self._buffered:
-            await self._relay_part(b"".join(self._buffered))
-        async for part in self._stream:
-            await self._relay_part(part)
+        deadline = answers.relay_deadline(self._exchange)
+        with trio.move_on_at(deadline) as scope:
+            await self._relay_stream()
+        if scope.cancelled_caught:
+            raise OverdueError("no end by the caller's deadline")
         release()
         await self._send(b"")
 
@@ -110,6 +118,12 @@
             header for header in headers if header[0] not in own_names
         ] + own_headers
 
+    async def _relay_stream(self) -> None:
+        if self._buffered:
+            await self._relay_part(b"".join(self._buffered))
+        async for part in self._stream:
+            await self._relay_part(part)
+
     async def _relay_part(self, part: bytes) -> None:
         await self._wait_for_link(part, self._length)
         await self._send(part, more=True)
--- a/hyssopfold/entry/answers.py
+++ b/hyssopfold/entry/answers.py
@@ -1,5 +1,7 @@
 """Interprets servers' answers, and builds refusals of requests without one."""
 
+import math
+
 from hyssopfold import http
 from hyssopfold import tables
 from hyssopfold.core.attempts import messages as events
@@ -25,12 +27,34 @@
         request's head only, since the caller counts it so too.
     """
     limit_s = route.deadline_ms / 1000
+    caller_limit_s = _caller_limit_s(exchange)
+    if caller_limit_s is None:
+        return limit_s, False
+    is_total_limit = exchange.dialect.status_503_means_not_run
+    return min(limit_s, caller_limit_s), is_total_limit
+
+
+def relay_deadline(exchange: exchange_module.Exchange) -> float:
+    """Return the monotonic time until which an answer may be relayed.
+
+    The route limits the time until an answer begins. A caller that counts its
+    own limit until the end of the answer no longer waits for it afterwards.
+
+    Args:
+        exchange: The request.
+    """
+    limit_s = _caller_limit_s(exchange)
+    if limit_s is None or not exchange.dialect.status_503_means_not_run:
+        return math.inf
+    return exchange.began_at + limit_s
+
+
+def _caller_limit_s(exchange: exchange_module.Exchange) -> float | None:
+    """Return the limit that the caller has set, in seconds, or None."""
     value = exchange.header(exchange.dialect.deadline_ms)
-    if value is not None and value.isdigit() and len(value) < 12:
-        return min(
-            limit_s, int(value) / 1000
-        ), exchange.dialect.status_503_means_not_run
-    return limit_s, False
+    if value is None or not value.isdigit() or len(value) >= 12:
+        return None
+    return int(value) / 1000
 
 
 def answer_began(
--- a/hyssopfold/entry/carrier.py
+++ b/hyssopfold/entry/carrier.py
@@ -105,6 +105,10 @@
         except trio.Cancelled:
             self._abandon()
             raise
+        except answer_relay.OverdueError as exc:
+            self._abandon()
+            self._exchange.outcome = "cut"
+            raise serving.CutAnswerError(str(exc)) from exc
 
     async def _run_effects(self) -> None:
         effects = self._handle(events.Started())
--- a/tests/entry/endless_answers.feature
+++ b/tests/entry/endless_answers.feature
@@ -25,6 +25,9 @@
 
     Examples: in a body
       | method | bytes                     | answer       |
+      | GET    | a body without a length   | 200 cut      |
+      | GET    | a chunked body            | 200 cut      |
+      | GET    | a body of tiny chunks     | 200 cut      |
       | GET    | a chunk extension         | 502 complete |
       | GET    | trailers                  | 502 complete |
 
