Serving: an answer that arrives as requests are refused isn't cut half-way

Cause: the request's task is cancelled while its answer has just arrived. It encoded the answer, wrote a part without waiting, and met the cancellation at the rest; an answer that has begun and can't be completed resets its connection.

Now a cancelled task doesn't begin an answer: the request gets 502, and what is behind it is sent.

--- a/hyssopfold/serving/listening.py
+++ b/hyssopfold/serving/listening.py
@@ -140,13 +140,17 @@
         logger.warning(
             logs.Event("requests-cut", reason=reason, requests=self.requests)
         )
-        for conn in list(self._open):
-            conn.refuse_unfinished()
+        self.refuse_unfinished()
         with trio.move_on_after(FINISH_S):
             while self.requests:
                 await trio.sleep(_FINISH_PERIOD_S)
         self._close_all()
 
+    def refuse_unfinished(self) -> None:
+        """Answer the requests whose servers have not answered by now."""
+        for conn in list(self._open):
+            conn.refuse_unfinished()
+
     def close_idle(self, idle_s: float, now: float) -> None:
         """Close the connections that had no request for `idle_s` seconds.
 
--- a/hyssopfold/serving/pipelined_request.py
+++ b/hyssopfold/serving/pipelined_request.py
@@ -186,6 +186,9 @@
             self.position.ready_at = trio.current_time()
             await self.answer_due.wait()
             self.position.due_at = trio.current_time()
+        if self.cancel_scope.cancel_called and not self.answer_begun:
+            # A write that is cancelled half-way would cut the connection.
+            await trio.lowlevel.checkpoint()
         data = self._encode_start() + self._encode_body(message)
         if data:
             await self._write(data)
