Control: a planned stop lasts longer than an operator's order

What operators see: an order that a control instance has when it gets SIGTERM ends with 502 after 0.85 s, though it is in force a moment later.

Cause: on the platform a control instance's stop had 1.0 s, an order may take 3.0 s, and SIGKILL comes after 6 s.

Test: "a stop of a control instance answers the orders that it has"; before, 1.0 s was less than 3.0 s.

--- a/tests/platform/wire.feature
+++ b/tests/platform/wire.feature
@@ -92,6 +92,12 @@
       | strict_revoke=true                              | 5   | 0     |
       | grace_s=6                                       | 0   | 0     |
 
+  Scenario: a stop of a control instance answers the orders that it has
+    Its time was shorter than an order may take: an operator got no answer to
+    an order that was then in force.
+    Given a settings file of the platform
+    Then a control instance's stop outlasts an order, and ends before the kill
+
   Scenario: a settings file without a required field is refused
     Given a settings file of the platform without "ip"
     Then the platform's settings are refused, naming "ip"
--- a/tests/steps/platform/wire_steps.py
+++ b/tests/steps/platform/wire_steps.py
@@ -367,6 +367,13 @@
     assert cfg.data_folder == "/data/x"
 
 
+@then("a control instance's stop outlasts an order, and ends before the kill")
+def _(context):
+    cfg = platform_settings.load_control(str(context.boot))
+    boot = platform_settings.load_boot(str(context.boot))
+    assert cfg.edit_timeout_s < cfg.stop_max_s < boot.bound("grace_s", 6.0)
+
+
 @then('the platform\'s settings are refused, naming "{field}"')
 def _(context, field):
     try:
