Serving: answered connections that callers keep open keep nobody out

Cause: such a connection is kept until its caller closes it, for 5 s in place of half a second.

Now one of them whose answer has been received makes room for a new connection where a limit is reached.

--- a/hyssopfold/serving/connection.py
+++ b/hyssopfold/serving/connection.py
@@ -156,6 +156,15 @@
                 request.position.cut_by = ending.EndReason.STOP_OVER
                 request.cancel_scope.cancel()
 
+    def is_delivered(self) -> bool:
+        """Return whether the caller has received the last answer."""
+        sock = self._stream.socket
+        is_waiting = self._is_lingering and self._end_reason is None
+        if not is_waiting or sock.fileno() < 0:
+            return False
+        # The end of the stream counts as one byte until it is acknowledged.
+        return ending.socket_queues(sock).unsent <= 1
+
     def is_idle(self) -> bool:
         """Return whether a request may come, and none runs or has begun."""
         if (
--- a/hyssopfold/serving/listening.py
+++ b/hyssopfold/serving/listening.py
@@ -2,6 +2,7 @@
 
 from collections import Counter
 from collections.abc import Callable
+from collections.abc import Iterable
 import logging
 import math
 from typing import Any
@@ -60,7 +61,8 @@
         self.closing_since = 0.0
         self.draining = False
         self.answer_by = math.inf
-        self._open: set[connection.Connection] = set()
+        # The open connections, each with the address of its caller.
+        self._open: dict[connection.Connection, str] = {}
         self._connections_by_caller: Counter[str] = Counter()
 
     @property
@@ -82,10 +84,11 @@
         caller = _caller_address(stream)
         caller_connections = self._connections_by_caller[caller]
         is_full = len(self._open) >= self.limits.max_connections
-        if (
-            is_full
-            or caller_connections >= self.limits.max_connections_per_caller
-        ):
+        is_caller_full = (
+            caller_connections >= self.limits.max_connections_per_caller
+        )
+        candidates = self._open if not is_caller_full else self._of(caller)
+        if (is_full or is_caller_full) and not _close_delivered(candidates):
             logger.warning(
                 logs.Event(
                     "connection-refused", caller=caller, open=caller_connections
@@ -94,18 +97,21 @@
             await trio.aclose_forcefully(stream)
             return
         conn = connection.Connection(self, stream)
-        self._open.add(conn)
+        self._open[conn] = caller
         self._connections_by_caller[caller] += 1
         try:
             await conn.run()
         except Exception:
             logger.exception(logs.Event("connection-failed", caller=caller))
         finally:
-            self._open.discard(conn)
+            del self._open[conn]
             self._connections_by_caller[caller] -= 1
             if not self._connections_by_caller[caller]:
                 del self._connections_by_caller[caller]
 
+    def _of(self, caller: str) -> list[connection.Connection]:
+        return [conn for conn, other in self._open.items() if other == caller]
+
     def close_after_answers(self, ends_at: float = math.inf) -> None:
         """Send `connection: close` with each answer from now on.
 
@@ -180,6 +186,15 @@
             self.close_idle(self.limits.idle_timeout_s, trio.current_time())
 
 
+def _close_delivered(conns: Iterable[connection.Connection]) -> bool:
+    """Close a connection that only waits for its caller's close, if any."""
+    for conn in conns:
+        if conn.is_delivered():
+            conn.close(ending.EndReason.ANSWERED)
+            return True
+    return False
+
+
 def _caller_address(stream: trio.SocketStream) -> str:
     try:
         return str(stream.socket.getpeername()[0])
--- a/tests/serving/connection.feature
+++ b/tests/serving/connection.feature
@@ -68,6 +68,11 @@
     When one caller opens more connections than its limit
     Then the connections beyond the limit are closed
 
+  Scenario: callers that don't close answered connections keep nobody out
+    Each held its connection for seconds after the last answer.
+    When one caller is answered on 12 connections, and closes none
+    Then each of the 12 got its answer
+
   Scenario: a connection ends while idle ones are being closed
     Under load, polling the socket of a connection that had just been closed
     raised an error: the listener ended, and all uploads were cut.
--- a/tests/steps/serving/connection_steps.py
+++ b/tests/steps/serving/connection_steps.py
@@ -229,6 +229,26 @@
     assert [data for data, _ in closed] == [b"", b""], closed
 
 
+@when("one caller is answered on {count:d} connections, and closes none")
+def _(context, count):
+    async def step(path):
+        streams = [await path.connect()]
+        for _ in range(count):
+            await streams[-1].send_all(_GET + _CLOSE + b"\r\n")
+            data, _ = await datapath.read_all(streams[-1])
+            context.answers.append(data)
+            streams.append(await path.connect())
+
+    context.answers = []
+    _run(context, step)
+
+
+@then("each of the {count:d} got its answer")
+def _(context, count):
+    statuses = [answer[:12] for answer in context.answers]
+    assert statuses == [b"HTTP/1.1 200"] * count, statuses
+
+
 @when("idle connections are closed just after one has ended")
 def _(context):
     async def step(path):
