Control: the largest state fits into a small instance's memory

Seen while the limit of the state was tried out (16 MiB, real processes of the case, 1,400 routes a change): up to 32,200 routes were acknowledged, beyond came 413, and the peak of a control process rose to 396 MB, after reads of the configuration. The case's core machines have 296 MB. A state that is accepted and then kills its instances is worse than a refusal.

Cause: a read and an edit decode the whole state into objects, some 7 to 10 KB a route at the peak. Besides, the last two bodies of messages were kept uncompressed as keys of a cache, and three large values were held.

A message is encoded and compressed once for all its receivers and its body isn't kept; two large values are held, the accepted one and the last received.

--- a/hyssopfold/control/held_values.py
+++ b/hyssopfold/control/held_values.py
@@ -4,9 +4,8 @@
 
 from hyssopfold.core.distribution import rows
 
-# A member holds the value that it accepted, the one that is chosen, and one
-# that it has received since.
-MAX_VALUES = 3
+# A member holds the value that it accepted and one that it has received since.
+MAX_VALUES = 2
 
 
 class HeldValues:
--- a/hyssopfold/control/state_limits.py
+++ b/hyssopfold/control/state_limits.py
@@ -11,8 +11,9 @@
 from hyssopfold.core.distribution import follower
 from hyssopfold.transport import codec
 
-# Largest state. What is published of it is limited separately.
-MAX_STATE_BYTES = 16 * 1024 * 1024
+# Largest state. An instance that applies an edit or reads the state needs many
+# times its size in memory.
+MAX_STATE_BYTES = 10 * 1024 * 1024
 # Part of a message for what surrounds the state: the accepted changes, the
 # members, the seal, and evacuations, which are accepted whatever the size.
 _RESERVED_BYTES = 1024 * 1024
--- a/hyssopfold/transport/consensus_wire.py
+++ b/hyssopfold/transport/consensus_wire.py
@@ -61,8 +61,6 @@
 
 _KINDS = {kind.__name__: kind for kind in messages.MESSAGE_TYPES}
 _BY_DIGEST = "ByDigest"
-# A register is sent to several members one after the other.
-_compress = functools.lru_cache(maxsize=2)(compression.compress)
 
 
 class ValueMissingError(Exception):
@@ -109,14 +107,22 @@
     if value_digest:
         message = with_value(message, b"")
         kind += _BY_DIGEST
+    body, is_compressed = _encode(message, compress)
+    return Envelope(sender, kind, body, is_compressed, value_digest)
+
+
+# A register is sent to several members one after the other.
+@functools.lru_cache(maxsize=1, typed=True)
+def _encode(message: messages.Message, compress: bool) -> tuple[bytes, bool]:
+    """Return the body of a message, and whether it is compressed."""
     body = msgspec.msgpack.encode(message)
     is_compressed = compress and len(body) >= compression.MIN_COMPRESSED_BYTES
     if len(body) > codec.MAX_MESSAGE_BYTES:
         # No peer receives it otherwise.
         is_compressed = True
-    if is_compressed:
-        body = _compress(body)
-    return Envelope(sender, kind, body, is_compressed, value_digest)
+    return (
+        compression.compress(body) if is_compressed else body
+    ), is_compressed
 
 
 def unwrap(
