--- a/hyssopfold/entry/configuration.py
+++ b/hyssopfold/entry/configuration.py
@@ -183,15 +183,19 @@
             event = messages.PollFailed(effect.poll_id)
         await self._event_sender.send(event)
 
-    def install(self, revision: int, encoded: bytes, split: rows.Rows) -> None:
+    def install(
+        self, revision: int, encoded: bytes, split: rows.Rows | None = None
+    ) -> None:
         """Put a revision in force for all requests that begin from now on.
 
         Args:
             revision: Number of the revision, above the one in force.
             encoded: The encoded state.
-            split: Its rows.
+            split: Its rows, if the caller has split it.
         """
         assert revision > self.snapshot.revision, "a revision only goes up"
+        if split is None:
+            split = rows.split(encoded)
         self.snapshot = Snapshot(revision, self._decoder.decode(split))
         self.publisher.publish(revision, encoded, split)
         installed, self._installed = self._installed, trio.Event()
