Steering: a starting entry asks others for their shares over RPC

What callers see: an entry of the platform that restarts during a shift steers by the plan and its own clock, and after the loss of a region sends all of its callers back at once.

Cause: it asked the address for callers for /hyssop/v1/status. The platform's application there serves callers only, so the answer was a refusal, which was read as a status without a look at its code. With TLS for callers nothing was told either.

The change: entries serve the call `Shares` to each other (transport/shares_wire.py), with the parts in force and the regions seen by pool. An error, silence or a message of another form is logged with its reason and the next entry is asked; so is one without `rpc_address`, or of an earlier release, which doesn't know the call. An entry of an earlier release that starts still finds the status where it was.

Replaced: the step of steering.feature that read the shares from the status document reads them from the answer of the call, encoded and decoded, and checks the regions as well; another one checks that the status still reports them to operators.

--- a/hyssopfold/core/steering/shares.py
+++ b/hyssopfold/core/steering/shares.py
@@ -53,13 +53,13 @@
 
 
 class Report(NamedTuple):
-    """A pool's shares at this entry, for the status and restarted entries.
+    """A pool's shares at this entry, for operators and restarted entries.
 
     `parts` are the layouts in force, `target` is the layout of the tables,
     `lost` the regions without ready servers, `to_go` an upper bound of the
     pool's traffic that has yet to move (0 to 1) and `left_s` the seconds until
     it has moved if the shift doesn't have to wait. `ready` are the regions with
-    ready servers; entries of earlier releases don't report them.
+    ready servers.
     """
 
     pool: str
--- a/hyssopfold/entry/adoption.py
+++ b/hyssopfold/entry/adoption.py
@@ -1,129 +1,116 @@
 """Adopts the traffic shares in force from a running entry."""
 
 import logging
-from typing import Any
-from typing import NamedTuple
 
-import msgspec
 import trio
 
+from hyssopfold import errors
 from hyssopfold import logs
-from hyssopfold import state
 from hyssopfold.core.membership import messages
 from hyssopfold.core.steering import shares
-from hyssopfold.entry import connections
-from hyssopfold.entry import http1
 from hyssopfold.transport import gossip
+from hyssopfold.transport import rpc
+from hyssopfold.transport import shares_wire
 
 logger = logging.getLogger(__name__)
 
-STATUS_PATH = "/hyssop/v1/status"
 MAX_PEERS = 3
 # Other entries announce themselves once a gossip period, so an entry that has
 # received no announcement by then is the only one.
 DISCOVERY_TIMEOUT_S = gossip.PERIOD_S * 1.2
-_REQUEST_TIMEOUT_S = 1.0
+_CALL_TIMEOUT_S = 1.0
 _POLL_PERIOD_S = 0.05
 
 
-async def adopt_shares(
-    gossip_service: gossip.Gossip, traffic_shares: shares.TrafficShares
-) -> None:
-    """Adopt the shares of a running entry, preferably one of this region.
-
-    Otherwise an entry that restarts during a shift would depend on the plan
-    and its own clock. The return of traffic to a region that was lost has no
-    plan, so the entry would send all of its callers back at once.
+class Adoption:
+    """Adopts shares from running entries, and tells others its own.
 
     Args:
         gossip_service: Directory of the entries.
-        traffic_shares: The shares of this entry, which are replaced.
-    """
-    with trio.move_on_after(DISCOVERY_TIMEOUT_S):
-        while not _running_entries(gossip_service):
-            await trio.sleep(_POLL_PERIOD_S)
-    for peer in _running_entries(gossip_service)[:MAX_PEERS]:
-        if await _adopt_from(peer, traffic_shares):
-            return
-    logger.info(logs.Event("shares-by-plan", reason="no running entry answers"))
-
-
-def _running_entries(gossip_service: gossip.Gossip) -> list[messages.Instance]:
-    me = gossip_service.myself
-    others = [
-        entry
-        for entry in gossip_service.directory.ready_entries()
-        if entry.name != me.name
-    ]
-    return sorted(others, key=lambda entry: entry.region != me.region)
-
-
-async def _adopt_from(
-    peer: messages.Instance, traffic_shares: shares.TrafficShares
-) -> bool:
-    try:
-        with trio.fail_after(_REQUEST_TIMEOUT_S):
-            body = await _read_status(peer.address)
-        reports = reports_by_pool(msgspec.json.decode(body)["pools"])
-    except (
-        connections.NotOpenedError,
-        http1.LostError,
-        trio.TooSlowError,
-        msgspec.MsgspecError,
-        KeyError,
-        TypeError,
-    ) as exc:
-        logger.info(
-            logs.Event("shares-not-told", by=peer.name, error=repr(exc))
-        )
-        return False
-    for name, report in reports.items():
-        traffic_shares.adopt(name, report.parts, report.seen_regions)
-    logger.info(logs.Event("shares-adopted", peer=peer.name))
-    return True
-
-
-async def _read_status(address: str) -> bytes:
-    sock = await connections.connect(address, _REQUEST_TIMEOUT_S)
-    conn = http1.Connection(sock)
-    headers = [(b"host", address.encode())]
-    request = http1.Request("GET", STATUS_PATH.encode(), headers, None)
-    try:
-        answer = await conn.send(request, lambda: None)
-        return b"".join([part async for part in answer.body])
-    finally:
-        conn.close()
-
-
-class AdoptedShares(NamedTuple):
-    """A pool's shares at a running entry.
-
-    `seen_regions` are the regions in which it has seen ready servers.
+        clients: Clients of the other entries.
+        traffic_shares: The shares of this entry.
     """
 
-    parts: tuple[state.Part, ...]
-    seen_regions: tuple[str, ...]
-
-
-def reports_by_pool(pools: Any) -> dict[str, AdoptedShares]:
-    """Return the shares in force by pool, from a status document.
+    def __init__(
+        self,
+        gossip_service: gossip.Gossip,
+        clients: rpc.Clients,
+        traffic_shares: shares.TrafficShares,
+    ) -> None:
+        self._gossip = gossip_service
+        self._clients = clients
+        self._shares = traffic_shares
+
+    def handlers(self) -> dict[rpc.Method, rpc.Handler]:
+        """Return the handlers of the calls of other entries, by method."""
+        return {shares_wire.SHARES: self.tell}
+
+    async def tell(
+        self, req: shares_wire.SharesRequest
+    ) -> shares_wire.SharesAnswer:
+        """Return the shares in force at this entry."""
+        return shares_wire.SharesAnswer(
+            tuple(
+                shares_wire.PoolShares(
+                    report.pool, report.parts, report.ready + report.lost
+                )
+                for report in self._shares.reports()
+            )
+        )
 
-    Args:
-        pools: The rows of the pools in the status of an entry.
+    async def adopt(self) -> None:
+        """Adopt the shares of a running entry, preferably one of this region.
+
+        Otherwise an entry that restarts during a shift would depend on the plan
+        and its own clock. The return of traffic to a region that was lost has
+        no plan, so the entry would send all of its callers back at once.
+        """
+        with trio.move_on_after(DISCOVERY_TIMEOUT_S):
+            while not self._running_entries():
+                await trio.sleep(_POLL_PERIOD_S)
+        for peer in self._running_entries()[:MAX_PEERS]:
+            if await self._adopt_from(peer):
+                return
+        logger.info(
+            logs.Event("shares-by-plan", reason="no running entry answers")
+        )
 
-    Raises:
-        MsgspecError, KeyError, TypeError: if the rows have another format.
-    """
-    return {
-        pool["pool"]: _adopted_shares(pool["shift"])
-        for pool in pools
-        if pool["shift"] is not None
-    }
-
-
-def _adopted_shares(shift: dict[str, Any]) -> AdoptedShares:
-    seen_regions = [*shift.get("ready", ()), *shift.get("lost", ())]
-    return AdoptedShares(
-        msgspec.convert(shift["parts"], tuple[state.Part, ...]),
-        msgspec.convert(seen_regions, tuple[str, ...]),
-    )
+    async def _adopt_from(self, peer: messages.Instance) -> bool:
+        try:
+            answer = await self._ask(peer)
+        except errors.PeerUnavailableError as exc:
+            # An earlier release doesn't serve the call.
+            logger.info(logs.Event("shares-not-told", by=peer.name, error=exc))
+            return False
+        for pool in answer.pools:
+            self._shares.adopt(pool.pool, pool.parts, pool.seen_regions)
+        logger.info(
+            logs.Event(
+                "shares-adopted", peer=peer.name, pools=len(answer.pools)
+            )
+        )
+        return True
+
+    def _running_entries(self) -> list[messages.Instance]:
+        me = self._gossip.myself
+        others = [
+            entry
+            for entry in self._gossip.directory.ready_entries()
+            if entry.name != me.name
+        ]
+        return sorted(others, key=lambda entry: entry.region != me.region)
+
+    async def _ask(self, peer: messages.Instance) -> shares_wire.SharesAnswer:
+        """Return a peer's shares.
+
+        Raises:
+            PeerUnavailableError: if it doesn't tell them.
+        """
+        if not peer.rpc_address:
+            raise errors.PeerUnavailableError(peer.name, "serves no calls")
+        client = self._clients.client_for(peer.rpc_address)
+        req = shares_wire.SharesRequest(self._gossip.myself.name)
+        answer: shares_wire.SharesAnswer = await client.call(
+            shares_wire.SHARES, req, _CALL_TIMEOUT_S
+        )
+        return answer
--- a/hyssopfold/entry/status.py
+++ b/hyssopfold/entry/status.py
@@ -18,7 +18,7 @@
 
 
 class Status:
-    """Answer `GET /hyssop/v1/status`, which operators and starting entries use.
+    """Answer `GET /hyssop/v1/status`, which operators use.
 
     Args:
         config: Source of the tables in force.
--- a/hyssopfold/entry/steering.py
+++ b/hyssopfold/entry/steering.py
@@ -57,9 +57,7 @@
         # The servers from which each context was made.
         self._context_servers: dict[str, tuple[messages.Server, ...]] = {}
 
-    async def run(
-        self, adopt_shares: Callable[[shares.TrafficShares], Awaitable[None]]
-    ) -> None:
+    async def run(self, adopt_shares: Callable[[], Awaitable[None]]) -> None:
         """Step the shares until cancelled.
 
         Args:
@@ -68,7 +66,7 @@
         """
         while True:
             if self.shares.is_stale(trio.current_time()):
-                await adopt_shares(self.shares)
+                await adopt_shares()
             self.step(trio.current_time(), time.time())
             await trio.sleep(PERIOD_S)
 
--- a/hyssopfold/entry_components.py
+++ b/hyssopfold/entry_components.py
@@ -113,13 +113,14 @@
             self.directory,
             self.client_blocks,
         )
-        self.adopt_shares = functools.partial(
-            adoption.adopt_shares, self.gossip_service
+        entry_clients = rpc.Clients(self.security.connection_config)
+        self.adoption = adoption.Adoption(
+            self.gossip_service, entry_clients, self.steering.shares
         )
         self.claims = claims.Claims(
             lambda: self.gossip_service.myself,
             self.directory,
-            rpc.Clients(self.security.connection_config),
+            entry_clients,
             core_claims.ClaimTable(),
         )
         self.limits = limits.Limits(
@@ -263,7 +264,7 @@
         while not gossip_service.ready:
             await trio.sleep(_READY_PERIOD_S)
         self.steering.step(trio.current_time(), time.time())
-        await self.adopt_shares(self.steering.shares)
+        await self.adoption.adopt()
         if gossip_service.myself.state == "starting":
             gossip_service.update_self(state="ready")
         while True:
@@ -292,7 +293,7 @@
             ("gossip", self.gossip_service.run),
             (
                 "steering",
-                functools.partial(self.steering.run, self.adopt_shares),
+                functools.partial(self.steering.run, self.adoption.adopt),
             ),
             ("placement", self.placement.run),
             ("client-blocks", self.client_blocks.run),
@@ -308,6 +309,7 @@
             handlers: dict[rpc.Method, rpc.Handler] = {
                 poll_wire.POLL: self.config.publisher.poll,
                 **self.claims.handlers(),
+                **self.adoption.handlers(),
             }
             serve = functools.partial(
                 rpc.serve,
--- a/hyssopfold/setting_fields.py
+++ b/hyssopfold/setting_fields.py
@@ -389,7 +389,8 @@
         documents.address,
         "",
         help="address at which other entries may ask for a revision if they"
-        " cannot reach control; left out, this entry serves no revisions",
+        " cannot reach control, and for the traffic shares when they start;"
+        " left out, this entry serves neither",
     ),
     documents.Field(
         "poll_s",
--- a/tests/entry/steering.feature
+++ b/tests/entry/steering.feature
@@ -12,4 +12,5 @@
   Scenario: a starting entry adopts the shares of a running entry
     Given steering at entries of dar and arusha with client blocks
     When dar is drained and 5 minutes of steering pass
-    Then the status of the running entry gives a starting entry the same shares
+    Then what the running entry tells gives a starting entry the same shares
+    And the status of the running entry reports these shares to operators
--- a/tests/steps/entry/steering_steps.py
+++ b/tests/steps/entry/steering_steps.py
@@ -20,6 +20,8 @@
 from hyssopfold.entry import configuration
 from hyssopfold.entry import status as entry_status
 from hyssopfold.entry import steering
+from hyssopfold.transport import codec
+from hyssopfold.transport import shares_wire
 
 TABLES = tables.parse(
     """
@@ -122,7 +124,27 @@
     assert first != second
 
 
-@then("the status of the running entry gives a starting entry the same shares")
+@then("what the running entry tells gives a starting entry the same shares")
+def _(context):
+    running = context.entries[0]
+    own_adoption = adoption.Adoption(None, None, running.shares)
+    told = trio.run(own_adoption.tell, shares_wire.SharesRequest("entry-2"))
+    answer = codec.decode(
+        msgspec.msgpack.encode(told), shares_wire.SharesAnswer
+    )
+    adopted = shares.TrafficShares()
+    # The starting entry's clock is an hour ahead, so that by its plan alone the
+    # drain would be finished.
+    adopted.install(context.configuration.snapshot.state, 0.0, 3600.0)
+    for pool in answer.pools:
+        assert set(pool.seen_regions) == {"dar", "arusha"}, pool
+        adopted.adopt(pool.pool, pool.parts, pool.seen_regions)
+    report, running_report = adopted.reports()[0], running.shares.reports()[0]
+    assert report.parts == running_report.parts
+    assert 0.4 < report.to_go < 0.6, report
+
+
+@then("the status of the running entry reports these shares to operators")
 def _(context):
     running = context.entries[0]
     status = entry_status.Status(
@@ -137,13 +159,7 @@
         return status.answer()
 
     answer = trio.run(read, clock=trio.testing.MockClock())
-    body = msgspec.json.decode(answer.body)
-    adopted = shares.TrafficShares()
-    # The starting entry's clock is an hour ahead, so that by its plan alone the
-    # drain would be finished.
-    adopted.install(context.configuration.snapshot.state, 0.0, 3600.0)
-    for pool, report in adoption.reports_by_pool(body["pools"]).items():
-        adopted.adopt(pool, report.parts, report.seen_regions)
-    report, running_report = adopted.reports()[0], running.shares.reports()[0]
-    assert report.parts == running_report.parts
-    assert 0.4 < report.to_go < 0.6, report
+    (pool,) = msgspec.json.decode(answer.body)["pools"]
+    parts = msgspec.convert(pool["shift"]["parts"], tuple[state.Part, ...])
+    assert parts == running.shares.reports()[0].parts
+    assert set(pool["shift"]["ready"]) == {"dar", "arusha"}, pool
--- a/tests/support/running_entries.py
+++ b/tests/support/running_entries.py
@@ -16,6 +16,7 @@
 from hyssopfold.core.membership import messages
 from hyssopfold.entry import adapters
 from hyssopfold.standin import server as standin_server
+from hyssopfold.transport import rpc
 from tests.support import loopback
 
 TABLES = """
@@ -27,6 +28,7 @@
 region: dar
 failure_domain: dar-{number}
 http_address: {http}
+rpc_address: {rpc}
 gossip_address: {gossip}
 gossip_seeds: [{seeds}]
 placement: local
@@ -54,9 +56,16 @@
     Args:
         count: Number of entries.
         servers: Number of servers.
+        entry_adapters: Applications and headers of the entries.
     """
 
-    def __init__(self, count, servers):
+    def __init__(self, count, servers, entry_adapters=adapters.OUR_ADAPTERS):
+        self._adapters = entry_adapters
+        # Names of entries that become ready as after a restart, once the others
+        # run.
+        self.starting = set()
+        # Traffic shares in force at the others; by the tables if empty.
+        self.parts = ()
         # Monotonic times at which servers crashed.
         self.crashed_at = []
         # The last incarnation of each server, by number.
@@ -76,6 +85,7 @@
             name=name,
             number=number,
             http=loopback.free_address(),
+            rpc=loopback.free_address(),
             gossip=seeds[name],
             seeds=", ".join(
                 f'"{seeds[other]}"' for other in seeds if other != name
@@ -83,14 +93,14 @@
         )
         cfg = settings.parse_entry(text, "test")
         return entry_components.EntryComponents(
-            cfg, adapters.OUR_ADAPTERS, log_output.BoundedHandler(1)
+            cfg, self._adapters, log_output.BoundedHandler(1)
         )
 
     @contextlib.asynccontextmanager
     async def running(self):
         """Run all entries and servers; yield once entries know all members."""
         with trio.fail_after(WAIT_S):
-            async with trio.open_nursery() as nursery:
+            async with rpc.open_loop(), trio.open_nursery() as nursery:
                 for entry in self.entries.values():
                     self.start(entry, nursery)
                 for number in range(self._servers):
@@ -105,12 +115,25 @@
         """Start an entry and put the tables in force at it."""
         entry.config.install(1, state.encode(state.State(tables.parse(TABLES))))
         entry.steering.step(trio.current_time(), time.time())
-        entry.gossip_service.update_self(state="ready")
+        if entry.cfg.name in self.starting:
+            nursery.start_soon(self._become_ready, entry)
+        else:
+            if self.parts:
+                entry.steering.shares.adopt("ledger", self.parts)
+            entry.gossip_service.update_self(state="ready")
         for name, child in entry.children():
             if name not in _OMITTED_CHILDREN:
                 nursery.start_soon(child)
         nursery.start_soon(self._serve, entry)
 
+    async def _become_ready(self, entry):
+        running = self.entries.keys() - self.starting
+        while len(entry.directory.ready_entries()) < len(running):
+            await trio.sleep(0.01)
+        for name in running:
+            await _wait_for_listener(self.entries[name].cfg.rpc_address)
+        await entry.maintain_state()
+
     async def _serve(self, entry):
         address = entry.cfg.http_address
         listener = serving.Listener(entry.apps[address], entry.cfg.limits)
@@ -195,3 +218,15 @@
                 headers=headers,
                 content=body,
             )
+
+
+async def _wait_for_listener(address):
+    host, port = address.split(":")
+    while True:
+        try:
+            stream = await trio.open_tcp_stream(host, int(port))
+        except OSError:
+            await trio.sleep(0.01)
+        else:
+            await stream.aclose()
+            return
