Steering: a starting entry also asks entries that become known a little later

What callers see: an entry restarts during a shift and goes by the plan although a running entry would tell it the shares, if the first that it learns of doesn't.

Cause: it asked those that were known as soon as there was one, and no others. The call is now refused at once by an entry of an earlier release, so during an upgrade the others may not be known yet.

The change: until the time in which all entries have announced themselves has passed, the next one that becomes known is asked; three in all, as before.

--- a/hyssopfold/entry/adoption.py
+++ b/hyssopfold/entry/adoption.py
@@ -65,12 +65,22 @@
         and its own clock. The return of traffic to a region that was lost has
         no plan, so the entry would send all of its callers back at once.
         """
-        with trio.move_on_after(DISCOVERY_TIMEOUT_S):
-            while not self._running_entries():
+        discovery_deadline = trio.current_time() + DISCOVERY_TIMEOUT_S
+        asked: set[str] = set()
+        while len(asked) < MAX_PEERS:
+            peers = [
+                entry
+                for entry in self._running_entries()
+                if entry.name not in asked
+            ]
+            if peers:
+                asked.add(peers[0].name)
+                if await self._adopt_from(peers[0]):
+                    return
+            elif trio.current_time() < discovery_deadline:
                 await trio.sleep(_POLL_PERIOD_S)
-        for peer in self._running_entries()[:MAX_PEERS]:
-            if await self._adopt_from(peer):
-                return
+            else:
+                break
         logger.info(
             logs.Event("shares-by-plan", reason="no running entry answers")
         )
--- a/tests/entry/adoption.feature
+++ b/tests/entry/adoption.feature
@@ -31,6 +31,14 @@
       | has no address for calls               | serves no     |
       | doesn't answer within the time allowed | Deadline      |
 
+  # Guards against asking none but those that are known at first.
+  Scenario: the first entry tells none before another is known
+    Given two running entries in a shift and a starting one, with the platform's adapters
+    And the first entry that is asked has no address for calls
+    And the other one becomes known later
+    When the starting entry is ready
+    Then it has the shares of the running ones
+
   Scenario: no entry tells its shares
     Given two running entries in a shift and a starting one, with the platform's adapters
     And no running entry knows the call
--- a/tests/steps/entry/adoption_steps.py
+++ b/tests/steps/entry/adoption_steps.py
@@ -1,5 +1,6 @@
 """Steps of entry/adoption.feature."""
 
+import itertools
 import logging
 from typing import NamedTuple
 
@@ -90,6 +91,16 @@
     context.changes = {"entry-0": change, "entry-1": move}
 
 
+@given("the other one becomes known later")
+def _(context):
+    def hide(entry):
+        find = entry.adoption._running_entries
+        counts = itertools.chain([1, 1], itertools.repeat(len(_RUNNING)))
+        entry.adoption._running_entries = lambda: find()[: next(counts)]
+
+    context.changes[_STARTING] = hide
+
+
 @given("no running entry knows the call")
 def _(context):
     def change(entry):
