--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: demo test soak chaos faults capacity format clean
+.PHONY: demo test soak chaos stops faults capacity format clean
 
 # The runtime set alone; enough for the daemons and the demo.
 $(VENV)/runtime: requirements/runtime.txt pyproject.toml
@@ -30,6 +30,11 @@
 chaos: $(VENV)/dev
 	$(BIN)/python -m bench.chaos --seed $(or $(SEED),1) --seconds $(or $(SECONDS),60)
 
+# Planned stops of real processes: make stops SEED=7 SECONDS=60 CASE=pipelines
+stops: $(VENV)/dev
+	test -d target/deps || $(BIN)/python -m pip install -qq --target target/deps -r requirements/runtime.txt
+	$(BIN)/python -m bench.stops --seed $(or $(SEED),1) --seconds $(or $(SECONDS),60) --case $(or $(CASE),all)
+
 # Days of faults on the model of large deployments: make faults SEED=7 DAYS=4
 faults: $(VENV)/dev
 	$(BIN)/python -m bench.soak --seed $(or $(SEED),1) --days $(or $(DAYS),4)
--- a/bench/stops/__main__.py
+++ b/bench/stops/__main__.py
@@ -4,7 +4,6 @@
 schedule while callers send requests, and judges the records.
 """
 
-import argparse
 import collections
 import contextlib
 import json
@@ -18,7 +17,9 @@
 import tempfile
 import time
 from typing import Any
+from typing import NamedTuple
 
+import click
 import trio
 
 from bench.stops import judge
@@ -338,24 +339,32 @@
         return [line for line in lines if text in line][:_MAX_LOG_LINES]
 
 
-async def _run(deployment: Deployment, arguments: argparse.Namespace) -> None:
+class Options(NamedTuple):
+    """Options of a run; `print_all` prints doubtful exclusions too."""
+
+    seed: int
+    seconds: float
+    case_name: str
+    busy: int
+    print_all: bool
+
+
+async def _run(deployment: Deployment, options: Options) -> None:
     try:
         await deployment.start()
-        deployment.start_busy(arguments.busy)
+        deployment.start_busy(options.busy)
         case = deployment.case
-        actions = schedule.plan(
-            arguments.seed, arguments.seconds, case.troubles
-        )
-        deployment.start_callers(arguments.seed, arguments.seconds)
+        actions = schedule.plan(options.seed, options.seconds, case.troubles)
+        deployment.start_callers(options.seed, options.seconds)
         began_at = time.monotonic()
-        with trio.move_on_after(arguments.seconds + _AFTER_S):
+        with trio.move_on_after(options.seconds + _AFTER_S):
             async with trio.open_nursery() as nursery:
                 for share in (86, 30):
                     if f"throttle-{share}" in case.troubles:
                         nursery.start_soon(deployment.throttle, share / 100)
                 for action in actions:
                     nursery.start_soon(deployment.act, action, began_at)
-                await trio.sleep(arguments.seconds + _AFTER_S)
+                await trio.sleep(options.seconds + _AFTER_S)
     finally:
         deployment.end()
 
@@ -398,13 +407,13 @@
     return [" ".join(fields), *(f"    {line}" for line in lines)]
 
 
-def _report(deployment: Deployment, arguments: argparse.Namespace) -> int:
+def _report(deployment: Deployment, options: Options) -> int:
     requests = deployment.read("callers")
     runs = deployment.read("servers")
     verdicts = judge.judge(requests, runs, deployment.stops)
     for verdict in verdicts:
         is_doubtful = "time-out" in verdict.reason
-        if verdict.kind == judge.LOST or (arguments.all and is_doubtful):
+        if verdict.kind == judge.LOST or (options.print_all and is_doubtful):
             print("\n".join(_describe(verdict, deployment)))
     for stop in sorted(deployment.stops, key=lambda item: item.term_at):
         took_s = stop.ended_at - stop.term_at
@@ -429,37 +438,43 @@
     print("requests", len(requests), "answered by status", dict(answered))
     lost = sum(item.kind == judge.LOST for item in verdicts)
     print(
-        f"case={arguments.case} seed={arguments.seed} busy={arguments.busy}"
+        f"case={options.case_name} seed={options.seed} busy={options.busy}"
         f" stops={len(deployment.stops)} requests={len(requests)} LOST={lost}"
     )
     return 1 if lost else 0
 
 
-def main() -> int:
-    """Run the test; return 1 if a request was lost."""
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--seed", type=int, required=True)
-    parser.add_argument("--seconds", type=float, default=50.0)
-    parser.add_argument("--case", default="all")
-    parser.add_argument("--busy", type=int, default=0)
-    parser.add_argument(
-        "--all", action="store_true", help="print doubtful exclusions too"
-    )
-    parser.add_argument("--keep", action="store_true", help="keep the records")
-    arguments = parser.parse_args()
-    case = schedule.parse_case(arguments.case)
+@click.command()
+@click.option("--seed", type=int, default=1, show_default=True)
+@click.option("--seconds", type=float, default=50.0, show_default=True)
+@click.option("--case", "case_name", default="all", show_default=True)
+@click.option("--busy", type=int, default=0, help="busy processes beside it")
+@click.option("--all", "print_all", is_flag=True, help="print exclusions too")
+@click.option("--keep", is_flag=True, help="keep the records")
+def main(
+    seed: int,
+    seconds: float,
+    case_name: str,
+    busy: int,
+    print_all: bool,
+    keep: bool,
+) -> None:
+    """Stop entries under load; exit with 1 if a request was lost."""
+    options = Options(seed, seconds, case_name, busy, print_all)
+    case = schedule.parse_case(case_name)
     folder = pathlib.Path(tempfile.mkdtemp(prefix="stops-"))
     layout = layout_module.choose(random.Random())
     deployment = Deployment(layout, folder, case)
     try:
-        trio.run(_run, deployment, arguments)
-        return _report(deployment, arguments)
+        trio.run(_run, deployment, options)
+        status = _report(deployment, options)
     finally:
-        if arguments.keep:
-            print("records in", folder)
+        if keep:
+            click.echo(f"records in {folder}")
         else:
             shutil.rmtree(folder, ignore_errors=True)
+    sys.exit(status)
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    main()
