--- a/hyssopfold/serving/__init__.py
+++ b/hyssopfold/serving/__init__.py
@@ -2,7 +2,8 @@
 
 `limits` defines what callers may use, `listening` keeps the open connections,
 `connection` reads the requests of one of them, and `pipelined_request` passes
-each to the app and writes the answers in order.
+each to the app and writes the answers in order. `linger` decides how long a
+connection waits for its caller's close, `ending` has what happens at its end.
 """
 
 from hyssopfold.serving import limits
--- a/hyssopfold/serving/connection.py
+++ b/hyssopfold/serving/connection.py
@@ -18,6 +18,7 @@
 from hyssopfold import logs
 from hyssopfold.serving import ending
 from hyssopfold.serving import limits as limits_module
+from hyssopfold.serving import linger
 from hyssopfold.serving import pipelined_request
 
 logger = logging.getLogger(__name__)
@@ -88,13 +89,8 @@
         self._running_requests = 0
         # Whether no further requests are accepted.
         self._is_closing = False
-        # Whether all answers were sent, and input is only discarded.
-        self._is_lingering = False
-        self._linger_deadline = _NEVER
-        # Latest end of the linger, and the bytes in the kernel's buffer when
-        # it was extended last.
-        self._linger_until = _NEVER
-        self._unsent_bytes = 0
+        # Once it has begun, input is only discarded.
+        self._linger = linger.Linger(stream.socket, listener.limits)
         self._read_scope = trio.CancelScope()
         self._data_arrived = trio.Event()
         self._buffer_drained = trio.Event()
@@ -158,17 +154,12 @@
 
     def is_delivered(self) -> bool:
         """Return whether the caller has received the last answer."""
-        sock = self._stream.socket
-        is_waiting = self._is_lingering and self._end_reason is None
-        if not is_waiting or sock.fileno() < 0:
-            return False
-        # The end of the stream counts as one byte until it is acknowledged.
-        return ending.socket_queues(sock).unsent <= 1
+        return self._end_reason is None and self._linger.is_delivered()
 
     def is_idle(self) -> bool:
         """Return whether a request may come, and none runs or has begun."""
         if (
-            self._is_lingering
+            self._linger.has_begun
             or self._running_requests
             or self._waiting_request
             or self._unparsed
@@ -194,15 +185,15 @@
             if not read_scope.cancelled_caught:
                 reason = await self._answer_sent_requests()
                 break
-            if self._is_lingering:
-                if self._extend_linger():
+            if self._linger.has_begun:
+                if self._linger.extend(trio.current_time()):
                     continue
                 break
             if self._uploading_request is not None:
                 reason = ending.EndReason.CALLER_STALLED
                 break
             self._refuse(408)
-        if self._is_lingering:
+        if self._linger.has_begun:
             reason = ending.EndReason.ANSWERED
         # Cancelling the requests also closes their connections to backend
         # servers.
@@ -261,7 +252,7 @@
 
     def _process_data(self, data: bytes | bytearray) -> None:
         self.idle_since = trio.current_time()
-        if self._is_lingering or (
+        if self._linger.has_begun or (
             self._is_closing and self._uploading_request is None
         ):
             # The answer with `connection: close` tells the caller that this
@@ -273,8 +264,8 @@
         self._start_requests()
 
     def _read_deadline(self) -> float:
-        if self._is_lingering:
-            return self._linger_deadline
+        if self._linger.has_begun:
+            return self._linger.deadline
         if self._uploading_request is None:
             return self._head_deadline
         if self._waiting_request is not None or self._is_buffer_full():
@@ -455,35 +446,14 @@
         self._running_requests -= 1
         if not self._is_closing or self._running_requests:
             return
-        if self._is_lingering:
+        if self._linger.has_begun:
             return
-        self._is_lingering = True
         self._unparsed.clear()
         self._buffer_drained.set()
-        self._linger_until = trio.current_time() + self._limits.stall_timeout_s
-        self._extend_linger()
-        self._read_scope.deadline = self._linger_deadline
+        self._linger.begin(trio.current_time())
+        self._read_scope.deadline = self._linger.deadline
         self._nursery.start_soon(self._shut_down_sending)
 
-    def _extend_linger(self) -> bool:
-        """Wait longer for the caller's close; return whether there is time.
-
-        A caller closes its side once it has read the last answer. Closing the
-        socket before would make the kernel answer later input with a reset,
-        which discards what it still has to send, and with which the caller may
-        lose what it has received and not yet read.
-        """
-        now = trio.current_time()
-        unsent_bytes = ending.socket_queues(self._stream.socket).unsent
-        is_first = self._linger_deadline == _NEVER
-        if not is_first and not 0 < unsent_bytes < self._unsent_bytes:
-            return False
-        if now >= self._linger_until:
-            return False
-        self._unsent_bytes = unsent_bytes
-        self._linger_deadline = now + self._limits.linger_timeout_s
-        return True
-
     async def _shut_down_sending(self) -> None:
         """Shut down the sending side; input is discarded from now on."""
         async with self._send_lock:
@@ -602,7 +572,7 @@
         """Log what the end of the connection takes with it, if anything."""
         reason = self._end_reason or (
             ending.EndReason.ANSWERED
-            if self._is_lingering
+            if self._linger.has_begun
             else ending.EndReason.FAILED
         )
         queues = ending.socket_queues(self._stream.socket)
