Stop: two failing tests of complete answers lost at the end of a stop

Found in a review; no code is changed.

- tests/serving/ending.feature, "a process that is busy at the end of a stop sends complete answers": `http.finish` answers unfinished requests in the last 0.15 s, and only if its loop wakes in that time.
A process that runs nothing for longer (here 0.3 s) goes on to `cut` without it: no answer of the connection is sent, orderly close. [502, 200] expected, [] seen.
- tests/entry/leaving.feature, "the end of a long stop does not take complete answers along": a stop without `stop_serve_s` ends in `PlannedStop._tick` with `listener.cut`, which never calls `refuse_unfinished`. [502, 200] expected, [] seen.

--- a/tests/entry/leaving.feature
+++ b/tests/entry/leaving.feature
@@ -64,6 +64,13 @@
     When it is stopped during an upload that never ends
     Then the stopped entry cut 1 request and logged it
 
+  Scenario: the end of a long stop does not take complete answers along
+    A stop without a fixed time for requests cut them at its end, and with them
+    the complete answers that waited behind them on their connections.
+    Given an entry that can be stopped
+    When it is stopped during a request without end, and one behind it has run
+    Then the request behind it got its whole answer
+
   Scenario: a second signal cuts the requests at once and logs them
     Given an entry that can be stopped
     When it is stopped and cut during an upload
--- a/tests/serving/ending.feature
+++ b/tests/serving/ending.feature
@@ -40,3 +40,10 @@
     When a stop of 0.6 s ends during the pipeline: /safe/a/9000/2 /safe/b/0/2 /safe/c/9000/2 /safe/d/100/2
     Then the statuses of the ended pipeline are 502 200 502 200
     And the connection ended without a reset
+
+  Scenario: a process that is busy at the end of a stop sends complete answers
+    It ran again only when the time for the stop was over: the unfinished request
+    was not answered, and the complete answer behind it was lost.
+    When a process is busy from 0.4 s to 0.7 s of a stop of 0.6 s during the pipeline: /safe/a/9000/2 /safe/b/0/2
+    Then the statuses of the ended pipeline are 502 200
+    And the connection ended without a reset
--- a/tests/steps/entry/leaving_steps.py
+++ b/tests/steps/entry/leaving_steps.py
@@ -12,6 +12,7 @@
 from hyssopfold.entry import leaving
 from hyssopfold.serving import listening
 from tests.support import datapath
+from tests.support import pipelines
 
 TTL_S = 0.2
 PROPAGATION_S = 0.1
@@ -218,6 +219,38 @@
     _run(context, step)
 
 
+@when("it is stopped during a request without end, and one behind it has run")
+def _(context):
+    async def hand_over():
+        pass
+
+    async def main():
+        fixture = pipelines.ListenerFixture()
+        planned_stop = leaving.PlannedStop(
+            context.stop_state,
+            fixture.listener,
+            context.gossip_service,
+            context.placement.leave,
+            hand_over,
+        )
+        async with fixture.running_listener(), trio.open_nursery() as nursery:
+            stream = await fixture.connect()
+            text = "/safe/endless/600000/2 /safe/behind/0/2"
+            await stream.send_all(pipelines.encode(text))
+            while "behind" not in fixture.started:
+                await trio.sleep(0.01)
+            nursery.start_soon(planned_stop.run, fixture.stop.set)
+            return await pipelines.AnswerReader(stream).all()
+
+    context.answers = trio.run(main)
+
+
+@then("the request behind it got its whole answer")
+def _(context):
+    answers = [(answer.status, answer.body) for answer in context.answers]
+    assert (200, b"behind:") in answers, answers
+
+
 @when("it is stopped and cut during an upload")
 def _(context):
     async def step(path, planned_stop, nursery):
--- a/tests/steps/serving/ending_steps.py
+++ b/tests/steps/serving/ending_steps.py
@@ -2,6 +2,7 @@
 
 import logging
 import socket
+import time
 
 from behave import then
 from behave import when
@@ -61,6 +62,25 @@
     _run(context, step, stop_s=seconds)
 
 
+@when(
+    "a process is busy from {begin:g} s to {end:g} s of a stop of {seconds:g} s"
+    " during the pipeline: {text}"
+)
+def _(context, begin, end, seconds, text):
+    async def step(fixture):
+        stream = await _start(fixture, text)
+        fixture.stop.set()
+        await trio.sleep(begin)
+        # No other task runs meanwhile.
+        time.sleep(end - begin)
+        reader = pipelines.AnswerReader(stream)
+        answers = await reader.all()
+        context.end = reader.end
+        return answers
+
+    _run(context, step, stop_s=seconds)
+
+
 @when("a stop of {seconds:g} s ends before a caller reads more of: {text}")
 def _(context, seconds, text):
     async def step(fixture):
