Stop: a failing test of an answer that arrives as requests are refused

Found in a review; no code is changed. Fails on: `refuse_unfinished` cancels the task of a request whose answer has arrived in the same tick. The task encodes the answer (`answer_begun`) and writes a part of it without waiting; the rest meets the cancellation, and `_handle_failure` resets the connection, with the complete answers behind it.

--- a/tests/serving/ending.feature
+++ b/tests/serving/ending.feature
@@ -47,3 +47,10 @@
     When a process is busy from 0.4 s to 0.7 s of a stop of 0.6 s during the pipeline: /safe/a/9000/2 /safe/b/0/2
     Then the statuses of the ended pipeline are 502 200
     And the connection ended without a reset
+
+  Scenario: an answer that arrives as unfinished requests are refused is sent
+    Its task was cancelled while it wrote the answer. The connection was reset, so
+    that the complete answer behind it was lost too.
+    When an answer of 64000 bytes arrives just as unfinished requests are refused
+    Then the caller has two whole answers, of which the second is "behind"
+    And the connection ended without a reset
--- a/tests/steps/serving/ending_steps.py
+++ b/tests/steps/serving/ending_steps.py
@@ -105,6 +105,57 @@
     assert context.end == "end", context.end
 
 
+@when(
+    "an answer of {size:d} bytes arrives just as unfinished requests are"
+    " refused"
+)
+def _(context, size):
+    async def step(fixture):
+        answer_arrived = trio.Event()
+
+        async def app(scope, receive, send):
+            fixture.started.append(scope["path"])
+            body = b"behind"
+            if scope["path"].startswith("/safe/first/"):
+                await answer_arrived.wait()
+                body = b"." * size
+            length = str(len(body)).encode()
+            await send(
+                {
+                    "type": "http.response.start",
+                    "status": 200,
+                    "headers": [(b"content-length", length)],
+                }
+            )
+            await send({"type": "http.response.body", "body": body})
+
+        fixture.listener.app = app
+        stream = await _connect(fixture, _SMALL_BUFFER_BYTES)
+        await stream.send_all(
+            pipelines.encode("/safe/first/0/2 /safe/behind/0/2")
+        )
+        while len(fixture.started) < 2:
+            await trio.sleep(0.01)
+        fixture.listener.drain()
+        # The task that waits for the answer runs after both calls.
+        answer_arrived.set()
+        fixture.listener.refuse_unfinished()
+        await trio.sleep(0.1)
+        reader = pipelines.AnswerReader(stream)
+        answers = await reader.all()
+        context.end = reader.end
+        return answers
+
+    _run(context, step)
+
+
+@then('the caller has two whole answers, of which the second is "{body}"')
+def _(context, body):
+    answers = [(answer.status, answer.body) for answer in context.result]
+    assert len(answers) == 2, answers
+    assert answers[1] == (200, body.encode()), answers
+
+
 @when("a caller leaves during the pipeline: {text}")
 def _(context, text):
     async def step(fixture):
