--- a/hyssopfold/serving/connection.py
+++ b/hyssopfold/serving/connection.py
@@ -575,13 +575,12 @@
             if self._linger.has_begun
             else ending.EndReason.FAILED
         )
+        is_closing = self._listener.closing
+        if not is_closing and (not self._unanswered or reason.is_by_caller):
+            return
         queues = ending.socket_queues(self._stream.socket)
         discarded_bytes = self._discarded_bytes + len(self._unparsed)
-        if self._listener.closing:
-            is_worth_a_line = self._unanswered or discarded_bytes or any(queues)
-        else:
-            is_worth_a_line = self._unanswered and not reason.is_by_caller
-        if not is_worth_a_line:
+        if not (self._unanswered or discarded_bytes or any(queues)):
             return
         now = trio.current_time()
         is_due_begun = (
@@ -592,7 +591,7 @@
             "connection-ended",
             caller=self._caller,
             reason=reason.value,
-            closing_s=f"{closing_s:.3f}" if self._listener.closing else "no",
+            closing_s=f"{closing_s:.3f}" if is_closing else "no",
             unanswered=len(self._unanswered),
             answer_bytes=self._answer_bytes if is_due_begun else 0,
             unsent_bytes=queues.unsent,
