--- a/review/lab2.py
+++ b/review/lab2.py
@@ -348,6 +348,8 @@
     ) -> None:
         self.record = Record(folder)
         self.services = services
+        # Statuses of the clients' answers by request id; 0 for none.
+        self.answered: dict[str, int] = {}
         # Not the machine's temporary folder: only this script's own one.
         self._folder = pathlib.Path(tempfile.mkdtemp(prefix="review-"))
         self._processes: dict[str, subprocess.Popen[bytes]] = {}
@@ -654,6 +656,7 @@
             },
             deadline_ms / 1000,
         )
+        self.answered[request_id] = answer.status
         self.record.write(
             "answered", request=request_id, status=answer.status,
             end=answer.end or "-", stamp=answer.headers.get("response-stamp", "-"),
@@ -664,9 +667,17 @@
 def run(
     case: Callable[[Lab, bool], Awaitable[bool]],
     script: str,
+    starts_itself: bool = False,
     **options: Any,
 ) -> None:
-    """Run a case and exit: 0 if the rule held, 1 if not, 2 if it can't run."""
+    """Run a case and exit: 0 if the rule held, 1 if not, 2 if it can't run.
+
+    Args:
+        case: The case; returns whether the rule held.
+        script: Path of the case's script.
+        starts_itself: Whether the case starts the deployment.
+        **options: Options of the deployment.
+    """
     folder = pathlib.Path(script).resolve().parent
     with_trouble = os.environ.get("TROUBLE", "1") != "0"
     status = 2
@@ -680,7 +691,8 @@
 
         async def main() -> bool:
             async with asyncio.timeout(110.0):
-                await lab.start()
+                if not starts_itself:
+                    await lab.start()
                 return await case(lab, with_trouble)
 
         held = asyncio.run(main())
